--- /dev/null
+++ b/cmake/Programs.cmake
@@ -0,0 +1,11 @@
+function(foxtailwheel_program name)
+  add_executable(${name} ${PROJECT_SOURCE_DIR}/src/foxtailwheel/apps/${name}.cpp)
+  foreach(it IN LISTS ARGN)
+    target_link_libraries(${name} PRIVATE foxtailwheel-${it})
+  endforeach()
+  target_link_libraries(${name} PRIVATE cxxopts::cxxopts)
+endfunction()
+
+foxtailwheel_program(foxtailwheeld daemon)
+foxtailwheel_program(foxtailwheel cli)
+foxtailwheel_program(foxtailwheel-standins standin)
--- /dev/null
+++ b/cmake/Tests.cmake
@@ -0,0 +1,7 @@
+file(GLOB_RECURSE test_sources CONFIGURE_DEPENDS
+  ${PROJECT_SOURCE_DIR}/src/foxtailwheel/*Test.cpp
+  ${PROJECT_SOURCE_DIR}/src/foxtailwheel/testing/*.cpp)
+add_executable(foxtailwheel-tests ${test_sources})
+target_include_directories(foxtailwheel-tests PRIVATE ${PROJECT_SOURCE_DIR}/src)
+target_link_libraries(foxtailwheel-tests PRIVATE
+  foxtailwheel-daemon foxtailwheel-cli foxtailwheel-standin PkgConfig::CRITERION rapidcheck)
--- /dev/null
+++ b/include/foxtailwheel/routing/ServerPool.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "foxtailwheel/base/Ids.h"
+#include "foxtailwheel/config/Declarations.h"
+#include "foxtailwheel/routing/ChoicePolicy.h"
+#include "foxtailwheel/routing/Health.h"
+#include "foxtailwheel/routing/LoadEstimate.h"
+#include "foxtailwheel/routing/PrefixIndex.h"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace foxtailwheel::routing {
+
+/// @brief How a pool is used by one instance.
+struct PoolOptions {
+    InstanceId self;
+    AvailabilityZoneId zone;
+    std::size_t subsetSize = 32; ///< Most servers that this instance sends to.
+    ChoicePolicyKind policy = ChoicePolicyKind::ExpectedFinish;
+    bool prefixAffinity = true;
+    std::uint64_t seed = 1;
+};
+
+/// @brief A call that needs a backend server.
+struct PlacementRequest {
+    std::optional<PrefixHash> prefix; ///< Leading part of the prompt, for model engines.
+    std::vector<BackendServerId> avoid; ///< Servers that this stage was sent to already.
+    bool careful = false; ///< True for calls that must not be used to try a suspected server.
+};
+
+/// @brief Where a call goes.
+struct Placement {
+    config::BackendServer server;
+    Cost linkCost; ///< Price of the link between the zones.
+    Duration expected {}; ///< Expected time until the answer.
+    bool crossesZone = false;
+};
+
+/// @brief How a call ended, as far as routing is concerned.
+struct CallReport {
+    CallSign sign = CallSign::Good;
+    Duration time {}; ///< From sending to the end of the answer; used where `sign` is `Good`.
+    std::optional<PrefixHash> prefix;
+};
+
+/// @brief What operators see of one server.
+struct ServerStatus {
+    config::BackendServer server;
+    double load = 0;
+    std::uint32_t ownCalls = 0;
+    bool suspected = false;
+    bool leaving = false;
+    bool inSubset = false;
+    Duration callTime {};
+};
+
+/// @brief The backend servers of one service as one instance sees them; chooses where each call goes.
+///
+/// Thread-safe: one lock for each pool. A choice looks at the instance's subset only, so its cost does not grow
+/// with the pool.
+class ServerPool {
+public:
+    /// @brief Makes the pool of a declared service.
+    static std::unique_ptr<ServerPool> create(
+        const config::Service& service, const config::Declarations& declarations, PoolOptions options);
+    ~ServerPool();
+    ServerPool(const ServerPool&) = delete;
+    ServerPool& operator=(const ServerPool&) = delete;
+
+    /// @brief Takes a new declaration of the service; what is known of servers that stay is kept.
+    void update(const config::Service& service, const config::Declarations& declarations);
+    /// @brief Chooses a server and counts the call as in progress there; empty where no server is usable.
+    std::optional<Placement> place(const PlacementRequest& request, TimePoint now);
+    /// @brief A placed call ended.
+    void ended(const BackendServerId& server, const CallReport& report, TimePoint now);
+    /// @brief A placed call was cancelled; says nothing about the server.
+    void cancelled(const BackendServerId& server, TimePoint now);
+    /// @brief Takes a load report of a server.
+    void reported(const BackendServerId& server, const LoadReport& report);
+    /// @brief Takes a prefix-cache event of a server.
+    void cacheEvent(const BackendServerId& server, const CacheEvent& event);
+    /// @brief Servers that are leaving and get nothing new from now on; replaces the earlier set.
+    void setLeaving(const std::set<BackendServerId>& leaving);
+    /// @brief Expected time of a call sent now to a typical server of the subset, queueing included.
+    Duration expectedTime() const;
+    /// @brief Quantile of the time of answered calls, or `fallback` before enough were seen.
+    Duration timeQuantile(double q, Duration fallback) const;
+    /// @brief Calls that all usable servers of the pool work on at once.
+    double slots(TimePoint now) const;
+    /// @brief The servers for operators.
+    std::vector<ServerStatus> status() const;
+
+private:
+    struct Impl;
+    explicit ServerPool(std::unique_ptr<Impl> impl);
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace foxtailwheel::routing
--- /dev/null
+++ b/include/foxtailwheel/serving/Catalog.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "foxtailwheel/base/Ids.h"
+#include "foxtailwheel/config/Declarations.h"
+#include "foxtailwheel/pipeline/Plan.h"
+#include "foxtailwheel/routing/ServerPool.h"
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace foxtailwheel::serving {
+
+/// @brief One accepted configuration in the form that requests are served from; never changed once made.
+struct Catalog {
+    ConfigVersion version;
+    std::shared_ptr<const config::Declarations> declarations;
+    std::unordered_map<PipelineId, std::shared_ptr<const pipeline::Plan>> plans;
+    std::unordered_map<ServiceId, std::shared_ptr<routing::ServerPool>> pools;
+    std::unordered_map<ClientAccountId, const config::ClientAccount*> accounts;
+    std::unordered_map<std::string, const config::ClientAccount*> credentials; ///< By SHA-256 of the credential.
+};
+
+/// @brief Makes the catalog of a configuration; pools of services that stay are taken over from `before`.
+/// @param before The catalog in force until now, or null.
+std::shared_ptr<const Catalog> makeCatalog(ConfigVersion version,
+    std::shared_ptr<const config::Declarations> declarations, const Catalog* before,
+    const routing::PoolOptions& options);
+
+} // namespace foxtailwheel::serving
--- /dev/null
+++ b/src/foxtailwheel/apps/foxtailwheeld.cpp
@@ -0,0 +1,71 @@
+#include "foxtailwheel/config/Settings.h"
+#include "foxtailwheel/daemon/Instance.h"
+#include "foxtailwheel/telemetry/Log.h"
+
+#include <cxxopts.hpp>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace {
+
+using namespace foxtailwheel;
+
+constexpr int exitOk = 0;
+constexpr int exitFailed = 1;
+constexpr int exitUsage = 2;
+constexpr int exitCut = 3;
+
+int run(const std::string& path, bool checkOnly)
+{
+    const std::ifstream file(path);
+    if (!file) {
+        std::cerr << "foxtailwheeld: cannot read '" << path << "'\n";
+        return exitUsage;
+    }
+    std::ostringstream buf;
+    buf << file.rdbuf();
+    auto parsed = config::parseSettings(buf.str());
+    if (!parsed.valid()) {
+        std::cerr << path << ":\n" << config::describe(parsed.faults);
+        return exitUsage;
+    }
+    if (checkOnly) {
+        std::cout << path << ": the settings are valid\n";
+        return exitOk;
+    }
+    telemetry::configureLog(parsed.settings.logLevel);
+    auto instance = daemon::Instance::start(std::move(parsed.settings));
+    if (!instance.has_value()) {
+        telemetry::logError("cannot_start", { { "detail", instance.error().message() } });
+        return exitFailed;
+    }
+    return instance.value()->waitUntilStopped() == 0 ? exitOk : exitCut;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("foxtailwheeld",
+        "Entry instance of the foxtailwheel serving system.\n"
+        "Exit codes: 0 ended gracefully, 1 could not start, 2 bad settings, 3 requests were cut off.\n"
+        "SIGTERM shuts down gracefully; a second one cuts what is in progress.\n");
+    options.add_options()("s,settings", "settings of this instance (YAML)", cxxopts::value<std::string>())(
+        "check-settings", "check the settings and exit")("h,help", "print this help");
+    try {
+        const auto args = options.parse(argc, argv);
+        if (args.count("help") > 0) {
+            std::cout << options.help() << "\nExample:\n  foxtailwheeld --settings /etc/foxtailwheel/instance.yaml\n";
+            return exitOk;
+        }
+        if (args.count("settings") == 0) {
+            std::cerr << "foxtailwheeld: --settings is needed\n";
+            return exitUsage;
+        }
+        return run(args["settings"].as<std::string>(), args.count("check-settings") > 0);
+    } catch (const cxxopts::exceptions::exception& ex) {
+        std::cerr << "foxtailwheeld: " << ex.what() << "\n";
+        return exitUsage;
+    }
+}
--- /dev/null
+++ b/src/foxtailwheel/backend/EngineProtocol.cpp
@@ -0,0 +1,107 @@
+#include "EngineProtocol.h"
+
+#include "foxtailwheel/backend/JsonProtocol.h"
+#include "foxtailwheel/base/Json.h"
+
+namespace foxtailwheel::backend {
+
+namespace {
+
+    using nlohmann::json;
+
+    constexpr std::size_t longestEventBytes = 1U << 20U;
+    constexpr std::uint64_t defaultMaxTokens = 64;
+
+    /// Reads server-sent events in the usual completions form.
+    class CompletionsDecoder final : public StreamDecoder {
+    public:
+        std::vector<StreamEvent> feed(std::string_view chunk) override;
+
+    private:
+        void readEvent(const std::string& data, std::vector<StreamEvent>& out);
+
+        std::string m_buffer;
+        std::uint64_t m_total = 0;
+        bool m_finished = false;
+    };
+
+    std::vector<StreamEvent> CompletionsDecoder::feed(std::string_view chunk)
+    {
+        std::vector<StreamEvent> events;
+        m_buffer.append(chunk);
+        std::size_t at = 0;
+        for (auto end = m_buffer.find("\n\n"); end != std::string::npos; end = m_buffer.find("\n\n", at)) {
+            const auto event = m_buffer.substr(at, end - at);
+            at = end + 2;
+            if (event.starts_with("data: "))
+                readEvent(event.substr(6), events);
+        }
+        m_buffer.erase(0, at);
+        if (m_buffer.size() > longestEventBytes)
+            events.emplace_back(pipeline::CallFailure::Truncated);
+        return events;
+    }
+
+    void CompletionsDecoder::readEvent(const std::string& data, std::vector<StreamEvent>& out)
+    {
+        if (data == "[DONE]") {
+            out.emplace_back(
+                m_finished ? StreamEvent(StreamDone { m_total }) : StreamEvent(pipeline::CallFailure::Truncated));
+            return;
+        }
+        const auto event = json::parse(data, nullptr, false);
+        if (!event.is_object() || !event.contains("choices") || !event["choices"].is_array()
+            || event["choices"].empty()) {
+            out.emplace_back(pipeline::CallFailure::Failed);
+            return;
+        }
+        const auto& choice = event["choices"][0];
+        if (choice.contains("finish_reason") && !choice["finish_reason"].is_null()) {
+            m_total = countAt(event.contains("usage") ? event["usage"] : json(), "completion_tokens");
+            m_finished = true;
+            return;
+        }
+        if (!choice.contains("offset") || !choice["offset"].is_number_unsigned()) {
+            out.emplace_back(pipeline::CallFailure::Failed);
+            return;
+        }
+        const auto offset = choice["offset"].get<std::uint64_t>();
+        auto text = textAt(choice, "text");
+        auto* last = out.empty() ? nullptr : std::get_if<StreamTokens>(&out.back());
+        if (last != nullptr && last->offset + last->tokens.size() == offset)
+            last->tokens.push_back(std::move(text));
+        else
+            out.emplace_back(StreamTokens { offset, { std::move(text) } });
+    }
+
+    class EngineProtocol final : public JsonProtocol {
+    public:
+        EngineProtocol()
+            : JsonProtocol("/v1/completions")
+        {
+        }
+
+        std::unique_ptr<StreamDecoder> streamDecoder() const override { return std::make_unique<CompletionsDecoder>(); }
+
+    protected:
+        json body(const serving::SendCall& call) const override
+        {
+            auto request = jsonOrText(*call.call.input.request);
+            json body { { "stream", true }, { "priority", call.priority } };
+            body["prompt"] = request.is_object() && request.contains("prompt") ? request["prompt"] : request;
+            body["max_tokens"] = countAt(request, "max_tokens", defaultMaxTokens);
+            body["context"] = inputs(call.call.input);
+            if (call.call.resumeFrom > 0)
+                body["resume"] = { { "offset", call.call.resumeFrom }, { "text", call.call.textSoFar } };
+            return body;
+        }
+    };
+
+} // namespace
+
+std::unique_ptr<Protocol> engineProtocol()
+{
+    return std::make_unique<EngineProtocol>();
+}
+
+} // namespace foxtailwheel::backend
--- /dev/null
+++ b/src/foxtailwheel/config/ParseDeclarations.cpp
@@ -0,0 +1,283 @@
+#include "foxtailwheel/config/Declarations.h"
+#include "foxtailwheel/config/Settings.h"
+#include "foxtailwheel/config/YamlReader.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace foxtailwheel::config {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr std::size_t largestTextBytes = 4U << 20U;
+    constexpr std::size_t mostStages = 6;
+    constexpr Duration longestDeadline = 10min;
+    constexpr std::size_t credentialDigits = 64;
+
+    /// Reads the sections one by one and checks what refers across them.
+    class Parser {
+    public:
+        Parser(const std::string& text, ParsedDeclarations& out)
+            : m_out(out)
+            , m_root(YamlReader::parse(text, out.faults))
+        {
+        }
+
+        void run();
+
+    private:
+        void readZones();
+        void readLinks();
+        void readServices();
+        void readServers(YamlReader& reader, Service& service);
+        void readPipelines();
+        void readAccounts();
+        void checkDependencies();
+        bool reaches(const ServiceId& from, const ServiceId& to, std::set<ServiceId>& seen) const;
+        void checkPipeline(YamlReader& reader, const Pipeline& pipeline);
+        AvailabilityZoneId readZone(YamlReader& reader, std::string_view key);
+
+        /// Reads the name of an entry; a name that stands twice is a fault.
+        template <class Id> Id readName(YamlReader& reader, std::set<Id>& names)
+        {
+            Id id(reader.text("name"));
+            if (id.value().find('/') != std::string::npos)
+                reader.fault("name", "must not hold a slash");
+            if (!id.empty() && !names.insert(id).second)
+                reader.fault("name", "'" + id.value() + "' is declared twice", "choose another name");
+            return id;
+        }
+
+        ParsedDeclarations& m_out;
+        YamlReader m_root;
+        std::vector<YamlReader> m_serviceReaders;
+        std::set<AvailabilityZoneId> m_zones;
+        std::set<ServiceId> m_services;
+        std::set<BackendServerId> m_servers;
+        std::map<std::string, BackendServerId> m_addresses;
+        std::set<PipelineId> m_pipelines;
+        std::map<ServiceId, PipelineId> m_owners;
+        std::set<ClientAccountId> m_accounts;
+    };
+
+    std::vector<std::string> namesOf(const std::set<ServiceId>& ids)
+    {
+        std::vector<std::string> names;
+        for (const auto& it : ids)
+            names.push_back(it.value());
+        return names;
+    }
+
+    std::string didYouMean(const std::string& word, const std::vector<std::string>& words)
+    {
+        const auto nearest = nearestWord(word, words);
+        return nearest.empty() ? std::string() : "did you mean `" + nearest + "`?";
+    }
+
+    void Parser::run()
+    {
+        readZones();
+        readLinks();
+        readServices();
+        checkDependencies();
+        readPipelines();
+        readAccounts();
+        m_root.finish();
+        std::stable_sort(m_out.faults.begin(), m_out.faults.end(),
+            [](const Fault& a, const Fault& b) { return std::pair(a.line, a.column) < std::pair(b.line, b.column); });
+    }
+
+    void Parser::readZones()
+    {
+        for (auto& reader : m_root.list("zones")) {
+            Zone zone;
+            zone.id = readName(reader, m_zones);
+            zone.region = reader.text("region");
+            reader.finish();
+            m_out.declarations.zones.push_back(std::move(zone));
+        }
+        if (m_out.declarations.zones.empty())
+            m_root.fault("zones", "needs at least one availability zone");
+    }
+
+    AvailabilityZoneId Parser::readZone(YamlReader& reader, std::string_view key)
+    {
+        AvailabilityZoneId zone(reader.text(key));
+        if (zone.empty() || m_zones.contains(zone))
+            return zone;
+        std::vector<std::string> names;
+        for (const auto& it : m_zones)
+            names.push_back(it.value());
+        reader.fault(key, "no availability zone '" + zone.value() + "' is declared", didYouMean(zone.value(), names));
+        return zone;
+    }
+
+    void Parser::readLinks()
+    {
+        for (auto& reader : m_root.list("links")) {
+            Link link;
+            link.from = readZone(reader, "from");
+            link.to = readZone(reader, "to");
+            link.oneWay = reader.duration("one_way", {}, 0ms, 1s);
+            link.price = reader.cost("price", Cost {});
+            if (link.from == link.to)
+                reader.fault("to", "a link joins two different zones");
+            if (m_out.declarations.findLink(link.from, link.to) != nullptr)
+                reader.fault("from", "the two zones are linked twice", "keep one of the links");
+            reader.finish();
+            m_out.declarations.links.push_back(std::move(link));
+        }
+    }
+
+    void Parser::readServices()
+    {
+        m_serviceReaders = m_root.list("services");
+        for (auto& reader : m_serviceReaders) {
+            Service service;
+            service.id = readName(reader, m_services);
+            service.kind = static_cast<ServiceKind>(
+                reader.choice("kind", {}, { "encoder", "retriever", "reranker", "model-engine", "plain" }));
+            for (auto& it : reader.texts("depends_on"))
+                service.dependsOn.emplace_back(it);
+            service.idempotent = reader.flag("idempotent", true);
+            service.typicalTime = reader.duration("typical_time", {}, 100us, longestDeadline);
+            service.concurrency = static_cast<std::uint32_t>(reader.count("concurrency", 1, 1, 4096));
+            service.price = reader.cost("price", Cost {});
+            service.costWeight = reader.number("cost_weight", 0, 0, 1e6);
+            service.fencing = static_cast<Fencing>(reader.choice("fencing", 0, { "checked", "ignored" }));
+            service.model = reader.text("model", "");
+            if (!service.model.empty() && service.kind != ServiceKind::ModelEngine)
+                reader.fault("model", "only a model-engine has a model", "remove it");
+            readServers(reader, service);
+            reader.finish();
+            m_out.declarations.services.push_back(std::move(service));
+        }
+        if (m_out.declarations.services.empty())
+            m_root.fault("services", "needs at least one service");
+    }
+
+    void Parser::readServers(YamlReader& reader, Service& service)
+    {
+        for (auto& entry : reader.list("servers")) {
+            BackendServer server;
+            server.id = readName(entry, m_servers);
+            const auto address = entry.text("address");
+            Endpoint endpoint;
+            if (!parseEndpoint(address, endpoint))
+                entry.fault(
+                    "address", "'" + address + "' is not an IP number and a port", "write for example 10.0.0.7:9000");
+            else if (const auto [it, fresh] = m_addresses.emplace(address, server.id); !fresh)
+                entry.fault("address", "is the address of '" + it->second.value() + "' too");
+            server.host = endpoint.host;
+            server.port = endpoint.port;
+            server.zone = readZone(entry, "zone");
+            entry.finish();
+            service.servers.push_back(std::move(server));
+        }
+        if (service.servers.empty())
+            reader.fault("servers", "needs at least one backend server");
+    }
+
+    bool Parser::reaches(const ServiceId& from, const ServiceId& to, std::set<ServiceId>& seen) const
+    {
+        if (!seen.insert(from).second)
+            return false;
+        const auto* service = m_out.declarations.findService(from);
+        if (service == nullptr)
+            return false;
+        return std::any_of(service->dependsOn.begin(), service->dependsOn.end(),
+            [&](const ServiceId& it) { return it == to || reaches(it, to, seen); });
+    }
+
+    void Parser::checkDependencies()
+    {
+        for (std::size_t i = 0; i < m_out.declarations.services.size(); ++i) {
+            const auto& service = m_out.declarations.services[i];
+            auto& reader = m_serviceReaders[i];
+            std::set<ServiceId> once;
+            for (const auto& it : service.dependsOn) {
+                if (!m_services.contains(it))
+                    reader.fault("depends_on", "no service '" + it.value() + "' is declared",
+                        didYouMean(it.value(), namesOf(m_services)));
+                if (!once.insert(it).second)
+                    reader.fault("depends_on", "'" + it.value() + "' stands twice", "remove one of them");
+            }
+            std::set<ServiceId> seen;
+            if (reaches(service.id, service.id, seen))
+                reader.fault("depends_on", "'" + service.id.value() + "' depends on itself through a cycle");
+        }
+    }
+
+    void Parser::checkPipeline(YamlReader& reader, const Pipeline& pipeline)
+    {
+        const auto& declarations = m_out.declarations;
+        if (declarations.findService(pipeline.result) == nullptr) {
+            reader.fault("result", "no service '" + pipeline.result.value() + "' is declared",
+                didYouMean(pipeline.result.value(), namesOf(m_services)));
+            return;
+        }
+        const auto order = dependencyOrder(declarations, pipeline.result);
+        if (order.size() > mostStages)
+            reader.fault("result",
+                "has " + std::to_string(order.size()) + " stages; at most " + std::to_string(mostStages)
+                    + " are allowed");
+        for (const auto& it : order) {
+            if (declarations.findService(it)->idempotent)
+                continue;
+            const auto [owner, fresh] = m_owners.emplace(it, pipeline.id);
+            if (!fresh && it != pipeline.result)
+                reader.fault("result",
+                    "non-idempotent service '" + it.value() + "' would run for pipeline '" + owner->second.value()
+                        + "' too",
+                    "let one pipeline own it");
+        }
+    }
+
+    void Parser::readPipelines()
+    {
+        for (auto& reader : m_root.list("pipelines")) {
+            Pipeline pipeline;
+            pipeline.id = readName(reader, m_pipelines);
+            pipeline.result = ServiceId(reader.text("result"));
+            pipeline.deadline = reader.duration("deadline", {}, 1ms, longestDeadline);
+            pipeline.priority = static_cast<std::uint32_t>(reader.count("priority", 0, 0, 9));
+            checkPipeline(reader, pipeline);
+            reader.finish();
+            m_out.declarations.pipelines.push_back(std::move(pipeline));
+        }
+    }
+
+    void Parser::readAccounts()
+    {
+        for (auto& reader : m_root.list("accounts")) {
+            ClientAccount account;
+            account.id = readName(reader, m_accounts);
+            account.weight = reader.number("weight", 1, 0.001, 1e6);
+            account.ratePerSecond = reader.rate("rate", 0);
+            account.credentialSha256 = reader.text("credential_sha256");
+            const bool hex = account.credentialSha256.find_first_not_of("0123456789abcdef") == std::string::npos;
+            if (!account.credentialSha256.empty() && (!hex || account.credentialSha256.size() != credentialDigits))
+                reader.fault(
+                    "credential_sha256", "must be 64 lower-case hexadecimal digits", "take it from `sha256sum`");
+            reader.finish();
+            m_out.declarations.accounts.push_back(std::move(account));
+        }
+    }
+
+} // namespace
+
+ParsedDeclarations parseDeclarations(const std::string& text)
+{
+    ParsedDeclarations out;
+    if (text.size() > largestTextBytes) {
+        out.faults.push_back({ 0, 0, {}, "the text is larger than 4 MiB", {} });
+        return out;
+    }
+    Parser(text, out).run();
+    return out;
+}
+
+} // namespace foxtailwheel::config
--- /dev/null
+++ b/src/foxtailwheel/config/Settings.cpp
@@ -0,0 +1,96 @@
+#include "foxtailwheel/config/Settings.h"
+
+#include "foxtailwheel/config/YamlReader.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace foxtailwheel::config {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr std::size_t shortestSecretBytes = 16;
+
+    Endpoint readEndpoint(YamlReader& reader, std::string_view key)
+    {
+        Endpoint endpoint;
+        const auto text = reader.text(key);
+        if (!text.empty() && !parseEndpoint(text, endpoint))
+            reader.fault(key, "'" + text + "' is not an IP number and a port", "write for example 127.0.0.1:8080");
+        return endpoint;
+    }
+
+    std::string readSecret(YamlReader& reader, std::string_view key)
+    {
+        const auto path = reader.text(key);
+        if (path.empty())
+            return {};
+        const std::ifstream file(path);
+        std::ostringstream buf;
+        buf << file.rdbuf();
+        auto secret = buf.str();
+        secret.erase(secret.find_last_not_of(" \r\n") + 1);
+        if (!file)
+            reader.fault(key, "cannot read '" + path + "'");
+        else if (secret.size() < shortestSecretBytes)
+            reader.fault(key, "'" + path + "' holds fewer than 16 bytes", "write a longer secret");
+        return secret;
+    }
+
+    void readLimits(YamlReader& root, Settings& settings)
+    {
+        settings.threads = static_cast<std::uint32_t>(root.count("threads", 2, 1, 256));
+        settings.shards = static_cast<std::uint32_t>(root.count("shards", 8, 1, 1024));
+        settings.maxBodyBytes = root.size("max_body", 1U << 20U, 1024, 64U << 20U);
+        settings.maxConnections = static_cast<std::uint32_t>(root.count("max_connections", 4096, 16, 1U << 20U));
+        settings.balancerDelay = root.duration("balancer_delay", 2s, 0ms, 60s);
+        settings.drainLimit = root.duration("drain_limit", 60s, 1s, 1h);
+    }
+
+} // namespace
+
+bool parseEndpoint(const std::string& text, Endpoint& endpoint)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos || colon == 0)
+        return false;
+    const auto host = text.substr(0, colon);
+    const bool numeric
+        = host.find_first_not_of("0123456789.") == std::string::npos && std::count(host.begin(), host.end(), '.') == 3;
+    std::uint16_t port = 0;
+    const auto* last = text.data() + text.size();
+    const auto [end, ec] = std::from_chars(text.data() + colon + 1, last, port);
+    if (!numeric || ec != std::errc {} || end != last)
+        return false;
+    endpoint = { host, port };
+    return true;
+}
+
+ParsedSettings parseSettings(const std::string& text)
+{
+    ParsedSettings out;
+    auto root = YamlReader::parse(text, out.faults);
+    auto& settings = out.settings;
+    settings.instance = InstanceId(root.text("instance"));
+    settings.zone = AvailabilityZoneId(root.text("zone"));
+    settings.region = root.text("region");
+    settings.callers = readEndpoint(root, "callers");
+    settings.operators = readEndpoint(root, "operators");
+    settings.peers = readEndpoint(root, "peers");
+    settings.table = readEndpoint(root, "table");
+    settings.instanceList = readEndpoint(root, "instance_list");
+    readLimits(root, settings);
+    constexpr std::array<std::string_view, 4> levels { "error", "warn", "info", "debug" };
+    settings.logLevel = levels.at(root.choice("log_level", 2, { levels.begin(), levels.end() }));
+    settings.operatorToken = readSecret(root, "operator_token_file");
+    settings.peerKey = readSecret(root, "peer_key_file");
+    root.finish();
+    return out;
+}
+
+} // namespace foxtailwheel::config
--- /dev/null
+++ b/src/foxtailwheel/control/Claim.cpp
@@ -0,0 +1,164 @@
+#include "foxtailwheel/control/Claim.h"
+
+#include "foxtailwheel/base/Hash.h"
+#include "foxtailwheel/base/Json.h"
+
+#include <algorithm>
+#include <array>
+
+namespace foxtailwheel::control {
+
+namespace {
+
+    using nlohmann::json;
+    using pipeline::ClaimState;
+    using platform::TransactEnd;
+
+    constexpr std::array<std::string_view, 3> progressNames { "claimed", "answered", "unknown" };
+
+    std::uint64_t toMilliseconds(WallTime t)
+    {
+        return static_cast<std::uint64_t>(t.time_since_epoch().count());
+    }
+
+    WallTime fromMilliseconds(std::uint64_t n)
+    {
+        return WallTime(std::chrono::milliseconds(n));
+    }
+
+} // namespace
+
+std::string claimRowKey(const serving::ClaimKey& key)
+{
+    const auto text = json { key.account.value(), key.service.value(), key.key.value() }.dump();
+    return "claim/" + sha256Hex(text);
+}
+
+std::string encodeClaimRow(const ClaimRow& row)
+{
+    return json {
+        { "token", row.token.value() },
+        { "body_hash", row.bodyHash },
+        { "holder", row.holder.value() },
+        { "progress", progressNames.at(static_cast<std::size_t>(row.progress)) },
+        { "answer", row.answer },
+        { "held_until_ms", toMilliseconds(row.heldUntil) },
+        { "kept_until_ms", toMilliseconds(row.keptUntil) },
+    }
+        .dump();
+}
+
+std::optional<ClaimRow> decodeClaimRow(const std::string& text)
+{
+    const auto node = json::parse(text, nullptr, false);
+    const auto progress = textAt(node, "progress");
+    const auto name = std::find(progressNames.begin(), progressNames.end(), progress);
+    if (textAt(node, "token").empty() || name == progressNames.end())
+        return std::nullopt;
+    ClaimRow row;
+    row.token = AttemptToken(textAt(node, "token"));
+    row.bodyHash = textAt(node, "body_hash");
+    row.holder = InstanceId(textAt(node, "holder"));
+    row.progress = static_cast<ClaimProgress>(name - progressNames.begin());
+    row.answer = textAt(node, "answer");
+    row.heldUntil = fromMilliseconds(countAt(node, "held_until_ms"));
+    row.keptUntil = fromMilliseconds(countAt(node, "kept_until_ms"));
+    return row;
+}
+
+ClaimMachine::ClaimMachine(std::string key, ClaimRow wanted)
+    : m_key(std::move(key))
+    , m_wanted(std::move(wanted))
+{
+}
+
+platform::Transaction ClaimMachine::insertion() const
+{
+    return { { { m_key, std::nullopt } }, { { m_key, encodeClaimRow(m_wanted) } } };
+}
+
+void ClaimMachine::finish(ClaimState state, pipeline::Payload answer)
+{
+    m_step = ClaimStep::Done;
+    m_result = { state, std::move(answer) };
+}
+
+void ClaimMachine::judge(const platform::Row& row, WallTime now)
+{
+    const auto held = decodeClaimRow(row.value);
+    if (!held) {
+        finish(ClaimState::Unknown);
+        return;
+    }
+    if (held->token == m_wanted.token) {
+        m_mayHold = true;
+        finish(ClaimState::Granted);
+        return;
+    }
+    m_mayHold = false;
+    if (held->bodyHash != m_wanted.bodyHash)
+        finish(ClaimState::KeyReused);
+    else if (held->progress == ClaimProgress::Answered)
+        finish(ClaimState::Recorded, pipeline::payloadOf(held->answer));
+    else if (held->progress == ClaimProgress::Claimed && now < held->heldUntil)
+        finish(ClaimState::InProgress);
+    else
+        finish(ClaimState::Unknown);
+}
+
+void ClaimMachine::onInsert(const platform::TransactResult& result, WallTime now)
+{
+    if (m_step != ClaimStep::Insert)
+        return;
+    switch (result.end) {
+    case TransactEnd::Applied:
+        m_mayHold = true;
+        finish(ClaimState::Granted);
+        return;
+    case TransactEnd::ConditionFailed:
+        if (result.conflicts.empty())
+            m_step = ClaimStep::ReadBack;
+        else
+            judge(result.conflicts.front(), now);
+        return;
+    case TransactEnd::Ambiguous:
+        m_mayHold = true;
+        m_step = ClaimStep::ReadBack;
+        return;
+    case TransactEnd::NotApplied:
+        return;
+    }
+}
+
+void ClaimMachine::onRead(const platform::ReadResult& result, WallTime now)
+{
+    if (m_step != ClaimStep::ReadBack || !result.answered)
+        return;
+    if (result.rows.empty())
+        m_step = ClaimStep::Insert;
+    else
+        judge(result.rows.front(), now);
+}
+
+void ClaimMachine::expire()
+{
+    if (m_step != ClaimStep::Done)
+        finish(ClaimState::Unavailable);
+}
+
+platform::Transaction claimRecord(const std::string& key, const ClaimRow& held, std::uint64_t version,
+    pipeline::ClaimEnd end, const pipeline::Payload& answer)
+{
+    platform::Transaction transaction { { { key, version } }, {} };
+    if (end == pipeline::ClaimEnd::NotStarted) {
+        transaction.writes.push_back({ key, std::nullopt });
+        return transaction;
+    }
+    auto row = held;
+    row.progress = end == pipeline::ClaimEnd::Answered ? ClaimProgress::Answered : ClaimProgress::Unknown;
+    row.answer = answer ? *answer : std::string();
+    transaction.writes.push_back({ key, encodeClaimRow(row) });
+    return transaction;
+}
+
+} // namespace foxtailwheel::control
--- /dev/null
+++ b/src/foxtailwheel/control/ConfigStore.cpp
@@ -0,0 +1,221 @@
+#include "foxtailwheel/control/ConfigStore.h"
+
+#include "foxtailwheel/base/Hash.h"
+#include "foxtailwheel/base/Json.h"
+
+#include <algorithm>
+
+namespace foxtailwheel::control {
+
+namespace {
+
+    using namespace std::chrono_literals;
+    using nlohmann::json;
+    using platform::TransactEnd;
+
+    constexpr Duration tableTimeout = 2s;
+
+    std::string paddedNumber(std::uint64_t n)
+    {
+        constexpr std::size_t digits = 14;
+        auto text = std::to_string(n);
+        return std::string(digits - std::min(digits, text.size()), '0') + text;
+    }
+
+    /// Drives one machine; kept alive by its own callbacks.
+    struct Applying {
+        ApplyMachine machine;
+        platform::Table& table;
+        const Clock& clock;
+        TimePoint deadline;
+        std::function<void(ApplyResult)> done;
+    };
+
+    void advance(const std::shared_ptr<Applying>& applying)
+    {
+        auto& machine = applying->machine;
+        const auto now = applying->clock.now();
+        if (now >= applying->deadline)
+            machine.expire();
+        if (machine.step() == ApplyStep::Done) {
+            applying->done(machine.result());
+            return;
+        }
+        const auto until = std::min(applying->deadline, now + tableTimeout);
+        if (machine.step() == ApplyStep::Transact) {
+            applying->table.transact(machine.transaction(), until, [applying](const platform::TransactResult& result) {
+                applying->machine.onTransact(result);
+                if (result.end == TransactEnd::NotApplied)
+                    applying->machine.expire();
+                advance(applying);
+            });
+            return;
+        }
+        applying->table.read(machine.readKey(), until, [applying](const platform::ReadResult& result) {
+            applying->machine.onRead(result);
+            if (!result.answered)
+                applying->machine.expire();
+            advance(applying);
+        });
+    }
+
+} // namespace
+
+std::string configHeadKey()
+{
+    return "config/head";
+}
+
+std::string configTextKey(ConfigVersion version)
+{
+    return "config/text/" + paddedNumber(version.value());
+}
+
+std::string configChangeKey(ConfigVersion version)
+{
+    return "config/change/" + paddedNumber(version.value());
+}
+
+std::string auditKey(WallTime at, const std::string& who)
+{
+    return "audit/" + paddedNumber(static_cast<std::uint64_t>(at.time_since_epoch().count())) + "-" + who;
+}
+
+std::string encodeConfigHead(const ConfigHead& head)
+{
+    return json {
+        { "version", head.version.value() }, { "change", head.id.value() }, { "text_hash", head.textHash }
+    }.dump();
+}
+
+std::optional<ConfigHead> decodeConfigHead(const std::string& text)
+{
+    const auto node = json::parse(text, nullptr, false);
+    ConfigHead head { ConfigVersion(countAt(node, "version")), ChangeId(textAt(node, "change")),
+        textAt(node, "text_hash") };
+    if (head.version.value() == 0)
+        return std::nullopt;
+    return head;
+}
+
+std::string encodeConfigChange(const ConfigChange& change)
+{
+    return json {
+        { "version", change.version.value() },
+        { "change", change.id.value() },
+        { "author", change.author },
+        { "at_ms", change.at.time_since_epoch().count() },
+        { "note", change.note },
+        { "summary", change.summary },
+        { "text_hash", change.textHash },
+    }
+        .dump();
+}
+
+std::optional<ConfigChange> decodeConfigChange(const std::string& text)
+{
+    const auto node = json::parse(text, nullptr, false);
+    if (countAt(node, "version") == 0)
+        return std::nullopt;
+    ConfigChange change;
+    change.version = ConfigVersion(countAt(node, "version"));
+    change.id = ChangeId(textAt(node, "change"));
+    change.author = textAt(node, "author");
+    change.at = WallTime(std::chrono::milliseconds(countAt(node, "at_ms")));
+    change.note = textAt(node, "note");
+    for (const auto& it : arrayAt(node, "summary"))
+        change.summary.push_back(it.is_string() ? it.get<std::string>() : std::string());
+    change.textHash = textAt(node, "text_hash");
+    return change;
+}
+
+ApplyMachine::ApplyMachine(WantedChange wanted, WallTime now)
+    : m_wanted(std::move(wanted))
+{
+    m_change = { m_wanted.base.next(), m_wanted.id, m_wanted.author, now, m_wanted.note, m_wanted.summary,
+        sha256Hex(m_wanted.text) };
+    m_result.version = m_wanted.base;
+}
+
+platform::Transaction ApplyMachine::transaction() const
+{
+    const bool first = m_wanted.base.value() == 0;
+    platform::Transaction transaction;
+    // The head is written once for each version and never deleted, so the row's version is the configuration's.
+    transaction.conditions.push_back({ configHeadKey(), first ? std::nullopt : std::optional(m_wanted.base.value()) });
+    transaction.conditions.push_back({ configChangeKey(m_change.version), std::nullopt });
+    transaction.writes.push_back(
+        { configHeadKey(), encodeConfigHead({ m_change.version, m_change.id, m_change.textHash }) });
+    transaction.writes.push_back({ configTextKey(m_change.version), m_wanted.text });
+    transaction.writes.push_back({ configChangeKey(m_change.version), encodeConfigChange(m_change) });
+    transaction.writes.push_back({ auditKey(m_change.at, m_change.id.value()), encodeConfigChange(m_change) });
+    if (m_change.version.value() > keptTexts)
+        transaction.writes.push_back(
+            { configTextKey(ConfigVersion(m_change.version.value() - keptTexts)), std::nullopt });
+    return transaction;
+}
+
+void ApplyMachine::onTransact(const platform::TransactResult& result)
+{
+    if (m_step != ApplyStep::Transact)
+        return;
+    switch (result.end) {
+    case TransactEnd::Applied:
+        m_step = ApplyStep::Done;
+        m_result = { ApplyEnd::Accepted, m_change.version };
+        return;
+    case TransactEnd::Ambiguous:
+        m_mayBeApplied = true;
+        m_step = ApplyStep::ReadBack;
+        return;
+    case TransactEnd::ConditionFailed:
+        m_step = ApplyStep::ReadBack;
+        m_mayBeApplied = false;
+        for (const auto& it : result.conflicts) {
+            const auto head = it.key == configHeadKey() ? decodeConfigHead(it.value) : std::nullopt;
+            if (head)
+                m_result.version = head->version;
+        }
+        return;
+    case TransactEnd::NotApplied:
+        return;
+    }
+}
+
+void ApplyMachine::onRead(const platform::ReadResult& result)
+{
+    if (m_step != ApplyStep::ReadBack || !result.answered)
+        return;
+    const auto found = result.rows.empty() ? std::nullopt : decodeConfigChange(result.rows.front().value);
+    if (found) {
+        m_step = ApplyStep::Done;
+        const bool own = found->id == m_change.id;
+        m_result = { own ? ApplyEnd::Accepted : ApplyEnd::Conflict,
+            own ? m_change.version : std::max(m_result.version, found->version) };
+        return;
+    }
+    if (m_mayBeApplied) {
+        m_step = ApplyStep::Transact;
+        return;
+    }
+    m_step = ApplyStep::Done;
+    m_result.end = ApplyEnd::Conflict;
+}
+
+void ApplyMachine::expire()
+{
+    if (m_step == ApplyStep::Done)
+        return;
+    m_step = ApplyStep::Done;
+    m_result.end = m_mayBeApplied ? ApplyEnd::Ambiguous : ApplyEnd::Unavailable;
+}
+
+void applyChange(platform::Table& table, const Clock& clock, WantedChange wanted, TimePoint deadline,
+    std::function<void(ApplyResult)> done)
+{
+    auto applying = std::make_shared<Applying>(
+        Applying { ApplyMachine(std::move(wanted), clock.wallNow()), table, clock, deadline, std::move(done) });
+    advance(applying);
+}
+
+} // namespace foxtailwheel::control
--- /dev/null
+++ b/src/foxtailwheel/daemon/CallerRequest.cpp
@@ -0,0 +1,156 @@
+#include "CallerRequest.h"
+
+#include "foxtailwheel/base/Hash.h"
+#include "foxtailwheel/base/Json.h"
+#include "foxtailwheel/config/Quantity.h"
+
+#include <algorithm>
+
+namespace foxtailwheel::daemon {
+
+namespace {
+
+    using nlohmann::json;
+    using pipeline::OutcomeKind;
+    using pipeline::Reason;
+
+    constexpr std::string_view runsPrefix = "/v1/pipelines/";
+    constexpr std::string_view runsSuffix = "/runs";
+    constexpr std::size_t longestKey = 255;
+    constexpr std::size_t prefixBytes = 256;
+
+    bool readPipeline(const http::Request& request, PipelineId& id)
+    {
+        const auto path = request.path();
+        if (!path.starts_with(runsPrefix) || !path.ends_with(runsSuffix)
+            || path.size() <= runsPrefix.size() + runsSuffix.size())
+            return false;
+        id = PipelineId(
+            std::string(path.substr(runsPrefix.size(), path.size() - runsPrefix.size() - runsSuffix.size())));
+        return true;
+    }
+
+    const config::ClientAccount* authenticate(const http::Request& request, const serving::Catalog& catalog)
+    {
+        constexpr std::string_view scheme = "Bearer ";
+        const auto value = http::findHeader(request.headers, "Authorization");
+        if (!value.starts_with(scheme))
+            return nullptr;
+        const auto it = catalog.credentials.find(sha256Hex(value.substr(scheme.size())));
+        return it == catalog.credentials.end() ? nullptr : it->second;
+    }
+
+    bool validKey(std::string_view key)
+    {
+        const auto visible = [](unsigned char c) { return c > ' ' && c < 127; };
+        return !key.empty() && key.size() <= longestKey && std::all_of(key.begin(), key.end(), visible);
+    }
+
+    /// Reads the optional headers; returns what is wrong, if anything.
+    std::optional<CallerFault> readHeaders(
+        const http::Request& request, const pipeline::Plan& plan, serving::SubmitRequest& out)
+    {
+        const auto deadline = http::findHeader(request.headers, "X-Deadline");
+        if (!deadline.empty()) {
+            const auto limit = config::parseDuration(deadline);
+            if (!limit.has_value() || limit.value() <= Duration {})
+                return CallerFault { 400, "bad_deadline", "X-Deadline must be a duration such as 1500ms" };
+            out.timeLimit = limit.value();
+        }
+        const auto key = http::findHeader(request.headers, "Idempotency-Key");
+        if (!key.empty() && !validKey(key))
+            return CallerFault { 400, "bad_idempotency_key",
+                "Idempotency-Key must be 1 to 255 visible ASCII characters" };
+        if (!key.empty())
+            out.key = IdempotencyKey(std::string(key));
+        if (plan.hasEffect() && !out.key)
+            return CallerFault { 400, "key_missing", "this pipeline has an effect: send an Idempotency-Key" };
+        return std::nullopt;
+    }
+
+} // namespace
+
+std::variant<serving::SubmitRequest, CallerFault> readCallerRequest(
+    const http::Request& request, const serving::Catalog* catalog)
+{
+    serving::SubmitRequest out;
+    if (!readPipeline(request, out.pipeline))
+        return CallerFault { 404, "unknown_path", "use POST /v1/pipelines/NAME/runs" };
+    if (request.method != "POST")
+        return CallerFault { 405, "method_not_allowed", "use POST" };
+    if (catalog == nullptr)
+        return CallerFault { 503, "not_ready", "no configuration is in force yet" };
+    const auto* account = authenticate(request, *catalog);
+    if (account == nullptr)
+        return CallerFault { 401, "unauthorized", "send the account's credential as `Authorization: Bearer`" };
+    out.account = account->id;
+    const auto plan = catalog->plans.find(out.pipeline);
+    if (plan == catalog->plans.end())
+        return CallerFault { 404, "unknown_pipeline", "no pipeline '" + out.pipeline.value() + "' is declared" };
+    const auto body = json::parse(request.body, nullptr, false);
+    if (!body.is_object())
+        return CallerFault { 400, "malformed_json", "the body must be a JSON object" };
+    if (body.contains("max_tokens") && !body["max_tokens"].is_number_unsigned())
+        return CallerFault { 400, "bad_max_tokens", "max_tokens must be a whole number" };
+    out.stream = http::findHeader(request.headers, "Accept").find("text/event-stream") != std::string_view::npos;
+    out.body = pipeline::payloadOf(request.body);
+    if (body.contains("prompt"))
+        out.prefix = hashOf(body["prompt"].dump().substr(0, prefixBytes));
+    if (const auto fault = readHeaders(request, *plan->second, out))
+        return *fault;
+    return out;
+}
+
+http::Response faultResponse(const CallerFault& fault)
+{
+    const json body { { "outcome", "not_run" }, { "reason", fault.code }, { "message", fault.message } };
+    return { fault.status, { { "Content-Type", "application/json" } }, body.dump() };
+}
+
+unsigned statusOf(const pipeline::Outcome& outcome)
+{
+    if (outcome.kind == OutcomeKind::Answered)
+        return 200;
+    if (outcome.reason == Reason::InProgress)
+        return 409;
+    // Balancers repeat some 502, 503 and 504 by themselves, so what may have run is told by 500.
+    if (outcome.kind == OutcomeKind::Unknown)
+        return 500;
+    switch (outcome.reason) {
+    case Reason::RateLimited:
+        return 429;
+    case Reason::DeadlineTooShort:
+    case Reason::DeadlineExceeded:
+        return 504;
+    case Reason::BackendFailed:
+        return 502;
+    case Reason::BackendRejected:
+    case Reason::KeyReused:
+        return 422;
+    case Reason::KeyMissing:
+        return 400;
+    default:
+        return 503;
+    }
+}
+
+std::string replyBody(const serving::Reply& reply, bool withResult)
+{
+    json body { { "run", std::to_string(reply.run.value()) }, { "outcome", toString(reply.outcome.kind) } };
+    if (reply.outcome.reason != Reason::None)
+        body["reason"] = toString(reply.outcome.reason);
+    if (withResult && reply.outcome.answer) {
+        auto parsed = json::parse(*reply.outcome.answer, nullptr, false);
+        body["result"] = parsed.is_discarded() ? json(*reply.outcome.answer) : std::move(parsed);
+    }
+    body["waited_ms"] = toMilliseconds(reply.waited);
+    body["cost"] = json::array();
+    for (const auto& it : reply.costs) {
+        body["cost"].push_back({ { "service", it.service.value() }, { "attempts", it.attempts },
+            { "calls_uc", it.calls.microCredits }, { "links_uc", it.links.microCredits },
+            { "wasted_uc", it.wasted.microCredits }, { "cross_zone", it.crossZone } });
+    }
+    return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace foxtailwheel::daemon
--- /dev/null
+++ b/src/foxtailwheel/daemon/ConfigService.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "foxtailwheel/base/Clock.h"
+#include "foxtailwheel/config/Difference.h"
+#include "foxtailwheel/control/ConfigFollower.h"
+#include "foxtailwheel/platform/Table.h"
+#include "foxtailwheel/serving/Dispatcher.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace foxtailwheel::daemon {
+
+/// @brief A text in force with its version.
+struct ConfigText {
+    ConfigVersion version;
+    std::string text;
+    std::string hash; ///< SHA-256 of the text.
+};
+
+/// @brief Gets a text from a peer.
+using FetchFromPeer = std::function<void(
+    const InstanceId& peer, ConfigVersion version, std::function<void(std::optional<std::string>)> done)>;
+
+/// @brief Keeps the dispatcher on the highest accepted configuration, and applies operators' changes.
+class ConfigService {
+public:
+    ConfigService(platform::Table& table, const Clock& clock, serving::Dispatcher& dispatcher,
+        FetchFromPeer fetchFromPeer, std::uint64_t seed);
+
+    /// @brief Lets time pass; called some times a second.
+    void tick();
+    /// @brief Says whether this instance is one of its zone's few pollers.
+    void setPoller(bool isPoller);
+    /// @brief A peer said which version it has.
+    void onAnnounced(const InstanceId& peer, ConfigVersion version);
+    /// @brief The text in force; version 0 for none.
+    ConfigText inForce() const;
+    bool caughtUp() const;
+    /// @brief Applies a change that was checked already.
+    void apply(control::WantedChange wanted, std::function<void(control::ApplyResult)> done);
+
+private:
+    void perform(const control::FollowActions& actions);
+    void readHead();
+    void fetch(const control::FetchText& fetch);
+    void onText(ConfigVersion version, const std::optional<std::string>& text);
+    void install(const control::InstallText& install);
+
+    platform::Table& m_table;
+    const Clock& m_clock;
+    serving::Dispatcher& m_dispatcher;
+    FetchFromPeer m_fetchFromPeer;
+    mutable std::mutex m_mutex;
+    control::ConfigFollower m_follower;
+    ConfigText m_inForce;
+};
+
+} // namespace foxtailwheel::daemon
--- /dev/null
+++ b/src/foxtailwheel/http/IoPool.cpp
@@ -0,0 +1,98 @@
+#include "foxtailwheel/http/IoPool.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <thread>
+#include <vector>
+
+namespace foxtailwheel::http {
+
+namespace net = boost::asio;
+
+struct IoPool::Impl {
+    explicit Impl(std::size_t n)
+        : context(static_cast<int>(n))
+        , guard(net::make_work_guard(context))
+        , signals(context)
+    {
+    }
+
+    void awaitSignal()
+    {
+        signals.async_wait([this](const boost::system::error_code& ec, int /*signal*/) {
+            if (ec)
+                return;
+            onSignal(++signalCount);
+            awaitSignal();
+        });
+    }
+
+    net::io_context context;
+    net::executor_work_guard<net::io_context::executor_type> guard;
+    net::signal_set signals;
+    std::function<void(int)> onSignal;
+    int signalCount = 0;
+    std::vector<std::thread> threads;
+};
+
+IoPool::IoPool(std::unique_ptr<Impl> impl)
+    : m_impl(std::move(impl))
+{
+}
+
+IoPool::~IoPool()
+{
+    stop();
+}
+
+std::unique_ptr<IoPool> IoPool::create(std::size_t threads)
+{
+    auto impl = std::make_unique<Impl>(threads);
+    auto* context = &impl->context;
+    for (std::size_t i = 0; i < threads; ++i)
+        impl->threads.emplace_back([context] { context->run(); });
+    return std::unique_ptr<IoPool>(new IoPool(std::move(impl)));
+}
+
+void IoPool::post(std::function<void()> work)
+{
+    net::post(m_impl->context, std::move(work));
+}
+
+void IoPool::after(Duration delay, std::function<void()> work)
+{
+    auto timer = std::make_shared<net::steady_timer>(m_impl->context, delay);
+    timer->async_wait([timer, work = std::move(work)](const boost::system::error_code& ec) {
+        if (!ec)
+            work();
+    });
+}
+
+void IoPool::onTerminate(std::function<void(int)> work)
+{
+    m_impl->onSignal = std::move(work);
+    m_impl->signals.add(SIGTERM);
+    m_impl->signals.add(SIGINT);
+    m_impl->awaitSignal();
+}
+
+void IoPool::stop()
+{
+    m_impl->guard.reset();
+    m_impl->context.stop();
+    for (auto& it : m_impl->threads) {
+        if (it.joinable())
+            it.join();
+    }
+}
+
+boost::asio::io_context& IoPool::context()
+{
+    return m_impl->context;
+}
+
+} // namespace foxtailwheel::http
--- /dev/null
+++ b/src/foxtailwheel/pipeline/Plan.cpp
@@ -0,0 +1,58 @@
+#include "foxtailwheel/pipeline/Plan.h"
+
+#include <algorithm>
+#include <map>
+
+namespace foxtailwheel::pipeline {
+
+bool Plan::hasEffect() const
+{
+    return std::any_of(stages.begin(), stages.end(), [](const Stage& it) { return !it.idempotent; });
+}
+
+Duration Plan::criticalPath(StageIndex stage, const ExpectedTime& expected) const
+{
+    std::vector<Duration> longest(stages.size());
+    for (StageIndex i = stages.size(); i-- > stage;) {
+        longest[i] += expected(stages[i]);
+        for (const auto needed : stages[i].needs)
+            longest[needed] = std::max(longest[needed], longest[i]);
+    }
+    return longest[stage];
+}
+
+Duration Plan::criticalPath(const ExpectedTime& expected) const
+{
+    std::vector<Duration> finish(stages.size());
+    for (StageIndex i = 0; i < stages.size(); ++i) {
+        for (const auto needed : stages[i].needs)
+            finish[i] = std::max(finish[i], finish[needed]);
+        finish[i] += expected(stages[i]);
+    }
+    return finish.back();
+}
+
+Result<Plan> makePlan(const config::Declarations& declarations, const PipelineId& id)
+{
+    const auto* pipeline = declarations.findPipeline(id);
+    if (pipeline == nullptr)
+        return fail(Errc::NotFound, "no pipeline '" + id.value() + "' is declared");
+    Plan plan;
+    plan.id = id;
+    plan.deadline = pipeline->deadline;
+    plan.priority = pipeline->priority;
+    std::map<ServiceId, StageIndex> places;
+    for (const auto& name : config::dependencyOrder(declarations, pipeline->result)) {
+        const auto& service = *declarations.findService(name);
+        Stage stage { name, service.kind, service.idempotent, service.typicalTime, {} };
+        for (const auto& it : service.dependsOn)
+            stage.needs.push_back(places.at(it));
+        places.emplace(name, plan.stages.size());
+        plan.stages.push_back(std::move(stage));
+    }
+    if (plan.stages.empty())
+        return fail(Errc::NotFound, "pipeline '" + id.value() + "' has no stage");
+    return plan;
+}
+
+} // namespace foxtailwheel::pipeline
--- /dev/null
+++ b/src/foxtailwheel/platform/InstanceListClient.cpp
@@ -0,0 +1,76 @@
+#include "foxtailwheel/platform/Clients.h"
+
+#include "foxtailwheel/base/Json.h"
+
+namespace foxtailwheel::platform {
+
+namespace {
+
+    using nlohmann::json;
+
+    ListResult readList(const std::string& body)
+    {
+        ListResult result;
+        const auto root = json::parse(body, nullptr, false);
+        if (!root.is_object() || !root.contains("instances"))
+            return result;
+        for (const auto& it : arrayAt(root, "instances")) {
+            ListedInstance entry;
+            entry.id = InstanceId(textAt(it, "id"));
+            entry.zone = AvailabilityZoneId(textAt(it, "zone"));
+            entry.leaving = flagAt(it, "leaving");
+            if (!entry.id.empty() && config::parseEndpoint(textAt(it, "peers"), entry.peers))
+                result.instances.push_back(std::move(entry));
+        }
+        for (const auto& it : arrayAt(root, "leaving_servers")) {
+            if (it.is_string())
+                result.leavingServers.emplace_back(it.get<std::string>());
+        }
+        result.answered = true;
+        return result;
+    }
+
+    class HttpInstanceList final : public InstanceList {
+    public:
+        HttpInstanceList(http::Client& client, config::Endpoint server)
+            : m_client(client)
+            , m_server(std::move(server))
+        {
+        }
+
+        void fetch(TimePoint deadline, std::function<void(ListResult)> done) override
+        {
+            http::CallRequest call { m_server, { "GET", "/v1/instances", {}, {} }, deadline, deadline, true };
+            http::CallEvents events;
+            events.onDone = [done = std::move(done)](const http::CallResult& result) {
+                const bool good = result.end == http::CallEnd::Complete && result.response.status == 200;
+                done(good ? readList(result.response.body) : ListResult());
+            };
+            m_client.start(std::move(call), std::move(events));
+        }
+
+        void announce(const ListedInstance& self, TimePoint deadline) override
+        {
+            const json body { { "id", self.id.value() }, { "zone", self.zone.value() },
+                { "peers", self.peers.toString() }, { "leaving", self.leaving } };
+            http::CallRequest call { m_server,
+                { "PUT", "/v1/instances/" + http::percentEncode(self.id.value()), {}, body.dump() }, deadline, deadline,
+                true };
+            http::CallEvents events;
+            events.onDone = [](const http::CallResult&) {};
+            m_client.start(std::move(call), std::move(events));
+        }
+
+    private:
+        http::Client& m_client;
+        config::Endpoint m_server;
+    };
+
+} // namespace
+
+std::unique_ptr<InstanceList> instanceListClient(http::Client& client, config::Endpoint server)
+{
+    return std::make_unique<HttpInstanceList>(client, std::move(server));
+}
+
+} // namespace foxtailwheel::platform
--- /dev/null
+++ b/src/foxtailwheel/platform/TableClient.cpp
@@ -0,0 +1,151 @@
+#include "foxtailwheel/base/Json.h"
+#include "foxtailwheel/platform/Breaker.h"
+#include "foxtailwheel/platform/Clients.h"
+
+#include <mutex>
+
+namespace foxtailwheel::platform {
+
+namespace {
+
+    using nlohmann::json;
+
+    constexpr std::uint32_t mostCallsAtOnce = 64;
+
+    json toJson(const Transaction& transaction)
+    {
+        json conditions = json::array();
+        for (const auto& it : transaction.conditions)
+            conditions.push_back({ { "key", it.key }, { "version", it.version ? json(*it.version) : json() } });
+        json writes = json::array();
+        for (const auto& it : transaction.writes)
+            writes.push_back({ { "key", it.key }, { "value", it.value ? json(*it.value) : json() } });
+        return { { "conditions", std::move(conditions) }, { "writes", std::move(writes) } };
+    }
+
+    bool readRows(const std::string& body, std::vector<Row>& rows)
+    {
+        const auto root = json::parse(body, nullptr, false);
+        if (!root.is_object() || !root.contains("rows") || !root["rows"].is_array())
+            return false;
+        for (const auto& it : root["rows"]) {
+            rows.push_back({ textAt(it, "key"), textAt(it, "value"), countAt(it, "version") });
+        }
+        return true;
+    }
+
+    class HttpTable final : public Table {
+    public:
+        HttpTable(http::Client& client, const Clock& clock, config::Endpoint server, std::uint64_t seed)
+            : m_client(client)
+            , m_clock(clock)
+            , m_server(std::move(server))
+            , m_breaker(mostCallsAtOnce, seed)
+        {
+        }
+
+        void transact(Transaction transaction, TimePoint deadline, std::function<void(TransactResult)> done) override;
+        void read(std::string key, TimePoint deadline, std::function<void(ReadResult)> done) override;
+        void scan(std::string prefix, std::string after, std::size_t limit, TimePoint deadline,
+            std::function<void(ReadResult)> done) override;
+
+    private:
+        void get(std::string target, TimePoint deadline, std::function<void(ReadResult)> done);
+        bool tryStart();
+        void ended(bool succeeded);
+        static TransactResult judge(const http::CallResult& result);
+
+        http::Client& m_client;
+        const Clock& m_clock;
+        config::Endpoint m_server;
+        std::mutex m_mutex;
+        Breaker m_breaker;
+    };
+
+    bool HttpTable::tryStart()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_breaker.tryStart(m_clock.now());
+    }
+
+    void HttpTable::ended(bool succeeded)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_breaker.ended(succeeded, m_clock.now());
+    }
+
+    TransactResult HttpTable::judge(const http::CallResult& result)
+    {
+        TransactResult outcome;
+        if (result.end == http::CallEnd::NotSent)
+            return outcome;
+        outcome.end = TransactEnd::Ambiguous;
+        if (result.end != http::CallEnd::Complete)
+            return outcome;
+        if (result.response.status == 200)
+            outcome.end = TransactEnd::Applied;
+        else if (result.response.status == 409 && readRows(result.response.body, outcome.conflicts))
+            outcome.end = TransactEnd::ConditionFailed;
+        else if (result.response.status == 400 || result.response.status == 429 || result.response.status == 503)
+            outcome.end = TransactEnd::NotApplied;
+        return outcome;
+    }
+
+    void HttpTable::transact(Transaction transaction, TimePoint deadline, std::function<void(TransactResult)> done)
+    {
+        if (!tryStart()) {
+            done({});
+            return;
+        }
+        http::CallRequest call { m_server,
+            { "POST", "/v1/transact", { { "Content-Type", "application/json" } }, toJson(transaction).dump() },
+            deadline, deadline, false };
+        http::CallEvents events;
+        events.onDone = [this, done = std::move(done)](const http::CallResult& result) {
+            const auto outcome = judge(result);
+            ended(outcome.end == TransactEnd::Applied || outcome.end == TransactEnd::ConditionFailed);
+            done(outcome);
+        };
+        m_client.start(std::move(call), std::move(events));
+    }
+
+    void HttpTable::get(std::string target, TimePoint deadline, std::function<void(ReadResult)> done)
+    {
+        if (!tryStart()) {
+            done({});
+            return;
+        }
+        http::CallRequest call { m_server, { "GET", std::move(target), {}, {} }, deadline, deadline, true };
+        http::CallEvents events;
+        events.onDone = [this, done = std::move(done)](const http::CallResult& result) {
+            ReadResult outcome;
+            const bool good = result.end == http::CallEnd::Complete && result.response.status == 200;
+            outcome.answered = good && readRows(result.response.body, outcome.rows);
+            ended(outcome.answered);
+            done(std::move(outcome));
+        };
+        m_client.start(std::move(call), std::move(events));
+    }
+
+    void HttpTable::read(std::string key, TimePoint deadline, std::function<void(ReadResult)> done)
+    {
+        get("/v1/row?key=" + http::percentEncode(key), deadline, std::move(done));
+    }
+
+    void HttpTable::scan(std::string prefix, std::string after, std::size_t limit, TimePoint deadline,
+        std::function<void(ReadResult)> done)
+    {
+        get("/v1/rows?prefix=" + http::percentEncode(prefix) + "&after=" + http::percentEncode(after)
+                + "&limit=" + std::to_string(limit),
+            deadline, std::move(done));
+    }
+
+} // namespace
+
+std::unique_ptr<Table> tableClient(
+    http::Client& client, const Clock& clock, config::Endpoint server, std::uint64_t seed)
+{
+    return std::make_unique<HttpTable>(client, clock, std::move(server), seed);
+}
+
+} // namespace foxtailwheel::platform
--- /dev/null
+++ b/src/foxtailwheel/routing/ServerPool.cpp
@@ -0,0 +1,294 @@
+#include "foxtailwheel/routing/ServerPool.h"
+
+#include "foxtailwheel/base/Hash.h"
+#include "foxtailwheel/base/Latency.h"
+#include "foxtailwheel/routing/Subset.h"
+
+#include <algorithm>
+#include <cmath>
+#include <mutex>
+#include <unordered_map>
+
+namespace foxtailwheel::routing {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    /// Share of a newly measured time in the smoothed time of a server.
+    constexpr double timeSmoothing = 0.2;
+    /// Time after which an unused measurement has half faded towards the pool's mean.
+    constexpr double timeHalfLifeSeconds = 5;
+    /// Share of the call time that a cached prefix saves.
+    constexpr double prefixSaving = 0.35;
+
+    struct Server {
+        config::BackendServer declared;
+        LoadEstimate load;
+        Health health;
+        PrefixIndex prefixes;
+        double callSeconds = 0; ///< Smoothed time of one call, queueing taken out.
+        TimePoint measuredAt {};
+        double linkSeconds = 0; ///< There and back.
+        Cost linkCost;
+        bool leaving = false;
+        bool inSubset = false;
+        bool isLocal = false;
+    };
+
+} // namespace
+
+struct ServerPool::Impl {
+    Impl(PoolOptions o)
+        : options(std::move(o))
+        , random(options.seed ^ hashOf(options.self.value()))
+        , policy(makeChoicePolicy(options.policy))
+    {
+    }
+
+    void setLink(Server& server, const config::Declarations& declarations) const;
+    void draw();
+    double callSeconds(const Server& server, TimePoint now) const;
+    double queueFactor(const Server& server) const;
+    Candidate candidateOf(std::size_t place, const PlacementRequest& request, TimePoint now) const;
+    void collect(const PlacementRequest& request, bool avoiding, TimePoint now);
+    Server* find(const BackendServerId& id);
+    void learn(Server& server, double seconds, TimePoint now);
+
+    mutable std::mutex mutex;
+    PoolOptions options;
+    config::Service service;
+    Random random;
+    std::unique_ptr<ChoicePolicy> policy;
+    std::vector<Server> servers;
+    std::unordered_map<BackendServerId, std::size_t> places;
+    std::vector<std::size_t> subset;
+    std::vector<Candidate> candidates;
+    std::set<BackendServerId> leaving;
+    LatencyHistogram times;
+    double meanCallSeconds = 0;
+    double stayingServers = 0;
+};
+
+void ServerPool::Impl::setLink(Server& server, const config::Declarations& declarations) const
+{
+    server.isLocal = server.declared.zone == options.zone;
+    const auto* link = declarations.findLink(options.zone, server.declared.zone);
+    server.linkSeconds = link == nullptr ? 0 : 2 * toSeconds(link->oneWay);
+    server.linkCost = link == nullptr ? Cost {} : link->price;
+}
+
+void ServerPool::Impl::draw()
+{
+    std::vector<config::BackendServer> staying;
+    std::vector<std::size_t> positions;
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        servers[i].inSubset = false;
+        servers[i].leaving = leaving.contains(servers[i].declared.id);
+        if (servers[i].leaving)
+            continue;
+        staying.push_back(servers[i].declared);
+        positions.push_back(i);
+    }
+    stayingServers = static_cast<double>(staying.size());
+    subset.clear();
+    for (const auto i : drawSubset(staying, options.self, options.zone, options.subsetSize)) {
+        subset.push_back(positions[i]);
+        servers[positions[i]].inSubset = true;
+    }
+}
+
+double ServerPool::Impl::callSeconds(const Server& server, TimePoint now) const
+{
+    if (server.measuredAt == TimePoint {})
+        return meanCallSeconds;
+    const double age = std::max(0.0, toSeconds(now - server.measuredAt));
+    const double trust = std::exp2(-age / timeHalfLifeSeconds);
+    return trust * server.callSeconds + (1 - trust) * meanCallSeconds;
+}
+
+double ServerPool::Impl::queueFactor(const Server& server) const
+{
+    return std::max(1.0, (server.load.total() + 1) / service.concurrency);
+}
+
+Candidate ServerPool::Impl::candidateOf(std::size_t place, const PlacementRequest& request, TimePoint now) const
+{
+    const auto& server = servers[place];
+    double seconds = callSeconds(server, now);
+    double confidence = 0;
+    if (options.prefixAffinity && request.prefix)
+        confidence = server.prefixes.confidence(*request.prefix);
+    const double waiting = seconds * (queueFactor(server) - 1);
+    // Below its concurrency a server still slows a little with each call it works on.
+    const double spread = 0.1 * seconds * std::min(1.0, server.load.total() / service.concurrency);
+    seconds *= 1 - prefixSaving * confidence;
+    const double milliCredits = static_cast<double>(server.linkCost.microCredits) / 1000;
+    const double costSeconds = service.costWeight * milliCredits / 1000;
+    return { place, seconds + waiting + spread + server.linkSeconds, server.load.others(), costSeconds,
+        server.isLocal };
+}
+
+void ServerPool::Impl::collect(const PlacementRequest& request, bool avoiding, TimePoint now)
+{
+    candidates.clear();
+    for (const auto place : subset) {
+        const auto& server = servers[place];
+        const bool usable = request.careful ? !server.health.suspected() : server.health.usable(now, server.load.own());
+        const bool avoided = avoiding
+            && std::find(request.avoid.begin(), request.avoid.end(), server.declared.id) != request.avoid.end();
+        if (usable && !avoided)
+            candidates.push_back(candidateOf(place, request, now));
+    }
+}
+
+Server* ServerPool::Impl::find(const BackendServerId& id)
+{
+    const auto it = places.find(id);
+    return it == places.end() ? nullptr : &servers[it->second];
+}
+
+void ServerPool::Impl::learn(Server& server, double seconds, TimePoint now)
+{
+    const double net = std::max(1e-4, seconds - server.linkSeconds) / queueFactor(server);
+    const double before = callSeconds(server, now);
+    server.callSeconds = before + timeSmoothing * (net - before);
+    server.measuredAt = now;
+    meanCallSeconds += timeSmoothing / std::max(1.0, static_cast<double>(subset.size())) * (net - meanCallSeconds);
+}
+
+ServerPool::ServerPool(std::unique_ptr<Impl> impl)
+    : m_impl(std::move(impl))
+{
+}
+ServerPool::~ServerPool() = default;
+
+std::unique_ptr<ServerPool> ServerPool::create(
+    const config::Service& service, const config::Declarations& declarations, PoolOptions options)
+{
+    auto impl = std::make_unique<Impl>(std::move(options));
+    impl->meanCallSeconds = toSeconds(service.typicalTime);
+    std::unique_ptr<ServerPool> pool(new ServerPool(std::move(impl)));
+    pool->update(service, declarations);
+    return pool;
+}
+
+void ServerPool::update(const config::Service& service, const config::Declarations& declarations)
+{
+    const std::lock_guard lock(m_impl->mutex);
+    std::vector<Server> servers;
+    for (const auto& it : service.servers) {
+        auto* known = m_impl->find(it.id);
+        const bool same = known != nullptr && known->declared.host == it.host && known->declared.port == it.port;
+        Server server = same ? std::move(*known) : Server {};
+        server.declared = it;
+        m_impl->setLink(server, declarations);
+        servers.push_back(std::move(server));
+    }
+    m_impl->service = service;
+    m_impl->servers = std::move(servers);
+    m_impl->places.clear();
+    for (std::size_t i = 0; i < m_impl->servers.size(); ++i)
+        m_impl->places.emplace(m_impl->servers[i].declared.id, i);
+    m_impl->draw();
+}
+
+std::optional<Placement> ServerPool::place(const PlacementRequest& request, TimePoint now)
+{
+    const std::lock_guard lock(m_impl->mutex);
+    m_impl->collect(request, true, now);
+    if (m_impl->candidates.empty() && !request.avoid.empty())
+        m_impl->collect(request, false, now);
+    if (m_impl->candidates.empty())
+        return std::nullopt;
+    const auto& picked = m_impl->candidates[m_impl->policy->pick(m_impl->candidates, m_impl->random)];
+    auto& server = m_impl->servers[picked.server];
+    server.load.started(now);
+    if (request.prefix)
+        server.prefixes.used(*request.prefix);
+    return Placement { server.declared, server.linkCost, fromSeconds(picked.expectedSeconds), !server.isLocal };
+}
+
+void ServerPool::ended(const BackendServerId& id, const CallReport& report, TimePoint now)
+{
+    const std::lock_guard lock(m_impl->mutex);
+    auto* server = m_impl->find(id);
+    if (server == nullptr)
+        return;
+    if (report.sign == CallSign::Good) {
+        m_impl->times.add(report.time);
+        m_impl->learn(*server, toSeconds(report.time), now);
+    }
+    server->load.finished(now);
+    server->health.observe(report.sign, now);
+}
+
+void ServerPool::cancelled(const BackendServerId& id, TimePoint now)
+{
+    const std::lock_guard lock(m_impl->mutex);
+    if (auto* server = m_impl->find(id))
+        server->load.finished(now);
+}
+
+void ServerPool::reported(const BackendServerId& id, const LoadReport& report)
+{
+    const std::lock_guard lock(m_impl->mutex);
+    if (auto* server = m_impl->find(id))
+        server->load.report(report);
+}
+
+void ServerPool::cacheEvent(const BackendServerId& id, const CacheEvent& event)
+{
+    const std::lock_guard lock(m_impl->mutex);
+    if (auto* server = m_impl->find(id))
+        server->prefixes.event(event);
+}
+
+void ServerPool::setLeaving(const std::set<BackendServerId>& leaving)
+{
+    const std::lock_guard lock(m_impl->mutex);
+    m_impl->leaving = leaving;
+    m_impl->draw();
+}
+
+Duration ServerPool::expectedTime() const
+{
+    const std::lock_guard lock(m_impl->mutex);
+    double load = 0;
+    for (const auto place : m_impl->subset)
+        load += m_impl->servers[place].load.total();
+    const double slots = std::max(1.0, static_cast<double>(m_impl->subset.size()) * m_impl->service.concurrency);
+    return fromSeconds(m_impl->meanCallSeconds * std::max(1.0, load / slots));
+}
+
+Duration ServerPool::timeQuantile(double q, Duration fallback) const
+{
+    const std::lock_guard lock(m_impl->mutex);
+    return m_impl->times.quantile(q, fallback);
+}
+
+double ServerPool::slots(TimePoint now) const
+{
+    const std::lock_guard lock(m_impl->mutex);
+    const auto& subset = m_impl->subset;
+    const auto usable = std::count_if(subset.begin(), subset.end(), [&](std::size_t place) {
+        const auto& server = m_impl->servers[place];
+        return server.health.usable(now, server.load.own());
+    });
+    if (subset.empty())
+        return 0;
+    const double share = static_cast<double>(usable) / static_cast<double>(subset.size());
+    return share * m_impl->stayingServers * m_impl->service.concurrency;
+}
+
+std::vector<ServerStatus> ServerPool::status() const
+{
+    const std::lock_guard lock(m_impl->mutex);
+    std::vector<ServerStatus> rows;
+    for (const auto& it : m_impl->servers)
+        rows.push_back({ it.declared, it.load.total(), it.load.own(), it.health.suspected(), it.leaving, it.inSubset,
+            fromSeconds(it.callSeconds) });
+    return rows;
+}
+
+} // namespace foxtailwheel::routing
--- /dev/null
+++ b/src/foxtailwheel/standin/Faults.cpp
@@ -0,0 +1,44 @@
+#include "foxtailwheel/standin/Faults.h"
+
+#include "foxtailwheel/base/Json.h"
+
+#include <algorithm>
+#include <array>
+
+namespace foxtailwheel::standin {
+
+namespace {
+
+    constexpr std::array<std::string_view, 7> kindNames { "refuse", "fail", "close_before", "close_middle",
+        "close_after", "silent", "late" };
+
+} // namespace
+
+void FaultPlan::set(Fault fault, std::uint64_t count)
+{
+    const std::lock_guard lock(m_mutex);
+    m_fault = fault;
+    m_left = count;
+}
+
+bool FaultPlan::setFromJson(const std::string& text)
+{
+    const auto node = nlohmann::json::parse(text, nullptr, false);
+    const auto name = std::find(kindNames.begin(), kindNames.end(), textAt(node, "kind"));
+    if (name == kindNames.end())
+        return false;
+    const auto delay = std::chrono::milliseconds(countAt(node, "delay_ms"));
+    set({ static_cast<FaultKind>(name - kindNames.begin()), delay }, countAt(node, "count", 1));
+    return true;
+}
+
+std::optional<Fault> FaultPlan::next()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_left == 0)
+        return std::nullopt;
+    --m_left;
+    return m_fault;
+}
+
+} // namespace foxtailwheel::standin
--- /dev/null
+++ b/src/foxtailwheel/standin/InstanceList.cpp
@@ -0,0 +1,167 @@
+#include "foxtailwheel/base/Json.h"
+#include "foxtailwheel/http/Server.h"
+#include "foxtailwheel/limits/TokenBucket.h"
+#include "foxtailwheel/standin/Faults.h"
+#include "foxtailwheel/standin/Platform.h"
+
+#include <map>
+#include <mutex>
+#include <set>
+
+namespace foxtailwheel::standin {
+
+namespace {
+
+    using namespace std::chrono_literals;
+    using http::Request;
+    using http::Responder;
+    using nlohmann::json;
+
+    constexpr Duration entryLife = 30s;
+
+    class InstanceListStandIn final : public StandIn {
+    public:
+        InstanceListStandIn(const Clock& clock, Duration lag)
+            : m_clock(clock)
+            , m_lag(lag)
+        {
+        }
+
+        void handle(const Request& request, const std::shared_ptr<Responder>& responder);
+        void own(std::unique_ptr<http::Server> server) { m_server = std::move(server); }
+
+    private:
+        struct Entry {
+            json announced;
+            TimePoint firstSeen;
+            TimePoint lastSeen;
+        };
+
+        http::Response list();
+        void put(const Request& request);
+
+        const Clock& m_clock;
+        Duration m_lag;
+        std::mutex m_mutex;
+        std::map<std::string, Entry> m_entries;
+        std::map<std::string, TimePoint> m_leavingServers;
+        FaultPlan m_faults;
+        std::unique_ptr<http::Server> m_server;
+    };
+
+    http::Response InstanceListStandIn::list()
+    {
+        const auto now = m_clock.now();
+        const std::lock_guard lock(m_mutex);
+        std::erase_if(m_entries, [now](const auto& it) { return now - it.second.lastSeen > entryLife; });
+        json instances = json::array();
+        for (const auto& it : m_entries) {
+            if (now - it.second.firstSeen >= m_lag)
+                instances.push_back(it.second.announced);
+        }
+        json leaving = json::array();
+        for (const auto& it : m_leavingServers) {
+            if (now - it.second >= m_lag)
+                leaving.push_back(it.first);
+        }
+        return { 200, {}, json { { "instances", instances }, { "leaving_servers", leaving } }.dump() };
+    }
+
+    void InstanceListStandIn::put(const Request& request)
+    {
+        auto announced = json::parse(request.body, nullptr, false);
+        const auto id = textAt(announced, "id");
+        const auto now = m_clock.now();
+        const std::lock_guard lock(m_mutex);
+        auto& entry = m_entries.try_emplace(id, Entry { {}, now, now }).first->second;
+        entry.announced = std::move(announced);
+        entry.lastSeen = now;
+    }
+
+    void InstanceListStandIn::handle(const Request& request, const std::shared_ptr<Responder>& responder)
+    {
+        if (request.path() == "/v1/faults") {
+            responder->respond({ m_faults.setFromJson(request.body) ? 200U : 400U, {}, {} });
+            return;
+        }
+        if (m_faults.next()) {
+            responder->respond({ 503, {}, "unavailable" });
+            return;
+        }
+        if (request.method == "GET" && request.path() == "/v1/instances") {
+            responder->respond(list());
+            return;
+        }
+        if (request.method == "PUT" && request.path().starts_with("/v1/instances/")) {
+            put(request);
+            responder->respond({ 200, {}, "{}" });
+            return;
+        }
+        if (request.method == "PUT" && request.path().starts_with("/v1/leaving-servers/")) {
+            const std::string id(request.path().substr(std::string_view("/v1/leaving-servers/").size()));
+            const std::lock_guard lock(m_mutex);
+            m_leavingServers.emplace(id, m_clock.now());
+            responder->respond({ 200, {}, "{}" });
+            return;
+        }
+        responder->respond({ 404, {}, "no such path" });
+    }
+
+    /// Serves loads up to a rate, and refuses the rest.
+    class WeightStoreStandIn final : public StandIn {
+    public:
+        WeightStoreStandIn(const Clock& clock, double loadsPerSecond)
+            : m_clock(clock)
+            , m_loads(loadsPerSecond, 1, clock.now())
+        {
+        }
+
+        void handle(const std::shared_ptr<Responder>& responder)
+        {
+            const std::lock_guard lock(m_mutex);
+            const bool allowed = m_loads.take(1, m_clock.now());
+            responder->respond({ allowed ? 200U : 429U, {}, allowed ? "weights" : "too many loads" });
+        }
+        void own(std::unique_ptr<http::Server> server) { m_server = std::move(server); }
+
+    private:
+        const Clock& m_clock;
+        std::mutex m_mutex;
+        limits::TokenBucket m_loads;
+        std::unique_ptr<http::Server> m_server;
+    };
+
+} // namespace
+
+Result<std::unique_ptr<StandIn>> startInstanceList(
+    http::IoPool& pool, const Clock& clock, config::Endpoint listen, Duration lag)
+{
+    auto list = std::make_unique<InstanceListStandIn>(clock, lag);
+    http::ServerOptions options;
+    options.listen = std::move(listen);
+    auto* raw = list.get();
+    BOOST_OUTCOME_TRY(auto server,
+        http::Server::listen(pool, options, [raw](const Request& request, const std::shared_ptr<Responder>& responder) {
+            raw->handle(request, responder);
+        }));
+    list->own(std::move(server));
+    return std::unique_ptr<StandIn>(std::move(list));
+}
+
+Result<std::unique_ptr<StandIn>> startWeightStore(
+    http::IoPool& pool, const Clock& clock, config::Endpoint listen, double loadsPerSecond)
+{
+    auto store = std::make_unique<WeightStoreStandIn>(clock, loadsPerSecond);
+    http::ServerOptions options;
+    options.listen = std::move(listen);
+    auto* raw = store.get();
+    BOOST_OUTCOME_TRY(auto server,
+        http::Server::listen(
+            pool, options, [raw](const Request& /*request*/, const std::shared_ptr<Responder>& responder) {
+                raw->handle(responder);
+            }));
+    store->own(std::move(server));
+    return std::unique_ptr<StandIn>(std::move(store));
+}
+
+} // namespace foxtailwheel::standin
--- /dev/null
+++ b/src/foxtailwheel/testing/Declared.cpp
@@ -0,0 +1,42 @@
+#include "Declared.h"
+
+namespace foxtailwheel::testing {
+
+using namespace std::chrono_literals;
+
+config::Service serviceOf(const std::string& name, config::ServiceKind kind, std::size_t servers)
+{
+    config::Service service;
+    service.id = ServiceId(name);
+    service.kind = kind;
+    service.typicalTime = 10ms;
+    service.concurrency = 4;
+    service.price = { 10 };
+    for (std::size_t i = 0; i < servers; ++i) {
+        const auto zone = AvailabilityZoneId(i % 2 == 0 ? "a" : "b");
+        service.servers.push_back({ BackendServerId(name + "-" + std::to_string(i)), "127.0.0.1",
+            static_cast<std::uint16_t>(9000 + i), zone });
+    }
+    return service;
+}
+
+std::shared_ptr<const config::Declarations> smallDeployment(std::size_t servers)
+{
+    auto declared = std::make_shared<config::Declarations>();
+    declared->zones = { { AvailabilityZoneId("a"), "r" }, { AvailabilityZoneId("b"), "r" } };
+    declared->links = { { AvailabilityZoneId("a"), AvailabilityZoneId("b"), 3ms, { 5 } } };
+    declared->services.push_back(serviceOf("encode", config::ServiceKind::Encoder, servers));
+    declared->services.push_back(serviceOf("retrieve", config::ServiceKind::Retriever, servers));
+    declared->services.back().dependsOn = { ServiceId("encode") };
+    declared->services.push_back(serviceOf("generate", config::ServiceKind::ModelEngine, servers));
+    declared->services.back().dependsOn = { ServiceId("retrieve") };
+    declared->services.push_back(serviceOf("booking", config::ServiceKind::Plain, servers));
+    declared->services.back().idempotent = false;
+    declared->pipelines.push_back({ PipelineId("answer"), ServiceId("generate"), 2s, 0 });
+    declared->pipelines.push_back({ PipelineId("book"), ServiceId("booking"), 1s, 0 });
+    declared->accounts.push_back({ ClientAccountId("coop"), 3, 0, std::string(64, 'a') });
+    declared->accounts.push_back({ ClientAccountId("shop"), 1, 0, std::string(64, 'b') });
+    return declared;
+}
+
+} // namespace foxtailwheel::testing
--- /dev/null
+++ b/src/foxtailwheel/testing/FaultWorld.cpp
@@ -0,0 +1,426 @@
+#include "FaultWorld.h"
+
+#include "Declared.h"
+
+#include <algorithm>
+
+namespace foxtailwheel::testing {
+
+using namespace std::chrono_literals;
+using pipeline::CallFailure;
+using pipeline::OutcomeKind;
+
+namespace {
+
+    constexpr std::size_t instanceCount = 3;
+    constexpr std::size_t tableInstance = instanceCount; ///< Events of the table live on while instances die.
+    constexpr std::uint64_t tokenCount = 6;
+    constexpr std::size_t mostSteps = 20000;
+
+    std::string tokenOf(const std::string& request, std::uint64_t i)
+    {
+        return request + "#" + std::to_string(i) + ";";
+    }
+
+    std::string textOf(const std::string& request)
+    {
+        std::string text;
+        for (std::uint64_t i = 0; i < tokenCount; ++i)
+            text += tokenOf(request, i);
+        return text;
+    }
+
+} // namespace
+
+void FaultCounts::add(const FaultCounts& other)
+{
+    requests += other.requests;
+    answered += other.answered;
+    notRun += other.notRun;
+    unknown += other.unknown;
+    lost += other.lost;
+    doubled += other.doubled;
+    crossed += other.crossed;
+    wrongNotRun += other.wrongNotRun;
+    attempts += other.attempts;
+    firstAttempts += other.firstAttempts;
+}
+
+struct FaultWorld::Asked {
+    std::size_t number = 0;
+    std::size_t instance = 0;
+    std::string body;
+    bool booking = false;
+    std::uint64_t replies = 0;
+    std::uint64_t tokens = 0;
+    std::string text;
+};
+
+struct FaultWorld::FakeInstance {
+    std::unique_ptr<serving::Dispatcher> dispatcher;
+    std::unique_ptr<control::ClaimKeeper> claims;
+    bool alive = true;
+};
+
+/// Table with faults: answers lost before and after the write, writes that land late, refusals.
+class FaultWorld::FakeTable final : public platform::Table {
+public:
+    explicit FakeTable(FaultWorld& world)
+        : m_world(world)
+    {
+    }
+
+    void transact(platform::Transaction transaction, TimePoint deadline,
+        std::function<void(platform::TransactResult)> done) override;
+    void read(std::string key, TimePoint deadline, std::function<void(platform::ReadResult)> done) override;
+    void scan(std::string, std::string, std::size_t, TimePoint, std::function<void(platform::ReadResult)> done) override
+    {
+        done({});
+    }
+
+private:
+    platform::TransactResult apply(const platform::Transaction& transaction);
+
+    FaultWorld& m_world;
+    std::map<std::string, platform::Row> m_rows;
+};
+
+platform::TransactResult FaultWorld::FakeTable::apply(const platform::Transaction& transaction)
+{
+    platform::TransactResult result { platform::TransactEnd::Applied, {} };
+    for (const auto& it : transaction.conditions) {
+        const auto found = m_rows.find(it.key);
+        const std::uint64_t version = found == m_rows.end() ? 0 : found->second.version;
+        if (version == it.version.value_or(0))
+            continue;
+        result.end = platform::TransactEnd::ConditionFailed;
+        if (found != m_rows.end())
+            result.conflicts.push_back(found->second);
+    }
+    if (result.end != platform::TransactEnd::Applied)
+        return result;
+    for (const auto& it : transaction.writes) {
+        if (!it.value) {
+            m_rows.erase(it.key);
+            continue;
+        }
+        auto& row = m_rows[it.key];
+        row = { it.key, *it.value, row.version + 1 };
+    }
+    return result;
+}
+
+void FaultWorld::FakeTable::transact(
+    platform::Transaction transaction, TimePoint deadline, std::function<void(platform::TransactResult)> done)
+{
+    auto& random = m_world.m_random;
+    const auto wait = std::max<Duration>(deadline - m_world.m_clock.now(), 1ms);
+    if (random.chance(m_world.m_rates.tableDown)) {
+        m_world.later(tableInstance, m_world.someTime(0.005), [done] { done({}); });
+        return;
+    }
+    if (random.chance(m_world.m_rates.tableLost)) {
+        const bool lands = random.chance(0.6);
+        const auto delay = random.chance(0.5) ? m_world.someTime(0.005) : wait + m_world.someTime(0.5);
+        if (lands)
+            m_world.later(tableInstance, delay, [this, transaction] { apply(transaction); });
+        m_world.later(tableInstance, wait, [done] { done({ platform::TransactEnd::Ambiguous, {} }); });
+        return;
+    }
+    m_world.later(tableInstance, m_world.someTime(0.005), [this, transaction, done] { done(apply(transaction)); });
+}
+
+void FaultWorld::FakeTable::read(std::string key, TimePoint, std::function<void(platform::ReadResult)> done)
+{
+    const bool answers = !m_world.m_random.chance(m_world.m_rates.tableDown);
+    m_world.later(tableInstance, m_world.someTime(0.005), [this, key, done, answers] {
+        platform::ReadResult result { answers, {} };
+        const auto it = m_rows.find(key);
+        if (answers && it != m_rows.end())
+            result.rows.push_back(it->second);
+        done(std::move(result));
+    });
+}
+
+FaultWorld::FaultWorld(std::uint64_t seed, FaultRates rates)
+    : m_random(seed)
+    , m_rates(rates)
+    , m_declared(smallDeployment(3))
+    , m_table(std::make_unique<FakeTable>(*this))
+{
+    m_clock.set(TimePoint(1h));
+    for (std::size_t i = 0; i < instanceCount; ++i) {
+        auto instance = std::make_unique<FakeInstance>();
+        serving::DispatcherOptions options;
+        options.pools.self = InstanceId("instance-" + std::to_string(i));
+        options.pools.zone = AvailabilityZoneId("a");
+        options.pools.seed = seed;
+        options.shards = 2;
+        options.hedging = rates.hedging;
+        instance->dispatcher = serving::makeDispatcher(options);
+        instance->dispatcher->configure(ConfigVersion(1), m_declared);
+        instance->claims = control::ClaimKeeper::create(*m_table, m_clock, options.pools.self, m_random.next(),
+            [this, i](Duration delay, std::function<void()> work) { later(i, delay, std::move(work)); });
+        m_instances.push_back(std::move(instance));
+    }
+}
+
+FaultWorld::~FaultWorld() = default;
+
+Duration FaultWorld::someTime(double mean)
+{
+    return fromSeconds(m_random.exponential(mean));
+}
+
+void FaultWorld::later(std::size_t instance, Duration delay, std::function<void()> work)
+{
+    m_events.push_back({ m_clock.now() + delay, instance, std::move(work) });
+}
+
+bool FaultWorld::step()
+{
+    if (m_events.empty())
+        return false;
+    // One event in four is taken out of order, as if its thread had been held up.
+    const auto earlier = [](const Event& a, const Event& b) { return a.due < b.due; };
+    auto it = std::min_element(m_events.begin(), m_events.end(), earlier);
+    if (m_random.chance(0.25)) {
+        const auto horizon = it->due + 20ms;
+        const auto other = m_events.begin() + static_cast<std::ptrdiff_t>(m_random.below(m_events.size()));
+        if (other->due <= horizon)
+            it = other;
+    }
+    auto event = std::move(*it);
+    m_events.erase(it);
+    if (event.due > m_clock.now())
+        m_clock.set(event.due);
+    if (event.instance >= instanceCount || m_instances[event.instance]->alive)
+        event.work();
+    return true;
+}
+
+FaultCounts FaultWorld::run(std::size_t requests)
+{
+    for (std::size_t i = 0; i < requests; ++i)
+        later(tableInstance, someTime(0.1), [this, i] { submit(i, false); });
+    for (std::size_t i = 0; i < instanceCount; ++i) {
+        if (i > 0 && m_random.chance(m_rates.instanceDies))
+            later(tableInstance, someTime(0.3), [this, i] { m_instances[i]->alive = false; });
+    }
+    for (std::size_t steps = 0; steps < mostSteps && step(); ++steps) { }
+    for (const auto& it : m_asked) {
+        if (it.second.replies == 0 && m_instances[it.second.instance]->alive)
+            ++m_counts.lost;
+    }
+    for (const auto& it : m_executions)
+        m_counts.doubled += it.second > 1 ? 1 : 0;
+    for (const auto& it : m_toldNotRun)
+        m_counts.wrongNotRun += m_executedRuns.contains(it) ? 1 : 0;
+    return m_counts;
+}
+
+void FaultWorld::submit(std::size_t number, bool isRepeat)
+{
+    std::size_t instance = m_random.below(instanceCount);
+    if (!m_instances[instance]->alive)
+        instance = 0;
+    Asked asked;
+    asked.number = number;
+    asked.instance = instance;
+    asked.booking = number % 2 == 0;
+    asked.body = "request-" + std::to_string(number);
+    serving::SubmitRequest request;
+    request.pipeline = PipelineId(asked.booking ? "book" : "answer");
+    request.account = ClientAccountId(number % 3 == 0 ? "coop" : "shop");
+    request.body = pipeline::payloadOf(asked.body);
+    request.stream = true;
+    if (asked.booking)
+        request.key = IdempotencyKey("key-" + std::to_string(number));
+    if (asked.booking && !isRepeat && m_random.chance(m_rates.callerRepeats))
+        later(tableInstance, someTime(1), [this, number] { submit(number, true); });
+    ++m_counts.requests;
+    auto& dispatcher = *m_instances[instance]->dispatcher;
+    const auto id = dispatcher.newRun();
+    m_asked.emplace(id, std::move(asked));
+    serving::Actions actions;
+    dispatcher.submit(id, std::move(request), m_clock.now(), actions);
+    perform(instance, std::move(actions));
+}
+
+void FaultWorld::perform(std::size_t instance, serving::Actions actions)
+{
+    auto& fake = *m_instances[instance];
+    for (auto& action : actions) {
+        if (const auto* send = std::get_if<serving::SendCall>(&action)) {
+            call(instance, *send);
+        } else if (const auto* stop = std::get_if<serving::StopCall>(&action)) {
+            m_stopped.insert(stop->id);
+        } else if (const auto* timer = std::get_if<pipeline::SetTimer>(&action)) {
+            later(instance, timer->at - m_clock.now(), [this, instance, id = timer->id] {
+                serving::Actions due;
+                m_instances[instance]->dispatcher->onTimer(id, m_clock.now(), due);
+                perform(instance, std::move(due));
+            });
+        } else if (const auto* claim = std::get_if<serving::ClaimCall>(&action)) {
+            fake.claims->claim(
+                *claim, [this, instance, run = claim->run, stage = claim->stage](const pipeline::ClaimResult& result) {
+                    if (!m_instances[instance]->alive)
+                        return;
+                    serving::Actions due;
+                    m_instances[instance]->dispatcher->onClaim(run, stage, result, m_clock.now(), due);
+                    perform(instance, std::move(due));
+                });
+        } else if (const auto* end = std::get_if<serving::EndClaim>(&action)) {
+            fake.claims->end(*end);
+        } else if (const auto* tokens = std::get_if<pipeline::EmitTokens>(&action)) {
+            onTokens(*tokens);
+        } else if (const auto* reply = std::get_if<serving::Reply>(&action)) {
+            onReply(*reply);
+        }
+    }
+}
+
+void FaultWorld::execute(const serving::SendCall& send)
+{
+    if (send.idempotencyKey.empty())
+        return;
+    ++m_executions[send.idempotencyKey];
+    m_executedRuns.insert(send.call.id.run);
+}
+
+void FaultWorld::failCall(std::size_t instance, const pipeline::AttemptId& id, CallFailure failure)
+{
+    serving::Actions due;
+    m_instances[instance]->dispatcher->onFailure(id, failure, m_clock.now(), due);
+    perform(instance, std::move(due));
+}
+
+void FaultWorld::call(std::size_t instance, const serving::SendCall& send)
+{
+    ++m_counts.attempts;
+    m_counts.firstAttempts += send.call.isExtra ? 0 : 1;
+    const auto id = send.call.id;
+    if (m_random.chance(m_rates.callRefused)) {
+        const auto failure = m_random.chance(0.5) ? CallFailure::NotSent : CallFailure::Refused;
+        later(instance, someTime(0.005), [this, instance, id, failure] { failCall(instance, id, failure); });
+        return;
+    }
+    m_instances[instance]->dispatcher->onSent(id, m_clock.now());
+    if (m_random.chance(m_rates.callLost)) {
+        if (m_random.chance(0.5))
+            later(tableInstance, someTime(0.02), [this, send] { execute(send); });
+        // The driver reports a silent call when its deadline passes.
+        later(instance, send.call.deadline - m_clock.now(),
+            [this, instance, id] { failCall(instance, id, CallFailure::Silent); });
+        return;
+    }
+    const bool breaks = m_random.chance(m_rates.callBroken);
+    if (send.call.stage->kind == config::ServiceKind::ModelEngine) {
+        later(instance, someTime(0.01), [this, instance, send, breaks] { stream(instance, send, breaks); });
+        return;
+    }
+    if (breaks) {
+        if (m_random.chance(0.5))
+            later(tableInstance, someTime(0.01), [this, send] { execute(send); });
+        const auto failure = m_random.chance(0.5) ? CallFailure::Broken : CallFailure::Failed;
+        later(instance, someTime(0.02), [this, instance, id, failure] { failCall(instance, id, failure); });
+        return;
+    }
+    later(tableInstance, someTime(0.01), [this, instance, send] {
+        execute(send);
+        later(instance, someTime(0.005), [this, instance, send] { answer(instance, send); });
+    });
+}
+
+void FaultWorld::answer(std::size_t instance, const serving::SendCall& send)
+{
+    auto& dispatcher = *m_instances[instance]->dispatcher;
+    const auto body = pipeline::payloadOf(*send.call.input.request + "@" + send.call.stage->service.value());
+    serving::Actions due;
+    dispatcher.onAnswer(send.call.id, body, m_clock.now(), due);
+    perform(instance, std::move(due));
+    if (!m_random.chance(m_rates.resultRepeated))
+        return;
+    auto stray = send.call.id;
+    if (m_random.chance(0.5))
+        stray.attempt = stray.attempt.next();
+    else if (m_random.chance(0.5))
+        stray.run = RunId(stray.run.value() + 1000);
+    serving::Actions more;
+    dispatcher.onAnswer(stray, body, m_clock.now(), more);
+    perform(instance, std::move(more));
+}
+
+void FaultWorld::stream(std::size_t instance, const serving::SendCall& send, bool breaks)
+{
+    auto& dispatcher = *m_instances[instance]->dispatcher;
+    const auto id = send.call.id;
+    const auto& request = *send.call.input.request;
+    std::uint64_t from = send.call.resumeFrom;
+    // Some engines resume a little early and send tokens again.
+    if (from > 0 && m_random.chance(0.3))
+        --from;
+    const auto until = breaks ? from + m_random.below(tokenCount - from + 1) : tokenCount;
+    // A broken stream may skip a token first.
+    if (breaks && from < until && m_random.chance(0.1))
+        ++from;
+    while (from < until) {
+        const auto n = std::min<std::uint64_t>(until - from, 1 + m_random.below(3));
+        std::vector<std::string> tokens;
+        for (std::uint64_t i = 0; i < n; ++i)
+            tokens.push_back(tokenOf(request, from + i));
+        serving::Actions due;
+        dispatcher.onTokens(id, from, tokens, m_clock.now(), due);
+        perform(instance, std::move(due));
+        from += n;
+    }
+    if (breaks) {
+        failCall(instance, id, m_random.chance(0.5) ? CallFailure::Broken : CallFailure::Truncated);
+        return;
+    }
+    serving::Actions due;
+    dispatcher.onStreamEnd(id, tokenCount, m_clock.now(), due);
+    perform(instance, std::move(due));
+}
+
+void FaultWorld::onTokens(const pipeline::EmitTokens& tokens)
+{
+    auto& asked = m_asked.at(tokens.run);
+    if (tokens.offset != asked.tokens)
+        ++m_counts.crossed;
+    for (const auto& it : tokens.tokens)
+        asked.text += it;
+    asked.tokens += tokens.tokens.size();
+}
+
+void FaultWorld::checkAnswer(const Asked& asked, const pipeline::Payload& answer)
+{
+    if (asked.booking) {
+        m_counts.crossed += *answer == asked.body + "@booking" ? 0 : 1;
+        return;
+    }
+    const auto wanted = textOf(asked.body);
+    m_counts.crossed += *answer == wanted && asked.text == wanted ? 0 : 1;
+}
+
+void FaultWorld::onReply(const serving::Reply& reply)
+{
+    auto& asked = m_asked.at(reply.run);
+    if (++asked.replies > 1)
+        ++m_counts.doubled;
+    switch (reply.outcome.kind) {
+    case OutcomeKind::Answered:
+        ++m_counts.answered;
+        checkAnswer(asked, reply.outcome.answer);
+        return;
+    case OutcomeKind::NotRun:
+        ++m_counts.notRun;
+        m_toldNotRun.insert(reply.run);
+        return;
+    case OutcomeKind::Unknown:
+        ++m_counts.unknown;
+        return;
+    }
+}
+
+} // namespace foxtailwheel::testing
