--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -3,12 +3,12 @@
   cmake_parse_arguments(ARG "" "" "DEPENDS;LIBRARIES" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/src/foxtailwheel/${name}/*.cpp)
   list(FILTER sources EXCLUDE REGEX "Test\\.cpp$")
-  set(target foxtailwheel-${name})
+  set(target foxtailwheel_${name})
   add_library(${target} STATIC ${sources})
   target_include_directories(${target} PUBLIC ${PROJECT_SOURCE_DIR}/include)
   target_include_directories(${target} SYSTEM PUBLIC ${Boost_INCLUDE_DIRS})
   foreach(it IN LISTS ARG_DEPENDS)
-    target_link_libraries(${target} PUBLIC foxtailwheel-${it})
+    target_link_libraries(${target} PUBLIC foxtailwheel_${it})
   endforeach()
   target_link_libraries(${target} PUBLIC ${ARG_LIBRARIES})
 endfunction()
@@ -30,5 +30,6 @@
 foxtailwheel_package(daemon DEPENDS backend control telemetry)
 foxtailwheel_package(cli DEPENDS http LIBRARIES cxxopts::cxxopts)
 
-# Test parts.
+# Measurement and test parts.
+foxtailwheel_package(bench DEPENDS serving)
 foxtailwheel_package(standin DEPENDS http limits)
--- a/cmake/Tests.cmake
+++ b/cmake/Tests.cmake
@@ -4,4 +4,4 @@
 add_executable(foxtailwheel-tests ${test_sources})
 target_include_directories(foxtailwheel-tests PRIVATE ${PROJECT_SOURCE_DIR}/src)
 target_link_libraries(foxtailwheel-tests PRIVATE
-  foxtailwheel-daemon foxtailwheel-cli foxtailwheel-standin PkgConfig::CRITERION rapidcheck)
+  foxtailwheel_daemon foxtailwheel_cli foxtailwheel_standin foxtailwheel_bench PkgConfig::CRITERION rapidcheck)
--- a/include/foxtailwheel/base/Json.h
+++ b/include/foxtailwheel/base/Json.h
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace foxtailwheel {
 
@@ -11,7 +12,7 @@
 inline std::string textAt(const nlohmann::json& node, std::string_view key, std::string fallback = {})
 {
     const auto it = node.is_object() ? node.find(key) : node.end();
-    return it != node.end() && it->is_string() ? it->get<std::string>() : fallback;
+    return it != node.end() && it->is_string() ? it->get<std::string>() : std::move(fallback);
 }
 
 /// @brief The whole number at `key`, or `fallback` where it is missing, negative or of another type; never throws.
--- a/include/foxtailwheel/config/YamlReader.h
+++ b/include/foxtailwheel/config/YamlReader.h
@@ -27,7 +27,7 @@
     /// @brief True where the key is present.
     bool has(std::string_view key);
     /// @brief A text; a missing one is a fault where there is no fallback.
-    std::string text(std::string_view key, std::optional<std::string> fallback = {});
+    std::string text(std::string_view key, const std::optional<std::string>& fallback = {});
     /// @brief A list of texts; missing means empty.
     std::vector<std::string> texts(std::string_view key);
     /// @brief `true` or `false`.
--- a/include/foxtailwheel/http/IoPool.h
+++ b/include/foxtailwheel/http/IoPool.h
@@ -7,7 +7,7 @@
 #include <memory>
 
 namespace boost::asio {
-class io_context;
+class io_context; // NOLINT(readability-identifier-naming)
 } // namespace boost::asio
 
 namespace foxtailwheel::http {
--- a/include/foxtailwheel/routing/LoadEstimate.h
+++ b/include/foxtailwheel/routing/LoadEstimate.h
@@ -27,6 +27,8 @@
     std::uint32_t own() const { return m_own; }
     /// @brief Calls of other instances at the time of the last report.
     double others() const { return m_others; }
+    /// @brief Calls of all instances as last reported.
+    double reported() const { return m_reported; }
     /// @brief Calls at the server now, this instance's included.
     double total() const { return m_others + m_own; }
 
@@ -45,6 +47,7 @@
     std::size_t m_next = 0;
     std::uint32_t m_own = 0;
     double m_others = 0;
+    double m_reported = 0;
     TimePoint m_reportedAt {};
 };
 
--- a/include/foxtailwheel/serving/Dispatcher.h
+++ b/include/foxtailwheel/serving/Dispatcher.h
@@ -31,6 +31,7 @@
     pipeline::StartCall call;
     config::BackendServer server;
     std::uint32_t priority = 0;
+    std::optional<routing::PrefixHash> prefix; ///< Leading part of the prompt, for model engines.
     std::string idempotencyKey; ///< Told to the backend server of a call that is not idempotent; else empty.
 };
 
--- a/include/foxtailwheel/standin/Platform.h
+++ b/include/foxtailwheel/standin/Platform.h
@@ -25,7 +25,7 @@
 /// @brief Table service: conditional transactions over rows with versions, kept in memory.
 ///
 /// `POST /v1/faults` sets faults: `close_after` applies a write and loses the answer, `refuse` is an outage.
-Result<std::unique_ptr<StandIn>> startTable(http::IoPool& pool, const Clock& clock, TableOptions options);
+Result<std::unique_ptr<StandIn>> startTable(http::IoPool& pool, const Clock& clock, const TableOptions& options);
 
 /// @brief List of live instances; entries lapse, and changes show only after `lag`.
 Result<std::unique_ptr<StandIn>> startInstanceList(
--- /dev/null
+++ b/src/foxtailwheel/apps/foxtailwheel-bench.cpp
@@ -0,0 +1,98 @@
+#include "foxtailwheel/bench/Simulation.h"
+#include "foxtailwheel/bench/Targets.h"
+
+#include <atomic>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <thread>
+
+namespace {
+
+using namespace foxtailwheel;
+using bench::Row;
+
+std::string readFile(const std::string& path)
+{
+    const std::ifstream file(path);
+    std::ostringstream buf;
+    buf << file.rdbuf();
+    return buf.str();
+}
+
+void simulateAll(std::vector<Row>& rows)
+{
+    std::atomic<std::size_t> next { 0 };
+    std::vector<std::thread> threads;
+    for (unsigned i = 0; i < std::max(1U, std::thread::hardware_concurrency()); ++i) {
+        threads.emplace_back([&] {
+            for (auto n = next++; n < rows.size(); n = next++)
+                rows[n].figures = bench::simulate(rows[n].scenario);
+        });
+    }
+    for (auto& it : threads)
+        it.join();
+}
+
+nlohmann::json toJson(const Row& row)
+{
+    const auto& f = row.figures;
+    return { { "deployment", row.scenario.deployment->name }, { "trouble", toString(row.scenario.trouble) },
+        { "load", row.scenario.load }, { "policy", toString(row.scenario.policy) }, { "requests", f.requests },
+        { "attainment", f.attainment }, { "goodput", f.goodput }, { "median_ms", f.medianMs }, { "p99_ms", f.p99Ms },
+        { "first_token_p95_ms", f.firstTokenP95Ms }, { "cross_zone", f.crossZoneShare },
+        { "extra_cost", f.extraCostShare }, { "wasted", f.wastedShare }, { "cost_per_answer_uc", f.costPerAnswer },
+        { "worst_fair_share", f.worstFairShare }, { "cost_by_stage_uc", f.costByStage } };
+}
+
+int run(const cxxopts::ParseResult& args)
+{
+    const std::vector<bench::Deployment> deployments {
+        bench::deploymentOf("irish-agency", readFile("examples/irish-agency.yaml")),
+        bench::deploymentOf("stringfold", readFile("examples/stringfold.yaml")),
+    };
+    auto rows = bench::makeRows(deployments, args["only"].as<std::string>());
+    simulateAll(rows);
+    if (args.count("json") > 0) {
+        nlohmann::json out = nlohmann::json::array();
+        for (const auto& it : rows)
+            out.push_back(toJson(it));
+        std::cout << out.dump(1) << "\n";
+        return 0;
+    }
+    if (args.count("check") == 0) {
+        bench::printRows(std::cout, rows);
+        return 0;
+    }
+    const auto verdict = bench::checkTargets(rows, readFile("KNOWN-RED.txt"));
+    for (const auto& it : verdict.knownRed)
+        std::cout << "known red: " << it << "\n";
+    for (const auto& it : verdict.broken)
+        std::cout << "broken: " << it << "\n";
+    std::cout << verdict.checked << " bounds checked, " << verdict.knownRed.size() << " known red, "
+              << verdict.broken.size() << " broken\n";
+    return verdict.broken.empty() ? 0 : 1;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("foxtailwheel-bench", "Measures the serving policies at injected time.\n");
+    options.add_options()("only", "rows whose name holds this text, such as irish-agency/deaths",
+        cxxopts::value<std::string>()->default_value(""))("json", "print the rows as JSON")(
+        "check", "fail on a broken bound")("h,help", "print this help");
+    try {
+        const auto args = options.parse(argc, argv);
+        if (args.count("help") > 0) {
+            std::cout << options.help();
+            return 0;
+        }
+        return run(args);
+    } catch (const cxxopts::exceptions::exception& ex) {
+        std::cerr << "foxtailwheel-bench: " << ex.what() << "\n";
+        return 2;
+    }
+}
--- a/src/foxtailwheel/cli/Commands.cpp
+++ b/src/foxtailwheel/cli/Commands.cpp
@@ -31,8 +31,8 @@
     /// One command line being run.
     class Session {
     public:
-        Session(cxxopts::ParseResult args, std::ostream& out, std::ostream& err)
-            : m_args(std::move(args))
+        Session(const cxxopts::ParseResult& args, std::ostream& out, std::ostream& err)
+            : m_args(args)
             , m_words(m_args.count("words") > 0 ? m_args["words"].as<std::vector<std::string>>()
                                                 : std::vector<std::string>())
             , m_out(out)
@@ -531,7 +531,7 @@
     for (const auto& it : args)
         argv.push_back(it.c_str());
     try {
-        auto parsed = options.parse(static_cast<int>(argv.size()), argv.data());
+        const auto parsed = options.parse(static_cast<int>(argv.size()), argv.data());
         if (parsed.count("help") > 0) {
             out << options.help() << helpTail;
             return ExitCode::Ok;
@@ -541,7 +541,7 @@
             err << "foxtailwheel: --output is table or json\n";
             return ExitCode::Usage;
         }
-        return Session(std::move(parsed), out, err).run();
+        return Session(parsed, out, err).run();
     } catch (const cxxopts::exceptions::exception& ex) {
         err << "foxtailwheel: " << ex.what() << "\n";
         return ExitCode::Usage;
--- a/src/foxtailwheel/config/ParseDeclarations.cpp
+++ b/src/foxtailwheel/config/ParseDeclarations.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <tuple>
 
 namespace foxtailwheel::config {
 
@@ -86,8 +87,9 @@
         readPipelines();
         readAccounts();
         m_root.finish();
-        std::stable_sort(m_out.faults.begin(), m_out.faults.end(),
-            [](const Fault& a, const Fault& b) { return std::pair(a.line, a.column) < std::pair(b.line, b.column); });
+        std::sort(m_out.faults.begin(), m_out.faults.end(), [](const Fault& a, const Fault& b) {
+            return std::tie(a.line, a.column, a.path, a.message) < std::tie(b.line, b.column, b.path, b.message);
+        });
     }
 
     void Parser::readZones()
--- a/src/foxtailwheel/config/YamlReader.cpp
+++ b/src/foxtailwheel/config/YamlReader.cpp
@@ -172,7 +172,7 @@
     return m_impl->find(key) != nullptr;
 }
 
-std::string YamlReader::text(std::string_view key, std::optional<std::string> fallback)
+std::string YamlReader::text(std::string_view key, const std::optional<std::string>& fallback)
 {
     const auto parse = [](const std::string& value) -> Result<std::string> {
         if (value.empty())
--- a/src/foxtailwheel/daemon/CallerApi.cpp
+++ b/src/foxtailwheel/daemon/CallerApi.cpp
@@ -40,7 +40,7 @@
 {
 }
 
-void CallerApi::handle(http::Request request, const std::shared_ptr<http::Responder>& responder)
+void CallerApi::handle(const http::Request& request, const std::shared_ptr<http::Responder>& responder)
 {
     const auto path = request.path();
     if (path == "/healthz")
--- a/src/foxtailwheel/daemon/CallerApi.h
+++ b/src/foxtailwheel/daemon/CallerApi.h
@@ -22,7 +22,7 @@
 
     /// @brief Says whether the balancer should send requests here.
     void setReady(bool ready) { m_ready = ready; }
-    void handle(http::Request request, const std::shared_ptr<http::Responder>& responder);
+    void handle(const http::Request& request, const std::shared_ptr<http::Responder>& responder);
     /// @brief Hands tokens to the caller of their run.
     void emit(const pipeline::EmitTokens& tokens);
     /// @brief Ends the caller's request.
--- a/src/foxtailwheel/daemon/Instance.cpp
+++ b/src/foxtailwheel/daemon/Instance.cpp
@@ -123,9 +123,9 @@
         callers.maxBodyBytes = m_settings.maxBodyBytes;
         callers.maxConnections = m_settings.maxConnections;
         BOOST_OUTCOME_TRY(m_callerServer,
-            http::Server::listen(
-                *m_pool, callers, [this](http::Request request, const std::shared_ptr<http::Responder>& responder) {
-                    m_callers.handle(std::move(request), responder);
+            http::Server::listen(*m_pool, callers,
+                [this](const http::Request& request, const std::shared_ptr<http::Responder>& responder) {
+                    m_callers.handle(request, responder);
                 }));
         http::ServerOptions operators;
         operators.listen = m_settings.operators;
--- a/src/foxtailwheel/daemon/Lifecycle.cpp
+++ b/src/foxtailwheel/daemon/Lifecycle.cpp
@@ -28,7 +28,7 @@
     struct MachineDef : msm::front::state_machine_def<MachineDef> {
         using initial_state = Starting;
         // clang-format off
-        struct transition_table : boost::mpl::vector<
+        struct transition_table : boost::mpl::vector< // NOLINT(readability-identifier-naming)
             Row<Starting,   CaughtUp,         Serving,    none, none>,
             Row<Starting,   ShutdownAsked,    Draining,   none, none>,
             Row<Serving,    ShutdownAsked,    Announcing, none, none>,
--- a/src/foxtailwheel/http/Client.cpp
+++ b/src/foxtailwheel/http/Client.cpp
@@ -33,6 +33,7 @@
     constexpr std::size_t chunkBytes = 16U << 10U;
     constexpr std::size_t mostIdlePerServer = 64;
     constexpr Duration longestIdle = 10s;
+    constexpr Duration connectLimit = 500ms;
 
     using Stream = beast::tcp_stream;
 
@@ -166,7 +167,7 @@
         if (ec)
             co_return false;
         m_stream = std::make_unique<Stream>(m_strand);
-        setExpiry(m_request.sendBy);
+        setExpiry(std::min(m_request.sendBy, m_clock.now() + connectLimit));
         auto [connectError] = co_await m_stream->async_connect(tcp::endpoint(address, m_request.server.port), token);
         if (connectError)
             co_return false;
--- a/src/foxtailwheel/http/Server.cpp
+++ b/src/foxtailwheel/http/Server.cpp
@@ -47,8 +47,8 @@
     /// One request with the parts of its response on their way from any thread to the connection's coroutine.
     class Exchange final : public Responder, public std::enable_shared_from_this<Exchange> {
     public:
-        Exchange(net::any_io_executor executor, std::size_t maxUnread)
-            : m_wake(std::move(executor), net::steady_timer::time_point::max())
+        Exchange(const net::any_io_executor& executor, std::size_t maxUnread)
+            : m_wake(executor, net::steady_timer::time_point::max())
             , m_maxUnread(maxUnread)
         {
         }
--- a/src/foxtailwheel/pipeline/Attempt.cpp
+++ b/src/foxtailwheel/pipeline/Attempt.cpp
@@ -31,7 +31,7 @@
     struct MachineDef : msm::front::state_machine_def<MachineDef> {
         using initial_state = Dispatched;
         // clang-format off
-        struct transition_table : boost::mpl::vector<
+        struct transition_table : boost::mpl::vector< // NOLINT(readability-identifier-naming)
             Row<Dispatched, FirstByte,       Sent,       none, none>,
             Row<Sent,       Progress,        Streaming,  none, none>,
             Row<Streaming,  Answer,          Answered,   none, none>,
--- a/src/foxtailwheel/routing/ChoicePolicy.cpp
+++ b/src/foxtailwheel/routing/ChoicePolicy.cpp
@@ -6,20 +6,23 @@
 
 namespace {
 
-    /// Picks the least expected finish, price included; near ties are drawn at random, so that instances which see
-    /// the same reports do not all run to the same server.
+    /// Picks the least expected finish, price included. Near ties go to the own zone, and are drawn at random, so that
+    /// instances which see the same reports do not all run to the same server.
     class ExpectedFinish final : public ChoicePolicy {
     public:
         std::size_t pick(std::span<const Candidate> candidates, Random& random) override
         {
-            const auto worth = [](const Candidate& it) { return it.expectedSeconds + it.costSeconds; };
             double best = worth(candidates[0]);
             for (const auto& it : candidates)
                 best = std::min(best, worth(it));
+            const auto near = [best](const Candidate& it) { return worth(it) <= best * tieShare; };
+            const bool anyLocal = std::any_of(
+                candidates.begin(), candidates.end(), [&](const Candidate& it) { return it.isLocal && near(it); });
             std::size_t picked = 0;
             std::uint64_t ties = 0;
             for (std::size_t i = 0; i < candidates.size(); ++i) {
-                if (worth(candidates[i]) <= best * tieShare && random.below(++ties) == 0)
+                const bool wanted = near(candidates[i]) && (candidates[i].isLocal || !anyLocal);
+                if (wanted && random.below(++ties) == 0)
                     picked = i;
             }
             return picked;
@@ -27,6 +30,8 @@
 
     private:
         static constexpr double tieShare = 1.05;
+
+        static double worth(const Candidate& it) { return it.expectedSeconds + it.costSeconds; }
     };
 
     class RoundRobin final : public ChoicePolicy {
--- a/src/foxtailwheel/routing/LoadEstimate.cpp
+++ b/src/foxtailwheel/routing/LoadEstimate.cpp
@@ -53,8 +53,8 @@
     if (report.measuredAt <= m_reportedAt)
         return;
     m_reportedAt = report.measuredAt;
-    const auto all = static_cast<double>(report.running + report.queued);
-    m_others = std::max(0.0, all - ownAt(report.measuredAt));
+    m_reported = static_cast<double>(report.running + report.queued);
+    m_others = std::max(0.0, m_reported - ownAt(report.measuredAt));
 }
 
 } // namespace foxtailwheel::routing
--- a/src/foxtailwheel/routing/ServerPool.cpp
+++ b/src/foxtailwheel/routing/ServerPool.cpp
@@ -125,7 +125,7 @@
     seconds *= 1 - prefixSaving * confidence;
     const double milliCredits = static_cast<double>(server.linkCost.microCredits) / 1000;
     const double costSeconds = service.costWeight * milliCredits / 1000;
-    return { place, seconds + waiting + spread + server.linkSeconds, server.load.others(), costSeconds,
+    return { place, seconds + waiting + spread + server.linkSeconds, server.load.reported(), costSeconds,
         server.isLocal };
 }
 
--- a/src/foxtailwheel/serving/Dispatcher.cpp
+++ b/src/foxtailwheel/serving/Dispatcher.cpp
@@ -427,8 +427,8 @@
         std::string key;
         if (!stage.idempotent)
             key = entry.request.account.value() + "/" + stage.service.value() + "/" + entry.request.key->value();
-        out.push_back(
-            SendCall { std::move(call), placement->server, entry.run.request().plan->priority, std::move(key) });
+        out.push_back(SendCall {
+            std::move(call), placement->server, entry.run.request().plan->priority, wanted.prefix, std::move(key) });
     }
 
     void ShardedDispatcher::stop(RunEntry& entry, const pipeline::CancelCall& cancel, TimePoint now, Actions& out)
--- a/src/foxtailwheel/standin/Table.cpp
+++ b/src/foxtailwheel/standin/Table.cpp
@@ -152,7 +152,7 @@
 
 } // namespace
 
-Result<std::unique_ptr<StandIn>> startTable(http::IoPool& pool, const Clock& clock, TableOptions options)
+Result<std::unique_ptr<StandIn>> startTable(http::IoPool& pool, const Clock& clock, const TableOptions& options)
 {
     auto table = std::make_unique<TableStandIn>(clock, options);
     http::ServerOptions serverOptions;
