Instances together: gossip membership, peer frames, texts from peers, shared rates, leases

Cause: instances knew each other only from the lagging list, each polled the table, rates were divided by its length, and nobody ordered the engines.

Now: gossip with suspicion and incarnations seeded from the list; frames in FlatBuffers after a mutual proof of the shared key; two pollers in each zone, the rest learn versions by gossip and fetch texts from a peer; each limited account's owner by rendezvous hash divides its rate max-min; one lease for each pool with fencing numbers, the holder stopping by its own monotonic clock.

Conclusion: wired in; tests at injected time and nine processes come next.

--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -20,14 +20,16 @@
 foxtailwheel_package(limits DEPENDS base)
 foxtailwheel_package(routing DEPENDS config)
 foxtailwheel_package(serving DEPENDS pipeline limits routing)
+foxtailwheel_package(membership DEPENDS config)
 
 # Input and output.
 foxtailwheel_package(http DEPENDS config LIBRARIES Threads::Threads)
 foxtailwheel_package(platform DEPENDS http)
 foxtailwheel_package(backend DEPENDS http serving)
+foxtailwheel_package(peer DEPENDS http membership LIBRARIES OpenSSL::Crypto)
 foxtailwheel_package(control DEPENDS serving platform)
 foxtailwheel_package(telemetry DEPENDS base LIBRARIES log4cplus::log4cplus prometheus-cpp::core)
-foxtailwheel_package(daemon DEPENDS backend control telemetry)
+foxtailwheel_package(daemon DEPENDS backend control peer telemetry)
 foxtailwheel_package(cli DEPENDS http LIBRARIES cxxopts::cxxopts)
 
 # Measurement and test parts.
--- /dev/null
+++ b/include/foxtailwheel/peer/Message.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "foxtailwheel/base/Error.h"
+#include "foxtailwheel/membership/Member.h"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace foxtailwheel::peer {
+
+/// @brief Send me this version of the configuration.
+struct ConfigRequest {
+    membership::Member sender;
+    ConfigVersion version;
+
+    friend bool operator==(const ConfigRequest&, const ConfigRequest&) = default;
+};
+
+/// @brief A text of the configuration; empty where the asked instance does not have it.
+struct ConfigReply {
+    ConfigVersion version;
+    std::string text;
+    std::string hash; ///< SHA-256 of the text.
+
+    friend bool operator==(const ConfigReply&, const ConfigReply&) = default;
+};
+
+/// @brief A rate of one client account.
+struct AccountRate {
+    ClientAccountId account;
+    double perSecond = 0;
+
+    friend bool operator==(const AccountRate&, const AccountRate&) = default;
+};
+
+/// @brief What an instance was asked for, told to the accounts' owner.
+struct Demand {
+    membership::Member sender;
+    std::vector<AccountRate> rates;
+
+    friend bool operator==(const Demand&, const Demand&) = default;
+};
+
+/// @brief What an instance may use, told by the accounts' owner.
+struct Allowance {
+    std::vector<AccountRate> rates;
+
+    friend bool operator==(const Allowance&, const Allowance&) = default;
+};
+
+/// @brief Any message between instances.
+using Message = std::variant<membership::Ping, membership::Ack, ConfigRequest, ConfigReply, Demand, Allowance>;
+
+/// @brief Most bytes of one encoded message.
+constexpr std::size_t largestMessageBytes = 8U << 20U;
+
+/// @brief Message as bytes (FlatBuffers).
+std::string encodeMessage(const Message& message);
+
+/// @brief Bytes as message. Everything is verified before it is used.
+/// @return `Errc::ParseFailed` or `Errc::TooLarge`.
+Result<Message> decodeMessage(std::span<const std::uint8_t> bytes);
+
+} // namespace foxtailwheel::peer
--- a/include/foxtailwheel/platform/InstanceList.h
+++ b/include/foxtailwheel/platform/InstanceList.h
@@ -5,6 +5,7 @@
 #include "foxtailwheel/config/Settings.h"
 
 #include <functional>
+#include <string>
 #include <vector>
 
 namespace foxtailwheel::platform {
@@ -14,6 +15,7 @@
     InstanceId id;
     config::Endpoint peers; ///< Where other instances reach it.
     AvailabilityZoneId zone;
+    std::string region;
     bool leaving = false;
 };
 
--- a/src/foxtailwheel/daemon/CallDriver.cpp
+++ b/src/foxtailwheel/daemon/CallDriver.cpp
@@ -10,6 +10,8 @@
 
     using pipeline::CallFailure;
 
+    constexpr std::string_view leavingHeader = "X-Leaving";
+
     CallFailure failureOf(http::CallEnd end)
     {
         switch (end) {
@@ -38,11 +40,13 @@
     bool ended = false;
 };
 
-CallDriver::CallDriver(http::Client& client, const Clock& clock, serving::Dispatcher& dispatcher, Perform perform)
+CallDriver::CallDriver(http::Client& client, const Clock& clock, serving::Dispatcher& dispatcher, Perform perform,
+    std::function<void(const BackendServerId&)> serverLeaving)
     : m_client(client)
     , m_clock(clock)
     , m_dispatcher(dispatcher)
     , m_perform(std::move(perform))
+    , m_serverLeaving(std::move(serverLeaving))
 {
 }
 
@@ -85,6 +89,8 @@
 
 void CallDriver::onHead(const std::shared_ptr<Open>& open, const http::Response& head)
 {
+    if (!http::findHeader(head.headers, leavingHeader).empty())
+        m_serverLeaving(open->server);
     routing::LoadReport report;
     report.measuredAt = m_clock.now();
     if (readLoadHeader(head.headers, report))
--- a/src/foxtailwheel/daemon/CallDriver.h
+++ b/src/foxtailwheel/daemon/CallDriver.h
@@ -17,7 +17,9 @@
 /// @brief Makes the calls to backend servers that the dispatcher asks for, and reports back.
 class CallDriver {
 public:
-    CallDriver(http::Client& client, const Clock& clock, serving::Dispatcher& dispatcher, Perform perform);
+    /// @param serverLeaving Told when a server says by the header `X-Leaving` that it takes no more work soon.
+    CallDriver(http::Client& client, const Clock& clock, serving::Dispatcher& dispatcher, Perform perform,
+        std::function<void(const BackendServerId&)> serverLeaving);
 
     void send(serving::SendCall call);
     void stop(const serving::StopCall& stop);
@@ -34,6 +36,7 @@
     const Clock& m_clock;
     serving::Dispatcher& m_dispatcher;
     Perform m_perform;
+    std::function<void(const BackendServerId&)> m_serverLeaving;
     std::mutex m_mutex;
     std::map<pipeline::AttemptId, std::shared_ptr<Open>> m_open;
 };
--- /dev/null
+++ b/src/foxtailwheel/daemon/Cluster.cpp
@@ -0,0 +1,274 @@
+#include "Cluster.h"
+
+#include "foxtailwheel/base/Hash.h"
+#include "foxtailwheel/telemetry/Log.h"
+
+#include <algorithm>
+
+namespace foxtailwheel::daemon {
+
+namespace {
+
+    constexpr std::size_t pollersPerZone = 2;
+
+    membership::Member selfOf(const config::Settings& settings, const Clock& clock)
+    {
+        membership::Member self;
+        self.id = settings.instance;
+        self.peers = settings.peers;
+        self.zone = settings.zone;
+        self.incarnation = Incarnation(static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count()));
+        return self;
+    }
+
+    std::uint64_t sequenceOf(const Clock& clock)
+    {
+        return static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count());
+    }
+
+} // namespace
+
+Cluster::Cluster(
+    const config::Settings& settings, const Clock& clock, serving::Dispatcher& dispatcher, std::uint64_t seed)
+    : m_settings(settings)
+    , m_clock(clock)
+    , m_dispatcher(dispatcher)
+    , m_membership(selfOf(settings, clock), {}, seed)
+{
+}
+
+Result<void> Cluster::open(http::IoPool& pool, ConfigService& configs)
+{
+    m_configs = &configs;
+    BOOST_OUTCOME_TRY(m_network,
+        peer::Network::listen(
+            pool, m_settings.peers, m_settings.peerKey, [this](const peer::Message& message) { receive(message); }));
+    return ok();
+}
+
+void Cluster::tick()
+{
+    const auto version = m_configs->inForce().version;
+    withMembership([this, version](membership::Membership& it, membership::MembershipActions& actions) {
+        it.setConfig(version, m_clock.now(), actions);
+        it.tick(m_clock.now(), actions);
+    });
+}
+
+void Cluster::perform(const membership::MembershipActions& actions)
+{
+    bool changed = false;
+    for (const auto& it : actions) {
+        if (const auto* send = std::get_if<membership::SendMessage>(&it))
+            std::visit([this, send](const auto& message) { m_network->send(send->to, peer::Message(message)); },
+                send->message);
+        else
+            changed = true;
+    }
+    if (changed)
+        viewChanged();
+}
+
+void Cluster::viewChanged()
+{
+    std::set<BackendServerId> leaving;
+    std::vector<membership::Member> working;
+    {
+        const std::lock_guard lock(m_mutex);
+        leaving = m_membership.leavingServers();
+        working = m_membership.working();
+    }
+    m_dispatcher.setLeaving(leaving);
+    m_dispatcher.setInstances(working.size());
+    std::erase_if(working, [this](const membership::Member& it) { return it.zone != m_settings.zone; });
+    const auto pollers = membership::owners("poller/" + m_settings.zone.value(), working, pollersPerZone);
+    m_configs->setPoller(std::find(pollers.begin(), pollers.end(), m_settings.instance) != pollers.end());
+}
+
+void Cluster::receive(const peer::Message& message)
+{
+    if (const auto* ping = std::get_if<membership::Ping>(&message)) {
+        withMembership([this, ping](membership::Membership& it, membership::MembershipActions& actions) {
+            it.onPing(*ping, m_clock.now(), actions);
+        });
+        m_configs->onAnnounced(ping->digest.sender.id, ping->digest.sender.config);
+    } else if (const auto* ack = std::get_if<membership::Ack>(&message)) {
+        withMembership([this, ack](membership::Membership& it, membership::MembershipActions& actions) {
+            it.onAck(*ack, m_clock.now(), actions);
+        });
+        m_configs->onAnnounced(ack->digest.sender.id, ack->digest.sender.config);
+    } else if (const auto* request = std::get_if<peer::ConfigRequest>(&message)) {
+        answerConfig(*request);
+    } else if (const auto* reply = std::get_if<peer::ConfigReply>(&message)) {
+        onConfigReply(*reply);
+    } else if (const auto* demand = std::get_if<peer::Demand>(&message)) {
+        onDemand(*demand);
+    } else if (const auto* allowance = std::get_if<peer::Allowance>(&message)) {
+        onAllowance(*allowance);
+    }
+}
+
+void Cluster::onList(const platform::ListResult& list)
+{
+    const std::set<BackendServerId> leaving(list.leavingServers.begin(), list.leavingServers.end());
+    withMembership([&](membership::Membership& it, membership::MembershipActions& actions) {
+        for (const auto& listed : list.instances) {
+            if (listed.region == m_settings.region && !listed.leaving)
+                it.introduce(
+                    { listed.id, listed.peers, listed.zone, {}, membership::MemberState::Alive, {} }, m_clock.now());
+        }
+        for (const auto& server : leaving) {
+            if (!m_listedLeaving.contains(server))
+                it.notice({ server, true, sequenceOf(m_clock) }, m_clock.now(), actions);
+        }
+        // Only an instance that has seen a server leave on the list may say that it came back.
+        for (const auto& server : m_listedLeaving) {
+            if (!leaving.contains(server))
+                it.notice({ server, false, sequenceOf(m_clock) }, m_clock.now(), actions);
+        }
+        m_listedLeaving = leaving;
+    });
+}
+
+void Cluster::serverLeaving(const BackendServerId& server)
+{
+    withMembership([&](membership::Membership& it, membership::MembershipActions& actions) {
+        if (!it.leavingServers().contains(server))
+            it.notice({ server, true, sequenceOf(m_clock) }, m_clock.now(), actions);
+    });
+}
+
+void Cluster::leave()
+{
+    withMembership([this](membership::Membership& it, membership::MembershipActions& actions) {
+        it.leave(m_clock.now(), actions);
+    });
+}
+
+void Cluster::close()
+{
+    if (m_network)
+        m_network->close();
+}
+
+config::Endpoint Cluster::endpointOf(const InstanceId& id) const
+{
+    for (const auto& it : members()) {
+        if (it.id == id)
+            return it.peers;
+    }
+    return {};
+}
+
+void Cluster::fetchText(
+    const InstanceId& peer, ConfigVersion version, std::function<void(std::optional<std::string>)> done)
+{
+    const auto endpoint = endpointOf(peer);
+    if (endpoint.port == 0) {
+        done(std::nullopt);
+        return;
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        m_fetches[version] = std::move(done);
+    }
+    m_network->send(endpoint, peer::ConfigRequest { members().front(), version });
+}
+
+void Cluster::answerConfig(const peer::ConfigRequest& request)
+{
+    const auto current = m_configs->inForce();
+    peer::ConfigReply reply { request.version, {}, {} };
+    if (current.version == request.version)
+        reply = { current.version, current.text, current.hash };
+    m_network->send(request.sender.peers, reply);
+}
+
+void Cluster::onConfigReply(const peer::ConfigReply& reply)
+{
+    std::function<void(std::optional<std::string>)> done;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto it = m_fetches.find(reply.version);
+        if (it == m_fetches.end())
+            return;
+        done = std::move(it->second);
+        m_fetches.erase(it);
+    }
+    const bool whole = !reply.text.empty() && sha256Hex(reply.text) == reply.hash;
+    done(whole ? std::optional(reply.text) : std::nullopt);
+}
+
+void Cluster::shareRates()
+{
+    const auto working = this->working();
+    std::map<InstanceId, peer::Demand> demands;
+    for (const auto& it : m_dispatcher.drainDemand(m_clock.now())) {
+        const auto owner = membership::owners("rate/" + it.account.value(), working, 1);
+        if (!owner.empty())
+            demands[owner.front()].rates.push_back({ it.account, it.perSecond });
+    }
+    for (auto& it : demands) {
+        it.second.sender = members().front();
+        if (it.first == m_settings.instance)
+            onDemand(it.second);
+        else
+            m_network->send(endpointOf(it.first), it.second);
+    }
+    divideRates(working);
+}
+
+void Cluster::onDemand(const peer::Demand& demand)
+{
+    const std::lock_guard lock(m_mutex);
+    for (const auto& it : demand.rates)
+        m_ledger.demanded(it.account, demand.sender.id, it.perSecond, m_clock.now());
+}
+
+void Cluster::divideRates(const std::vector<membership::Member>& working)
+{
+    const auto catalog = m_dispatcher.catalog();
+    if (!catalog)
+        return;
+    std::vector<InstanceId> ids;
+    for (const auto& it : working)
+        ids.push_back(it.id);
+    std::map<InstanceId, peer::Allowance> allowances;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_ledger.sweep(m_clock.now());
+        for (const auto& account : m_ledger.accounts()) {
+            const auto declared = catalog->accounts.find(account);
+            if (declared == catalog->accounts.end())
+                continue;
+            for (const auto& part : m_ledger.divide(account, declared->second->ratePerSecond, ids, m_clock.now()))
+                allowances[part.instance].rates.push_back({ account, part.perSecond });
+        }
+    }
+    for (const auto& it : allowances) {
+        if (it.first == m_settings.instance)
+            onAllowance(it.second);
+        else
+            m_network->send(endpointOf(it.first), it.second);
+    }
+}
+
+void Cluster::onAllowance(const peer::Allowance& allowance)
+{
+    for (const auto& it : allowance.rates)
+        m_dispatcher.setAllowance(it.account, it.perSecond, m_clock.now());
+}
+
+std::vector<membership::Member> Cluster::members() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_membership.members();
+}
+
+std::vector<membership::Member> Cluster::working() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_membership.working();
+}
+
+} // namespace foxtailwheel::daemon
--- a/src/foxtailwheel/daemon/Instance.cpp
+++ b/src/foxtailwheel/daemon/Instance.cpp
@@ -2,15 +2,19 @@
 
 #include "CallDriver.h"
 #include "CallerApi.h"
+#include "Cluster.h"
 #include "ConfigService.h"
 #include "LoadPoller.h"
 #include "OperatorApi.h"
+#include "OrderService.h"
 #include "foxtailwheel/base/Random.h"
 #include "foxtailwheel/control/ClaimKeeper.h"
 #include "foxtailwheel/daemon/Lifecycle.h"
 #include "foxtailwheel/platform/Clients.h"
 #include "foxtailwheel/telemetry/Log.h"
 
+#include <algorithm>
+#include <array>
 #include <condition_variable>
 
 namespace foxtailwheel::daemon {
@@ -22,6 +26,8 @@
     constexpr Duration tickPeriod = 100ms;
     constexpr Duration loadPollPeriod = 1s;
     constexpr Duration listPeriod = 2s;
+    constexpr Duration sharePeriod = 1s;
+    constexpr std::size_t leaseContenders = 2;
     constexpr Duration listTimeout = 1s;
     constexpr Duration drainCheckPeriod = 20ms;
 
@@ -55,10 +61,15 @@
         std::uint16_t operatorPort() const override { return m_operatorServer->port(); }
 
     private:
+        control::Defer deferrer();
+        Perform performer();
+        FetchFromPeer peerFetcher();
+        OperatorHooks operatorHooks();
         void perform(serving::Actions actions);
         void perform(serving::Action& action);
         void tick();
         void pollLoads();
+        void shareWork();
         void readList();
         void announce(bool leaving);
         void onList(const platform::ListResult& list);
@@ -79,17 +90,18 @@
         std::unique_ptr<platform::InstanceList> m_list;
         std::unique_ptr<serving::Dispatcher> m_dispatcher;
         std::unique_ptr<control::ClaimKeeper> m_claims;
+        Cluster m_cluster;
         CallDriver m_calls;
         CallerApi m_callers;
         ConfigService m_configs;
         LoadPoller m_loads;
+        OrderService m_orders;
         OperatorApi m_operators;
         std::unique_ptr<http::Server> m_callerServer;
         std::unique_ptr<http::Server> m_operatorServer;
         mutable std::mutex m_mutex;
         std::condition_variable m_ended;
         Lifecycle m_life;
-        std::vector<platform::ListedInstance> m_listed;
         TimePoint m_drainUntil {};
         std::size_t m_cut = 0;
     };
@@ -101,21 +113,42 @@
         , m_table(platform::tableClient(*m_client, *m_clock, m_settings.table, m_seed))
         , m_list(platform::instanceListClient(*m_client, m_settings.instanceList))
         , m_dispatcher(serving::makeDispatcher(dispatcherOptions(m_settings, m_seed)))
-        , m_claims(control::ClaimKeeper::create(*m_table, *m_clock, m_settings.instance, m_seed + 1,
-              [this](Duration delay, std::function<void()> work) { m_pool->after(delay, std::move(work)); }))
-        , m_calls(*m_client, *m_clock, *m_dispatcher, [this](serving::Actions actions) { perform(std::move(actions)); })
-        , m_callers(
-              *m_clock, *m_dispatcher, *m_metrics, [this](serving::Actions actions) { perform(std::move(actions)); })
-        , m_configs(
-              *m_table, *m_clock, *m_dispatcher,
-              [](const InstanceId&, ConfigVersion, const auto& done) { done(std::nullopt); }, m_seed + 2)
+        , m_claims(control::ClaimKeeper::create(*m_table, *m_clock, m_settings.instance, m_seed + 1, deferrer()))
+        , m_cluster(m_settings, *m_clock, *m_dispatcher, m_seed + 3)
+        , m_calls(*m_client, *m_clock, *m_dispatcher, performer(),
+              [this](const BackendServerId& server) { m_cluster.serverLeaving(server); })
+        , m_callers(*m_clock, *m_dispatcher, *m_metrics, performer())
+        , m_configs(*m_table, *m_clock, *m_dispatcher, peerFetcher(), m_seed + 2)
         , m_loads(*m_client, *m_clock, *m_dispatcher)
-        , m_operators(m_settings, *m_clock, *m_dispatcher, m_configs, *m_table,
-              { [this] { return std::string(toString(state())); }, [this] { return members(); },
-                  [this] { shutDown(); } })
+        , m_orders(*m_table, *m_client, *m_clock, *m_dispatcher, *m_metrics, m_settings.instance)
+        , m_operators(m_settings, *m_clock, *m_dispatcher, m_configs, *m_table, operatorHooks())
     {
     }
 
+    control::Defer ComposedInstance::deferrer()
+    {
+        return [this](Duration delay, std::function<void()> work) { m_pool->after(delay, std::move(work)); };
+    }
+
+    Perform ComposedInstance::performer()
+    {
+        return [this](serving::Actions actions) { perform(std::move(actions)); };
+    }
+
+    FetchFromPeer ComposedInstance::peerFetcher()
+    {
+        return [this](const InstanceId& peer, ConfigVersion version,
+                   std::function<void(std::optional<std::string>)> done) {
+            m_cluster.fetchText(peer, version, std::move(done));
+        };
+    }
+
+    OperatorHooks ComposedInstance::operatorHooks()
+    {
+        return { [this] { return std::string(toString(state())); }, [this] { return members(); },
+            [this] { shutDown(); } };
+    }
+
     Result<void> ComposedInstance::open()
     {
         http::ServerOptions callers;
@@ -135,8 +168,10 @@
                 [this](const http::Request& request, const std::shared_ptr<http::Responder>& responder) {
                     m_operators.handle(request, responder);
                 }));
+        BOOST_OUTCOME_TRYV(m_cluster.open(*m_pool, m_configs));
         tick();
         pollLoads();
+        shareWork();
         readList();
         telemetry::logInfo("started",
             { { "instance", m_settings.instance.value() }, { "zone", m_settings.zone.value() },
@@ -181,6 +216,7 @@
     void ComposedInstance::tick()
     {
         m_configs.tick();
+        m_cluster.tick();
         if (m_configs.caughtUp() && process(LifeEvent::CaughtUp)) {
             m_callers.setReady(true);
             telemetry::logInfo("serving");
@@ -199,10 +235,28 @@
         m_pool->after(loadPollPeriod, [this] { pollLoads(); });
     }
 
+    void ComposedInstance::shareWork()
+    {
+        m_cluster.shareRates();
+        const auto working = m_cluster.working();
+        m_orders.tick([&](const ServiceId& pool) {
+            const auto contenders = membership::owners("lease/" + pool.value(), working, leaseContenders);
+            return std::find(contenders.begin(), contenders.end(), m_settings.instance) != contenders.end();
+        });
+        const auto counts = m_cluster.counts();
+        m_metrics->gauge("foxtailwheel_peer_sent_bytes", {}, static_cast<double>(counts.sentBytes));
+        m_metrics->gauge("foxtailwheel_peer_dropped_frames", {}, static_cast<double>(counts.droppedFrames));
+        constexpr std::array<const char*, 5> refusals { "wrong_key", "wrong_protocol", "oversized", "garbled", "cut" };
+        for (std::size_t i = 0; i < refusals.size(); ++i)
+            m_metrics->gauge("foxtailwheel_peer_refused_frames", { { "reason", refusals.at(i) } },
+                static_cast<double>(counts.refused.at(i)));
+        m_pool->after(sharePeriod, [this] { shareWork(); });
+    }
+
     void ComposedInstance::announce(bool leaving)
     {
-        m_list->announce(
-            { m_settings.instance, m_settings.peers, m_settings.zone, leaving }, m_clock->now() + listTimeout);
+        m_list->announce({ m_settings.instance, m_settings.peers, m_settings.zone, m_settings.region, leaving },
+            m_clock->now() + listTimeout);
     }
 
     void ComposedInstance::readList()
@@ -214,20 +268,15 @@
 
     void ComposedInstance::onList(const platform::ListResult& list)
     {
-        if (!list.answered)
-            return;
-        m_dispatcher->setLeaving({ list.leavingServers.begin(), list.leavingServers.end() });
-        m_dispatcher->setInstances(list.instances.size());
-        const std::lock_guard lock(m_mutex);
-        m_listed = list.instances;
+        if (list.answered)
+            m_cluster.onList(list);
     }
 
     std::vector<MemberStatus> ComposedInstance::members() const
     {
         std::vector<MemberStatus> rows;
-        const std::lock_guard lock(m_mutex);
-        for (const auto& it : m_listed)
-            rows.push_back({ it.id, it.zone, it.leaving ? "leaving" : "live", {} });
+        for (const auto& it : m_cluster.members())
+            rows.push_back({ it.id, it.zone, std::string(membership::toString(it.state)), it.config });
         return rows;
     }
 
@@ -253,6 +302,7 @@
         }
         m_callers.setReady(false);
         announce(true);
+        m_cluster.leave();
         telemetry::logInfo(
             "leaving", { { "balancer_delay_ms", std::to_string(toMilliseconds(m_settings.balancerDelay)) } });
         m_drainUntil = m_clock->now() + m_settings.balancerDelay + m_settings.drainLimit;
@@ -300,6 +350,7 @@
         std::unique_lock lock(m_mutex);
         m_ended.wait(lock, [this] { return m_life.state() == LifeState::Stopped; });
         lock.unlock();
+        m_cluster.close();
         m_pool->stop();
         return m_cut;
     }
--- a/src/foxtailwheel/platform/InstanceListClient.cpp
+++ b/src/foxtailwheel/platform/InstanceListClient.cpp
@@ -18,6 +18,7 @@
             ListedInstance entry;
             entry.id = InstanceId(textAt(it, "id"));
             entry.zone = AvailabilityZoneId(textAt(it, "zone"));
+            entry.region = textAt(it, "region");
             entry.leaving = flagAt(it, "leaving");
             if (!entry.id.empty() && config::parseEndpoint(textAt(it, "peers"), entry.peers))
                 result.instances.push_back(std::move(entry));
@@ -51,7 +52,7 @@
 
         void announce(const ListedInstance& self, TimePoint deadline) override
         {
-            const json body { { "id", self.id.value() }, { "zone", self.zone.value() },
+            const json body { { "id", self.id.value() }, { "zone", self.zone.value() }, { "region", self.region },
                 { "peers", self.peers.toString() }, { "leaving", self.leaving } };
             http::CallRequest call { m_server,
                 { "PUT", "/v1/instances/" + http::percentEncode(self.id.value()), {}, body.dump() }, deadline, deadline,
