Late answers of bookings are recorded; a claim without a table says so

Cause, shown by the process tests failing first: the I/O gave a booking up at the caller's deadline, so a late answer was lost to its record (the repeat got unknown); a claim was tried until the very deadline, so the run ended as deadline_exceeded before the table could be blamed.

--- a/include/foxtailwheel/pipeline/Actions.h
+++ b/include/foxtailwheel/pipeline/Actions.h
@@ -26,7 +26,8 @@
     AttemptId id;
     const Stage* stage = nullptr; ///< Owned by the run's plan.
     StageInput input;
-    TimePoint deadline; ///< The result is of no use after it.
+    TimePoint deadline; ///< The result is of no use to the caller after it.
+    TimePoint giveUpAt; ///< Until then an answer is waited for; later than `deadline` where it must be recorded.
     TimePoint sendBy; ///< No byte may be handed to a socket after it.
     std::uint64_t resumeFrom = 0; ///< Tokens already held; the stream starts after them.
     std::string textSoFar; ///< Text of those tokens.
--- a/src/foxtailwheel/daemon/CallDriver.cpp
+++ b/src/foxtailwheel/daemon/CallDriver.cpp
@@ -68,7 +68,7 @@
         events.onData = [this, open](std::string_view chunk) { onData(open, chunk); };
     events.onDone = [this, open](const http::CallResult& result) { onDone(open, result); };
     http::CallRequest out { { call.server.host, call.server.port }, std::move(request), call.call.sendBy,
-        call.call.deadline, call.call.stage->idempotent };
+        call.call.giveUpAt, call.call.stage->idempotent };
     const std::lock_guard lock(m_mutex);
     m_open.emplace(open->id, open);
     open->call = m_client.start(std::move(out), std::move(events));
--- a/src/foxtailwheel/pipeline/Run.cpp
+++ b/src/foxtailwheel/pipeline/Run.cpp
@@ -16,6 +16,12 @@
     /// Share of the expected time below which the time left is hopeless.
     constexpr double hopelessShare = 0.5;
 
+    /// Latest useful times of a call that starts now.
+    struct CallTimes {
+        TimePoint deadline;
+        TimePoint sendBy;
+    };
+
     enum class Phase { Waiting, Claiming, Running, Done };
 
     struct Attempt {
@@ -118,6 +124,7 @@
     void startReady(TimePoint now, Actions& out);
     void startStage(StageIndex stage, TimePoint now, Actions& out);
     void dispatch(StageIndex stage, bool isExtra, TimePoint now, Actions& out);
+    CallTimes timesOf(StageIndex stage, TimePoint now) const;
     StageInput inputOf(StageIndex stage) const;
     void setHedgeTimer(StageIndex stage, AttemptNumber attempt, TimePoint now, Actions& out);
     void complete(StageIndex stage, Payload result, TimePoint now, Actions& out);
@@ -189,7 +196,15 @@
         return;
     }
     stages[stage].phase = Phase::Claiming;
-    out.push_back(InsertClaim { request.id, stage, stageAt(stage).service, request.deadline });
+    out.push_back(InsertClaim { request.id, stage, stageAt(stage).service, timesOf(stage, now).sendBy });
+}
+
+CallTimes Run::Impl::timesOf(StageIndex stage, TimePoint now) const
+{
+    const auto needed = policy.expectedTime(stageAt(stage));
+    const auto tail = request.plan->criticalPath(stage, expected()) - needed;
+    const auto deadline = std::max(request.deadline - fromSeconds(toSeconds(tail) * hopelessShare), now);
+    return { deadline, std::max(deadline - fromSeconds(toSeconds(needed) * hopelessShare), now) };
 }
 
 void Run::Impl::dispatch(StageIndex stage, bool isExtra, TimePoint now, Actions& out)
@@ -197,12 +212,10 @@
     auto& state = stages[stage];
     const AttemptNumber number(state.attempts.size() + 1);
     state.attempts.push_back({ number, AttemptLife(), now });
-    const auto needed = policy.expectedTime(stageAt(stage));
-    const auto tail = request.plan->criticalPath(stage, expected()) - needed;
-    const auto deadline = std::max(request.deadline - fromSeconds(toSeconds(tail) * hopelessShare), now);
-    const auto sendBy = std::max(deadline - fromSeconds(toSeconds(needed) * hopelessShare), now);
-    out.push_back(StartCall { idOf(stage, number), &stageAt(stage), inputOf(stage), deadline, sendBy, state.tokenCount,
-        state.text, isExtra });
+    const auto times = timesOf(stage, now);
+    const auto giveUpAt = stageAt(stage).idempotent ? times.deadline : request.deadline + lingerLimit;
+    out.push_back(StartCall { idOf(stage, number), &stageAt(stage), inputOf(stage), times.deadline, giveUpAt,
+        times.sendBy, state.tokenCount, state.text, isExtra });
     if (stageAt(stage).idempotent)
         setHedgeTimer(stage, number, now, out);
 }
--- a/src/foxtailwheel/testing/FaultWorld.cpp
+++ b/src/foxtailwheel/testing/FaultWorld.cpp
@@ -310,7 +310,7 @@
         if (m_random.chance(0.5))
             later(tableInstance, someTime(0.02), [this, send] { execute(send); });
         // The driver reports a silent call when its deadline passes.
-        later(instance, send.call.deadline - m_clock.now(),
+        later(instance, send.call.giveUpAt - m_clock.now(),
             [this, instance, id] { failCall(instance, id, CallFailure::Silent); });
         return;
     }
