An accepted change is in force at once where it was accepted

Cause: the accepting instance learnt of its own change by polling; with the table lost right after the acceptance nobody could learn of it (process test: 0 of 9 instances had it). It installs the text it holds and gossips it now.

--- a/src/foxtailwheel/daemon/ConfigService.cpp
+++ b/src/foxtailwheel/daemon/ConfigService.cpp
@@ -64,7 +64,14 @@
 
 void ConfigService::apply(control::WantedChange wanted, std::function<void(control::ApplyResult)> done)
 {
-    control::applyChange(m_table, m_clock, std::move(wanted), m_clock.now() + applyTimeout, std::move(done));
+    const auto text = wanted.text;
+    control::applyChange(m_table, m_clock, std::move(wanted), m_clock.now() + applyTimeout,
+        [this, text, done = std::move(done)](const control::ApplyResult& result) {
+            // Put in force here at once, so that it spreads from here even if the table is lost right now.
+            if (result.end == control::ApplyEnd::Accepted)
+                onText(result.version, text);
+            done(result);
+        });
 }
 
 void ConfigService::perform(const control::FollowActions& actions)
