--- a/include/foxtailwheel/limits/FairQueue.h
+++ b/include/foxtailwheel/limits/FairQueue.h
@@ -47,7 +47,7 @@
 private:
     struct Account {
         double weight = 1;
-        double startTag = 0;
+        double startTag = 0; ///< Virtual time from which the next run may leave.
         double cost = 0;
         std::multimap<std::pair<std::uint32_t, TimePoint>, QueuedRun> runs;
     };
--- a/include/foxtailwheel/membership/Membership.h
+++ b/include/foxtailwheel/membership/Membership.h
@@ -91,6 +91,9 @@
     };
 
     void startProbe(TimePoint now, MembershipActions& out);
+    void callDead(MembershipActions& out);
+    Digest welcome();
+    bool isNew(const Member& member) const;
     void advanceProbe(TimePoint now, MembershipActions& out);
     void expire(TimePoint now, MembershipActions& out);
     void take(const Digest& digest, TimePoint now, MembershipActions& out);
--- a/src/foxtailwheel/limits/FairQueue.cpp
+++ b/src/foxtailwheel/limits/FairQueue.cpp
@@ -1,6 +1,7 @@
 #include "foxtailwheel/limits/FairQueue.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace foxtailwheel::limits {
 
@@ -13,7 +14,8 @@
 
 void FairQueue::push(const ClientAccountId& account, double weight, const QueuedRun& run)
 {
-    auto& state = m_accounts[account];
+    auto& state = m_accounts.try_emplace(account, Account { weight, -std::numeric_limits<double>::infinity(), 0, {} })
+                      .first->second;
     state.weight = weight;
     if (state.runs.empty()) {
         // An account that used less than its share may send a few runs ahead of its turn.
@@ -61,6 +63,8 @@
     state.cost -= run.cost;
     m_waitingCost = std::max(0.0, m_waitingCost - run.cost);
     --m_size;
+    if (m_order.empty() && state.runs.empty())
+        m_virtualTime = std::max(m_virtualTime, state.startTag);
     if (state.runs.empty())
         m_waitingWeight = std::max(0.0, m_waitingWeight - state.weight);
     else
--- a/src/foxtailwheel/membership/Membership.cpp
+++ b/src/foxtailwheel/membership/Membership.cpp
@@ -14,6 +14,10 @@
     constexpr double spreadFactor = 3;
     constexpr double smallGroup = 16;
     constexpr Duration relayLife = 2s;
+    /// Chance in each period that a dead member is called, so that the sides of a healed cut find each other.
+    constexpr double callDeadChance = 0.3;
+    /// Members told to one that has just appeared.
+    constexpr std::size_t toldToNewcomer = 64;
 
     bool isWorking(const Member& member)
     {
@@ -111,12 +115,29 @@
         m_order = pickOthers(m_known.size(), m_self.id);
     if (m_order.empty())
         return;
+    callDead(out);
     const auto target = m_order.back();
     m_order.pop_back();
     m_probe = Probe { target, ++m_sequence, now + m_options.ackTimeout, now + m_options.period, false };
     out.emplace_back(SendMessage { m_known.at(target).member.peers, Ping { m_sequence, {}, digest() } });
 }
 
+void Membership::callDead(MembershipActions& out)
+{
+    std::vector<const Member*> dead;
+    for (const auto& it : m_known) {
+        if (it.second.member.state == MemberState::Dead)
+            dead.push_back(&it.second.member);
+    }
+    if (dead.empty() || !m_random.chance(callDeadChance))
+        return;
+    const auto& member = *dead[m_random.below(dead.size())];
+    Ping ping { ++m_sequence, {}, digest() };
+    // It hears that it is thought dead, and refutes.
+    ping.digest.members.push_back(member);
+    out.emplace_back(SendMessage { member.peers, std::move(ping) });
+}
+
 void Membership::advanceProbe(TimePoint now, MembershipActions& out)
 {
     if (!m_probe || !m_known.contains(m_probe->target)) {
@@ -209,12 +230,29 @@
         out.emplace_back(ViewChanged {});
 }
 
+Digest Membership::welcome()
+{
+    auto all = digest();
+    for (const auto& it : pickOthers(toldToNewcomer, m_self.id))
+        all.members.push_back(m_known.at(it).member);
+    return all;
+}
+
+bool Membership::isNew(const Member& member) const
+{
+    const auto it = m_known.find(member.id);
+    return it == m_known.end() || it->second.member.incarnation < member.incarnation;
+}
+
 void Membership::onPing(const Ping& ping, TimePoint now, MembershipActions& out)
 {
+    const bool appeared = isNew(ping.digest.sender);
     take(ping.digest, now, out);
     const auto& asker = ping.digest.sender.peers;
+    if (appeared)
+        tellSome(out);
     if (ping.target.empty() || ping.target == m_self.id) {
-        out.emplace_back(SendMessage { asker, Ack { ping.sequence, m_self.id, digest() } });
+        out.emplace_back(SendMessage { asker, Ack { ping.sequence, m_self.id, appeared ? welcome() : digest() } });
         return;
     }
     const auto it = m_known.find(ping.target);
--- /dev/null
+++ b/src/foxtailwheel/membership/MembershipTest.cpp
@@ -0,0 +1,154 @@
+#include "foxtailwheel/membership/Membership.h"
+
+#include "foxtailwheel/testing/GossipGroup.h"
+
+#include <criterion/criterion.h>
+
+using namespace foxtailwheel;
+using namespace std::chrono_literals;
+using testing::GossipGroup;
+
+namespace {
+
+constexpr std::size_t count = 9;
+
+} // namespace
+
+Test(Membership, allMeetFromAPartialList)
+{
+    GossipGroup group(count, 0, 1);
+    group.run(5s);
+    cr_assert(group.agreed());
+}
+
+Test(Membership, aNewInstanceIsKnownToAllWithinThreeSeconds)
+{
+    GossipGroup group(count, 0, 2);
+    group.run(5s);
+    group.start(count);
+    group.run(3s);
+    cr_assert(group.agreed());
+}
+
+Test(Membership, aLeavingInstanceGetsNoShareWithinThreeSeconds)
+{
+    GossipGroup group(count, 0, 3);
+    group.run(5s);
+    group.leave(4);
+    group.run(3s);
+    for (std::size_t i = 0; i < count; ++i)
+        cr_assert_eq(group.at(i).working().size(), count - 1);
+}
+
+Test(Membership, aSilentDeathIsNoticed)
+{
+    GossipGroup group(count, 0, 4);
+    group.run(5s);
+    group.kill(3);
+    group.run(15s);
+    cr_assert(group.agreed());
+}
+
+Test(Membership, aPausedInstanceReturns)
+{
+    GossipGroup group(count, 0, 5);
+    group.run(5s);
+    group.pause(2);
+    group.run(20s);
+    cr_assert_eq(group.at(0).working().size(), count - 1);
+    group.resume(2);
+    group.run(5s);
+    cr_assert(group.agreed());
+}
+
+Test(Membership, thirtyPercentLossKillsNobodyForLong)
+{
+    GossipGroup group(count, 0.3, 6);
+    group.run(10s);
+    std::size_t agreedTimes = 0;
+    for (int i = 0; i < 60; ++i) {
+        group.run(1s);
+        agreedTimes += group.agreed() ? 1 : 0;
+    }
+    cr_assert_geq(agreedTimes, 54U);
+}
+
+Test(Membership, aCutZoneIsFoundAgain)
+{
+    GossipGroup group(count, 0, 7);
+    group.run(5s);
+    group.cut({ 0, 2, 4 });
+    group.run(20s);
+    cr_assert_eq(group.at(0).working().size(), 3U);
+    cr_assert_eq(group.at(1).working().size(), count - 3);
+    group.cut({});
+    group.run(10s);
+    cr_assert(group.agreed());
+}
+
+Test(Membership, allAreReplacedOneByOne)
+{
+    GossipGroup group(count, 0, 8);
+    group.run(5s);
+    for (std::size_t i = 0; i < count; ++i) {
+        group.leave(i);
+        group.run(1s);
+        group.kill(i);
+        group.start(i);
+        group.run(2s);
+    }
+    group.run(3s);
+    cr_assert(group.agreed());
+}
+
+Test(Membership, aVersionIsKnownToAllWithinThreeSeconds)
+{
+    GossipGroup group(count, 0.1, 9);
+    group.run(5s);
+    for (std::size_t i = 0; i < count; ++i)
+        group.setConfig(i, ConfigVersion(1));
+    group.run(3s);
+    cr_assert(group.lowestKnownConfig() == ConfigVersion(1));
+}
+
+Test(Membership, aLeavingServerIsKnownToAllWithinThreeSeconds)
+{
+    const BackendServerId server("booking-3");
+    for (std::uint64_t seed = 10; seed < 30; ++seed) {
+        GossipGroup group(count, 0.1, seed);
+        group.run(5s);
+        group.noticeLeaving(seed % count, server);
+        group.run(3s);
+        for (std::size_t i = 0; i < count; ++i)
+            cr_assert(group.at(i).leavingServers().contains(server), "seed %lu, instance %zu", seed, i);
+    }
+}
+
+Test(Membership, theCostOfAnInstanceStaysFlat)
+{
+    const auto messagesPerInstance = [](std::size_t n) {
+        GossipGroup group(n, 0, 11);
+        group.run(20s);
+        const auto before = group.messages();
+        group.run(10s);
+        return static_cast<double>(group.messages() - before) / static_cast<double>(n);
+    };
+    cr_assert_leq(messagesPerInstance(64), messagesPerInstance(8) * 1.1);
+}
+
+Test(Membership, ownersChangeLittle)
+{
+    std::vector<membership::Member> members;
+    for (std::size_t i = 0; i < 20; ++i) {
+        members.emplace_back();
+        members.back().id = InstanceId("instance-" + std::to_string(i));
+    }
+    auto fewer = members;
+    fewer.pop_back();
+    std::size_t moved = 0;
+    for (int i = 0; i < 1000; ++i) {
+        const auto key = "key-" + std::to_string(i);
+        moved += membership::owners(key, members, 1) == membership::owners(key, fewer, 1) ? 0 : 1;
+    }
+    cr_assert_lt(moved, 100U);
+}
--- /dev/null
+++ b/src/foxtailwheel/peer/PeerTest.cpp
@@ -0,0 +1,140 @@
+#include "foxtailwheel/peer/Message.h"
+#include "foxtailwheel/peer/Network.h"
+
+#include "foxtailwheel/base/Random.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <criterion/criterion.h>
+#include <future>
+#include <thread>
+
+using namespace foxtailwheel;
+using namespace std::chrono_literals;
+using peer::Message;
+
+namespace {
+
+constexpr auto patience = 10s;
+
+membership::Member memberOf(const std::string& name)
+{
+    return { InstanceId(name), { "127.0.0.1", 7 }, AvailabilityZoneId("a"), Incarnation(5),
+        membership::MemberState::Suspect, ConfigVersion(9) };
+}
+
+std::vector<Message> someMessages()
+{
+    membership::Digest digest { memberOf("x"), { memberOf("y"), memberOf("z") },
+        { { BackendServerId("s"), true, 77 } } };
+    return {
+        membership::Ping { 3, InstanceId("t"), digest },
+        membership::Ack { 4, InstanceId("u"), digest },
+        peer::ConfigRequest { memberOf("x"), ConfigVersion(8) },
+        peer::ConfigReply { ConfigVersion(8), "text", "hash" },
+        peer::Demand { memberOf("x"), { { ClientAccountId("coop"), 1.5 } } },
+        peer::Allowance { { { ClientAccountId("coop"), 2.5 } } },
+    };
+}
+
+std::span<const std::uint8_t> bytesOf(const std::string& text)
+{
+    return { reinterpret_cast<const std::uint8_t*>(text.data()), text.size() };
+}
+
+/// Waits until `holds`, without a bound that a slow machine could miss.
+template <class Condition> bool eventually(Condition holds)
+{
+    for (int i = 0; i < 1000 && !holds(); ++i)
+        std::this_thread::sleep_for(10ms);
+    return holds();
+}
+
+std::unique_ptr<peer::Network> listenWith(http::IoPool& pool, const std::string& key, peer::Network::Receive receive)
+{
+    auto network = peer::Network::listen(pool, { "127.0.0.1", 0 }, key, std::move(receive));
+    cr_assert(network.has_value());
+    return std::move(network).value();
+}
+
+/// Sends raw bytes to a listener and closes.
+void sendRaw(std::uint16_t port, const std::string& bytes)
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context);
+    socket.connect({ boost::asio::ip::make_address("127.0.0.1"), port });
+    boost::asio::write(socket, boost::asio::buffer(bytes));
+}
+
+} // namespace
+
+Test(PeerMessage, survivesItsBytes)
+{
+    for (const auto& it : someMessages()) {
+        const auto read = peer::decodeMessage(bytesOf(peer::encodeMessage(it)));
+        cr_assert(read.has_value());
+        cr_assert(read.value() == it);
+    }
+}
+
+Test(PeerMessage, cutAndGarbledBytesAreRefusedOrRead)
+{
+    Random random(20261204);
+    std::size_t refused = 0;
+    for (int round = 0; round < 20000; ++round) {
+        const auto messages = someMessages();
+        auto bytes = peer::encodeMessage(messages[random.below(messages.size())]);
+        if (random.chance(0.3))
+            bytes.resize(random.below(bytes.size()));
+        for (std::uint64_t i = random.below(6); i > 0 && !bytes.empty(); --i)
+            bytes[random.below(bytes.size())] = static_cast<char>(random.below(256));
+        refused += peer::decodeMessage(bytesOf(bytes)).has_value() ? 0 : 1;
+    }
+    cr_assert_gt(refused, 5000U);
+}
+
+Test(PeerMessage, oversizedBytesAreRefused)
+{
+    const std::string bytes(peer::largestMessageBytes + 1, 'x');
+    cr_assert(peer::decodeMessage(bytesOf(bytes)).error().code == make_error_code(Errc::TooLarge));
+}
+
+Test(PeerNetwork, framesArriveBetweenHoldersOfTheKey)
+{
+    const auto pool = http::IoPool::create(2);
+    std::promise<Message> got;
+    auto arrived = got.get_future();
+    const auto listener
+        = listenWith(*pool, "the-shared-secret", [&](Message message) { got.set_value(std::move(message)); });
+    const auto sender = listenWith(*pool, "the-shared-secret", [](const Message&) {});
+    sender->send({ "127.0.0.1", listener->port() }, someMessages().front());
+    cr_assert(arrived.wait_for(patience) == std::future_status::ready);
+    cr_assert(arrived.get() == someMessages().front());
+    pool->stop();
+}
+
+Test(PeerNetwork, aWrongKeyIsRefusedAndCounted)
+{
+    const auto pool = http::IoPool::create(2);
+    const auto listener
+        = listenWith(*pool, "the-shared-secret", [](const Message&) { cr_assert_fail("a frame got through"); });
+    const auto sender = listenWith(*pool, "some-other-secret", [](const Message&) {});
+    sender->send({ "127.0.0.1", listener->port() }, someMessages().front());
+    const auto wrongKey = static_cast<std::size_t>(peer::Refusal::WrongKey);
+    cr_assert(eventually([&] { return sender->counts().refused.at(wrongKey) == 1; }));
+    cr_assert(eventually([&] { return sender->counts().droppedFrames == 1; }));
+    cr_assert_eq(listener->counts().receivedFrames, 0U);
+    pool->stop();
+}
+
+Test(PeerNetwork, anotherProtocolIsRefusedAndCounted)
+{
+    const auto pool = http::IoPool::create(2);
+    const auto listener = listenWith(*pool, "the-shared-secret", [](const Message&) {});
+    sendRaw(listener->port(), "GET / HTTP/1.1\r\nHost: somewhere\r\n\r\n" + std::string(64, ' '));
+    const auto wrongProtocol = static_cast<std::size_t>(peer::Refusal::WrongProtocol);
+    cr_assert(eventually([&] { return listener->counts().refused.at(wrongProtocol) == 1; }));
+    pool->stop();
+}
--- /dev/null
+++ b/src/foxtailwheel/testing/GossipGroup.cpp
@@ -0,0 +1,136 @@
+#include "GossipGroup.h"
+
+#include <algorithm>
+
+namespace foxtailwheel::testing {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    constexpr Duration step = 50ms;
+
+    membership::Member memberOf(std::size_t index)
+    {
+        membership::Member member;
+        member.id = InstanceId("instance-" + std::to_string(index));
+        member.peers = { "127.0.0.1", static_cast<std::uint16_t>(index + 1) };
+        member.zone = AvailabilityZoneId(index % 2 == 0 ? "a" : "b");
+        return member;
+    }
+
+} // namespace
+
+GossipGroup::GossipGroup(std::size_t count, double loss, std::uint64_t seed)
+    : m_random(seed)
+    , m_loss(loss)
+{
+    m_clock.set(TimePoint(1h));
+    for (std::size_t i = 0; i < count; ++i)
+        start(i);
+}
+
+void GossipGroup::start(std::size_t index)
+{
+    auto self = memberOf(index);
+    self.incarnation = Incarnation(static_cast<std::uint64_t>(m_clock.wallNow().time_since_epoch().count()));
+    auto started = std::make_unique<membership::Membership>(self, membership::MembershipOptions {}, m_random.next());
+    // The platform's list names three others at most.
+    std::size_t named = 0;
+    for (const auto& it : m_members) {
+        if (it.first != index && named++ < 3)
+            started->introduce(memberOf(it.first), m_clock.now());
+    }
+    m_members[index] = std::move(started);
+}
+
+void GossipGroup::post(std::size_t from, const membership::MembershipActions& actions)
+{
+    for (const auto& it : actions) {
+        const auto* send = std::get_if<membership::SendMessage>(&it);
+        if (send == nullptr)
+            continue;
+        ++m_messages;
+        const std::size_t to = send->to.port - 1U;
+        const bool severed = !m_side.empty() && m_side.contains(from) != m_side.contains(to);
+        if (!severed && !m_random.chance(m_loss))
+            m_letters.push_back({ m_clock.now() + fromSeconds(m_random.exponential(0.005)), from, to, send->message });
+    }
+}
+
+void GossipGroup::deliver()
+{
+    std::deque<Letter> waiting;
+    std::swap(waiting, m_letters);
+    for (auto& it : waiting) {
+        if (it.due > m_clock.now() || m_paused.contains(it.to)) {
+            m_letters.push_back(std::move(it));
+            continue;
+        }
+        const auto member = m_members.find(it.to);
+        if (member == m_members.end())
+            continue;
+        membership::MembershipActions actions;
+        if (const auto* ping = std::get_if<membership::Ping>(&it.message))
+            member->second->onPing(*ping, m_clock.now(), actions);
+        else
+            member->second->onAck(std::get<membership::Ack>(it.message), m_clock.now(), actions);
+        post(it.to, actions);
+    }
+}
+
+void GossipGroup::run(Duration length)
+{
+    const auto until = m_clock.now() + length;
+    while (m_clock.now() < until) {
+        m_clock.advance(step);
+        deliver();
+        for (auto& it : m_members) {
+            if (m_paused.contains(it.first))
+                continue;
+            membership::MembershipActions actions;
+            it.second->tick(m_clock.now(), actions);
+            post(it.first, actions);
+        }
+    }
+}
+
+void GossipGroup::leave(std::size_t index)
+{
+    membership::MembershipActions actions;
+    m_members.at(index)->leave(m_clock.now(), actions);
+    post(index, actions);
+}
+
+void GossipGroup::setConfig(std::size_t index, ConfigVersion version)
+{
+    membership::MembershipActions actions;
+    m_members.at(index)->setConfig(version, m_clock.now(), actions);
+    post(index, actions);
+}
+
+void GossipGroup::noticeLeaving(std::size_t index, const BackendServerId& server)
+{
+    membership::MembershipActions actions;
+    const auto sequence = static_cast<std::uint64_t>(m_clock.wallNow().time_since_epoch().count());
+    m_members.at(index)->notice({ server, true, sequence }, m_clock.now(), actions);
+    post(index, actions);
+}
+
+bool GossipGroup::agreed() const
+{
+    return std::all_of(m_members.begin(), m_members.end(),
+        [this](const auto& it) { return it.second->working().size() == m_members.size(); });
+}
+
+ConfigVersion GossipGroup::lowestKnownConfig() const
+{
+    ConfigVersion lowest(~std::uint64_t { 0 });
+    for (const auto& it : m_members) {
+        for (const auto& member : it.second->working())
+            lowest = std::min(lowest, member.config);
+    }
+    return lowest;
+}
+
+} // namespace foxtailwheel::testing
