--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -33,5 +33,5 @@
 foxtailwheel_package(cli DEPENDS http LIBRARIES cxxopts::cxxopts)
 
 # Measurement and test parts.
-foxtailwheel_package(bench DEPENDS serving)
+foxtailwheel_package(bench DEPENDS serving peer)
 foxtailwheel_package(standin DEPENDS http limits)
--- a/src/foxtailwheel/testing/GossipGroup.h
+++ b/include/foxtailwheel/bench/GossipGroup.h
@@ -10,7 +10,7 @@
 #include <set>
 #include <vector>
 
-namespace foxtailwheel::testing {
+namespace foxtailwheel::bench {
 
 /// @brief Several `Membership` libraries with a small queue of messages between them, at injected time.
 class GossipGroup {
@@ -39,6 +39,11 @@
     /// @brief Lowest version in force that any running instance knows of the others.
     ConfigVersion lowestKnownConfig() const;
     std::uint64_t messages() const { return m_messages; }
+    /// @brief Bytes of the messages as peers encode them; counted while `countBytes` is on.
+    std::uint64_t bytes() const { return m_bytes; }
+    void countBytes(bool on) { m_countsBytes = on; }
+    /// @brief True where every running instance knows that the server leaves.
+    bool allKnowLeaving(const BackendServerId& server) const;
     std::size_t running() const { return m_members.size(); }
 
 private:
@@ -60,6 +65,8 @@
     std::set<std::size_t> m_side;
     std::deque<Letter> m_letters;
     std::uint64_t m_messages = 0;
+    std::uint64_t m_bytes = 0;
+    bool m_countsBytes = false;
 };
 
-} // namespace foxtailwheel::testing
+} // namespace foxtailwheel::bench
--- a/include/foxtailwheel/membership/Membership.h
+++ b/include/foxtailwheel/membership/Membership.h
@@ -32,6 +32,7 @@
         = std::chrono::seconds(3); ///< From suspicion to death, for up to 16 members; grows by logarithm.
     std::size_t helpers = 3; ///< Members asked to ping on this one's behalf, and told of news at once.
     std::size_t updatesPerMessage = 12;
+    std::size_t mostUpdatesPerMessage = 36; ///< While much is new, as when all start at once.
     Duration deadKept = std::chrono::seconds(60); ///< Time that a dead or left member is remembered.
 };
 
--- /dev/null
+++ b/src/foxtailwheel/apps/foxtailwheel-slopes.cpp
@@ -0,0 +1,128 @@
+#include "foxtailwheel/base/Hash.h"
+#include "foxtailwheel/bench/GossipGroup.h"
+#include "foxtailwheel/config/Declarations.h"
+#include "foxtailwheel/limits/RateLedger.h"
+#include "foxtailwheel/limits/RateLimiter.h"
+#include "foxtailwheel/serving/Catalog.h"
+
+#include <array>
+#include <cstdio>
+#include <ctime>
+#include <malloc.h>
+#include <sstream>
+#include <string>
+
+namespace {
+
+using namespace foxtailwheel;
+using namespace std::chrono_literals;
+
+double cpuSeconds() { return static_cast<double>(std::clock()) / CLOCKS_PER_SEC; }
+
+double heapBytes()
+{
+    const auto info = mallinfo2();
+    return static_cast<double>(info.uordblks) + static_cast<double>(info.hblkhd);
+}
+
+/// Seconds until `holds`, in steps of 100 ms of injected time.
+template <class Condition>
+double secondsUntil(bench::GossipGroup& group, Condition holds)
+{
+    for (int i = 0; i < 600; ++i) {
+        if (holds())
+            return i / 10.0;
+        group.run(100ms);
+    }
+    return -1;
+}
+
+void gossip(std::size_t n)
+{
+    const double before = heapBytes();
+    bench::GossipGroup group(n, 0.01, 1);
+    const double meeting = secondsUntil(group, [&] { return group.agreed(); });
+    group.run(10s);
+    const double memory = (heapBytes() - before) / static_cast<double>(n);
+    const auto messages = group.messages();
+    const double cpu = cpuSeconds();
+    group.run(5s);
+    const double cpuShare = (cpuSeconds() - cpu) / 5 / static_cast<double>(n);
+    const double perSecond = static_cast<double>(group.messages() - messages) / 5 / static_cast<double>(n);
+    group.countBytes(true);
+    group.run(2s);
+    const double bytes = static_cast<double>(group.bytes()) / 2 / static_cast<double>(n);
+    group.countBytes(false);
+    group.noticeLeaving(0, BackendServerId("server"));
+    const double notice = secondsUntil(group, [&] { return group.allKnowLeaving(BackendServerId("server")); });
+    std::printf("gossip instances=%zu messages/s=%.2f sent_bytes/s=%.0f cpu_share=%.6f heap_bytes=%.0f all_met_s=%.1f leaving_server_known_s=%.1f\n", n, perSecond, bytes, cpuShare, memory, meeting, notice);
+    std::fflush(stdout);
+}
+
+std::string declarationsText(std::size_t servers, std::size_t accounts)
+{
+    std::ostringstream text;
+    text << "zones:\n  - { name: a, region: r }\nservices:\n  - name: generate\n    kind: model-engine\n    typical_time: 400ms\n    servers:\n";
+    for (std::size_t i = 0; i < servers; ++i)
+        text << "      - { name: g" << i << ", address: 10." << i / 65536 << "." << i / 256 % 256 << "." << i % 256 << ":9000, zone: a }\n";
+    text << "pipelines:\n  - { name: answer, result: generate, deadline: 9s }\naccounts:\n";
+    for (std::size_t i = 0; i < accounts; ++i)
+        text << "  - { name: account-" << i << ", rate: 10/s, credential_sha256: " << sha256Hex(std::to_string(i)) << " }\n";
+    return text.str();
+}
+
+void configuration(std::size_t servers, std::size_t accounts)
+{
+    const auto text = declarationsText(servers, accounts);
+    const double before = heapBytes();
+    double cpu = cpuSeconds();
+    auto parsed = config::parseDeclarations(text);
+    const double parsing = cpuSeconds() - cpu;
+    auto declared = std::make_shared<const config::Declarations>(std::move(parsed.declarations));
+    routing::PoolOptions options;
+    options.self = InstanceId("instance-0");
+    options.zone = AvailabilityZoneId("a");
+    cpu = cpuSeconds();
+    const auto catalog = serving::makeCatalog(ConfigVersion(1), declared, nullptr, options);
+    const double making = cpuSeconds() - cpu;
+    cpu = cpuSeconds();
+    const auto again = serving::makeCatalog(ConfigVersion(2), declared, catalog.get(), options);
+    const double updating = cpuSeconds() - cpu;
+    std::printf("config servers=%zu accounts=%zu text_bytes=%zu parse_s=%.4f make_s=%.4f update_s=%.4f heap_bytes=%.0f faults=%zu\n", servers, accounts, text.size(), parsing, making, updating, heapBytes() - before, parsed.faults.size());
+    std::fflush(stdout);
+}
+
+void rates(std::size_t accounts, std::size_t instances)
+{
+    limits::RateLedger ledger;
+    std::vector<InstanceId> ids;
+    for (std::size_t i = 0; i < instances; ++i)
+        ids.emplace_back("instance-" + std::to_string(i));
+    const double before = heapBytes();
+    for (std::size_t i = 0; i < accounts; ++i) {
+        for (std::size_t j = 0; j < 8; ++j)
+            ledger.demanded(ClientAccountId("account-" + std::to_string(i)), ids[(i + j) % instances], 1, TimePoint(1h));
+    }
+    const double memory = heapBytes() - before;
+    const double cpu = cpuSeconds();
+    std::size_t parts = 0;
+    for (const auto& it : ledger.accounts())
+        parts += ledger.divide(it, 10, ids, TimePoint(1h)).size();
+    std::printf("rates owned_accounts=%zu instances=%zu divide_s=%.5f parts=%zu heap_bytes=%.0f\n", accounts, instances, cpuSeconds() - cpu, parts, memory);
+    std::fflush(stdout);
+}
+
+} // namespace
+
+int main()
+{
+    for (const std::size_t n : std::array { 9, 30, 100, 225 })
+        gossip(n);
+    for (const std::size_t servers : std::array { 20, 1000, 10000 })
+        configuration(servers, 5);
+    for (const std::size_t accounts : std::array { 5, 1000, 10000, 46000 })
+        configuration(20, accounts);
+    for (const std::size_t instances : std::array { 9, 225, 1800 })
+        rates(26, instances);
+    return 0;
+}
--- a/src/foxtailwheel/testing/GossipGroup.cpp
+++ b/src/foxtailwheel/bench/GossipGroup.cpp
@@ -1,8 +1,10 @@
-#include "GossipGroup.h"
+#include "foxtailwheel/bench/GossipGroup.h"
+
+#include "foxtailwheel/peer/Message.h"
 
 #include <algorithm>
 
-namespace foxtailwheel::testing {
+namespace foxtailwheel::bench {
 
 using namespace std::chrono_literals;
 
@@ -51,6 +53,8 @@
         if (send == nullptr)
             continue;
         ++m_messages;
+        if (m_countsBytes)
+            m_bytes += std::visit([](const auto& message) { return peer::encodeMessage(peer::Message(message)).size(); }, send->message);
         const std::size_t to = send->to.port - 1U;
         const bool severed = !m_side.empty() && m_side.contains(from) != m_side.contains(to);
         if (!severed && !m_random.chance(m_loss))
@@ -117,6 +121,11 @@
     post(index, actions);
 }
 
+bool GossipGroup::allKnowLeaving(const BackendServerId& server) const
+{
+    return std::all_of(m_members.begin(), m_members.end(), [&](const auto& it) { return it.second->leavingServers().contains(server); });
+}
+
 bool GossipGroup::agreed() const
 {
     return std::all_of(m_members.begin(), m_members.end(),
@@ -133,4 +142,4 @@
     return lowest;
 }
 
-} // namespace foxtailwheel::testing
+} // namespace foxtailwheel::bench
--- a/src/foxtailwheel/membership/Membership.cpp
+++ b/src/foxtailwheel/membership/Membership.cpp
@@ -57,7 +57,8 @@
     Digest digest { m_self, {}, {} };
     const auto limit = spreadLimit();
     const auto take = [this, limit](auto& news, auto& into) {
-        for (auto it = news.begin(); it != news.end() && into.size() < m_options.updatesPerMessage;) {
+        const auto most = std::clamp(news.size() / 3, m_options.updatesPerMessage, m_options.mostUpdatesPerMessage);
+        for (auto it = news.begin(); it != news.end() && into.size() < most;) {
             into.push_back(it->second.value);
             it = ++it->second.sent >= limit ? news.erase(it) : std::next(it);
         }
--- a/src/foxtailwheel/membership/MembershipTest.cpp
+++ b/src/foxtailwheel/membership/MembershipTest.cpp
@@ -1,12 +1,12 @@
 #include "foxtailwheel/membership/Membership.h"
 
-#include "foxtailwheel/testing/GossipGroup.h"
+#include "foxtailwheel/bench/GossipGroup.h"
 
 #include <criterion/criterion.h>
 
 using namespace foxtailwheel;
 using namespace std::chrono_literals;
-using testing::GossipGroup;
+using bench::GossipGroup;
 
 namespace {
 
