--- a/include/foxtailwheel/config/Declarations.h
+++ b/include/foxtailwheel/config/Declarations.h
@@ -111,7 +111,7 @@
 };
 
 /// @brief Reads and checks the operators' text.
-/// @param text YAML, at most 4 MiB.
+/// @param text YAML, at most 16 MiB.
 ParsedDeclarations parseDeclarations(const std::string& text);
 
 /// @brief The services that `result` needs, itself included, each after its dependencies.
--- a/include/foxtailwheel/control/ConfigStore.h
+++ b/include/foxtailwheel/control/ConfigStore.h
@@ -3,6 +3,7 @@
 #include "foxtailwheel/base/Clock.h"
 #include "foxtailwheel/base/Error.h"
 #include "foxtailwheel/base/Ids.h"
+#include "foxtailwheel/config/Patch.h"
 #include "foxtailwheel/platform/Table.h"
 
 #include <functional>
@@ -25,6 +26,7 @@
     std::string note; ///< Why, in the operator's words.
     std::vector<std::string> summary; ///< What changed, a line each.
     std::string textHash; ///< SHA-256 of the text.
+    std::optional<config::Patch> patch; ///< From the version before; kept out of the audit trail.
 };
 
 /// @brief A change that an operator wants.
@@ -35,6 +37,7 @@
     std::string note;
     std::vector<std::string> summary;
     std::string text;
+    std::string baseText; ///< Text of the base; empty where it is not at hand, and then the change carries no patch.
 };
 
 /// @brief How an attempt to change the configuration ended.
--- a/include/foxtailwheel/peer/Message.h
+++ b/include/foxtailwheel/peer/Message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foxtailwheel/base/Error.h"
+#include "foxtailwheel/config/Patch.h"
 #include "foxtailwheel/membership/Member.h"
 
 #include <cstdint>
@@ -14,16 +15,18 @@
 /// @brief Send me this version of the configuration.
 struct ConfigRequest {
     membership::Member sender;
-    ConfigVersion version;
+    ConfigVersion version; ///< Wanted.
+    ConfigVersion have; ///< In force at the sender; patches from there will do.
 
     friend bool operator==(const ConfigRequest&, const ConfigRequest&) = default;
 };
 
-/// @brief A text of the configuration; empty where the asked instance does not have it.
+/// @brief A text of the configuration, or the patches that lead to it; both empty where the asked instance has neither.
 struct ConfigReply {
     ConfigVersion version;
     std::string text;
     std::string hash; ///< SHA-256 of the text.
+    std::vector<config::Patch> patches; ///< In their order.
 
     friend bool operator==(const ConfigReply&, const ConfigReply&) = default;
 };
@@ -55,7 +58,7 @@
 using Message = std::variant<membership::Ping, membership::Ack, ConfigRequest, ConfigReply, Demand, Allowance>;
 
 /// @brief Most bytes of one encoded message.
-constexpr std::size_t largestMessageBytes = 8U << 20U;
+constexpr std::size_t largestMessageBytes = 20U << 20U;
 
 /// @brief Message as bytes (FlatBuffers).
 std::string encodeMessage(const Message& message);
--- a/include/foxtailwheel/peer/Messages_generated.h
+++ b/include/foxtailwheel/peer/Messages_generated.h
@@ -35,6 +35,9 @@
 struct ConfigRequest;
 struct ConfigRequestBuilder;
 
+struct Patch;
+struct PatchBuilder;
+
 struct ConfigReply;
 struct ConfigReplyBuilder;
 
@@ -564,7 +567,8 @@
   typedef ConfigRequestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SENDER = 4,
-    VT_VERSION = 6
+    VT_VERSION = 6,
+    VT_HAVE = 8
   };
   const foxtailwheel::peer::wire::Member *sender() const {
     return GetPointer<const foxtailwheel::peer::wire::Member *>(VT_SENDER);
@@ -572,11 +576,15 @@
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
   }
+  uint64_t have() const {
+    return GetField<uint64_t>(VT_HAVE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
            verifier.VerifyTable(sender()) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_HAVE, 8) &&
            verifier.EndTable();
   }
 };
@@ -591,6 +599,9 @@
   void add_version(uint64_t version) {
     fbb_.AddElement<uint64_t>(ConfigRequest::VT_VERSION, version, 0);
   }
+  void add_have(uint64_t have) {
+    fbb_.AddElement<uint64_t>(ConfigRequest::VT_HAVE, have, 0);
+  }
   explicit ConfigRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -605,19 +616,135 @@
 inline flatbuffers::Offset<ConfigRequest> CreateConfigRequest(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender = 0,
-    uint64_t version = 0) {
+    uint64_t version = 0,
+    uint64_t have = 0) {
   ConfigRequestBuilder builder_(_fbb);
+  builder_.add_have(have);
   builder_.add_version(version);
   builder_.add_sender(sender);
   return builder_.Finish();
 }
 
+struct Patch FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PatchBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FROM = 4,
+    VT_TO = 6,
+    VT_HEAD = 8,
+    VT_TAIL = 10,
+    VT_MIDDLE = 12,
+    VT_HASH = 14
+  };
+  uint64_t from() const {
+    return GetField<uint64_t>(VT_FROM, 0);
+  }
+  uint64_t to() const {
+    return GetField<uint64_t>(VT_TO, 0);
+  }
+  uint64_t head() const {
+    return GetField<uint64_t>(VT_HEAD, 0);
+  }
+  uint64_t tail() const {
+    return GetField<uint64_t>(VT_TAIL, 0);
+  }
+  const flatbuffers::String *middle() const {
+    return GetPointer<const flatbuffers::String *>(VT_MIDDLE);
+  }
+  const flatbuffers::String *hash() const {
+    return GetPointer<const flatbuffers::String *>(VT_HASH);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_FROM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TO, 8) &&
+           VerifyField<uint64_t>(verifier, VT_HEAD, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TAIL, 8) &&
+           VerifyOffset(verifier, VT_MIDDLE) &&
+           verifier.VerifyString(middle()) &&
+           VerifyOffset(verifier, VT_HASH) &&
+           verifier.VerifyString(hash()) &&
+           verifier.EndTable();
+  }
+};
+
+struct PatchBuilder {
+  typedef Patch Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_from(uint64_t from) {
+    fbb_.AddElement<uint64_t>(Patch::VT_FROM, from, 0);
+  }
+  void add_to(uint64_t to) {
+    fbb_.AddElement<uint64_t>(Patch::VT_TO, to, 0);
+  }
+  void add_head(uint64_t head) {
+    fbb_.AddElement<uint64_t>(Patch::VT_HEAD, head, 0);
+  }
+  void add_tail(uint64_t tail) {
+    fbb_.AddElement<uint64_t>(Patch::VT_TAIL, tail, 0);
+  }
+  void add_middle(flatbuffers::Offset<flatbuffers::String> middle) {
+    fbb_.AddOffset(Patch::VT_MIDDLE, middle);
+  }
+  void add_hash(flatbuffers::Offset<flatbuffers::String> hash) {
+    fbb_.AddOffset(Patch::VT_HASH, hash);
+  }
+  explicit PatchBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Patch> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Patch>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Patch> CreatePatch(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t from = 0,
+    uint64_t to = 0,
+    uint64_t head = 0,
+    uint64_t tail = 0,
+    flatbuffers::Offset<flatbuffers::String> middle = 0,
+    flatbuffers::Offset<flatbuffers::String> hash = 0) {
+  PatchBuilder builder_(_fbb);
+  builder_.add_tail(tail);
+  builder_.add_head(head);
+  builder_.add_to(to);
+  builder_.add_from(from);
+  builder_.add_hash(hash);
+  builder_.add_middle(middle);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Patch> CreatePatchDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t from = 0,
+    uint64_t to = 0,
+    uint64_t head = 0,
+    uint64_t tail = 0,
+    const char *middle = nullptr,
+    const char *hash = nullptr) {
+  auto middle__ = middle ? _fbb.CreateString(middle) : 0;
+  auto hash__ = hash ? _fbb.CreateString(hash) : 0;
+  return foxtailwheel::peer::wire::CreatePatch(
+      _fbb,
+      from,
+      to,
+      head,
+      tail,
+      middle__,
+      hash__);
+}
+
 struct ConfigReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ConfigReplyBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_VERSION = 4,
     VT_TEXT = 6,
-    VT_HASH = 8
+    VT_HASH = 8,
+    VT_PATCHES = 10
   };
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
@@ -628,6 +755,9 @@
   const flatbuffers::String *hash() const {
     return GetPointer<const flatbuffers::String *>(VT_HASH);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::Patch>> *patches() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::Patch>> *>(VT_PATCHES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
@@ -635,6 +765,9 @@
            verifier.VerifyString(text()) &&
            VerifyOffset(verifier, VT_HASH) &&
            verifier.VerifyString(hash()) &&
+           VerifyOffset(verifier, VT_PATCHES) &&
+           verifier.VerifyVector(patches()) &&
+           verifier.VerifyVectorOfTables(patches()) &&
            verifier.EndTable();
   }
 };
@@ -652,6 +785,9 @@
   void add_hash(flatbuffers::Offset<flatbuffers::String> hash) {
     fbb_.AddOffset(ConfigReply::VT_HASH, hash);
   }
+  void add_patches(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::Patch>>> patches) {
+    fbb_.AddOffset(ConfigReply::VT_PATCHES, patches);
+  }
   explicit ConfigReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -667,9 +803,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t version = 0,
     flatbuffers::Offset<flatbuffers::String> text = 0,
-    flatbuffers::Offset<flatbuffers::String> hash = 0) {
+    flatbuffers::Offset<flatbuffers::String> hash = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::Patch>>> patches = 0) {
   ConfigReplyBuilder builder_(_fbb);
   builder_.add_version(version);
+  builder_.add_patches(patches);
   builder_.add_hash(hash);
   builder_.add_text(text);
   return builder_.Finish();
@@ -679,14 +817,17 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t version = 0,
     const char *text = nullptr,
-    const char *hash = nullptr) {
+    const char *hash = nullptr,
+    const std::vector<flatbuffers::Offset<foxtailwheel::peer::wire::Patch>> *patches = nullptr) {
   auto text__ = text ? _fbb.CreateString(text) : 0;
   auto hash__ = hash ? _fbb.CreateString(hash) : 0;
+  auto patches__ = patches ? _fbb.CreateVector<flatbuffers::Offset<foxtailwheel::peer::wire::Patch>>(*patches) : 0;
   return foxtailwheel::peer::wire::CreateConfigReply(
       _fbb,
       version,
       text__,
-      hash__);
+      hash__,
+      patches__);
 }
 
 struct AccountRate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/foxtailwheel/apps/foxtailwheel-microbench.cpp
+++ b/src/foxtailwheel/apps/foxtailwheel-microbench.cpp
@@ -19,7 +19,8 @@
     service.typicalTime = 400ms;
     service.concurrency = 8;
     for (std::int64_t i = 0; i < servers; ++i)
-        service.servers.push_back({ BackendServerId("g" + std::to_string(i)), "127.0.0.1", 9000, AvailabilityZoneId(i % 4 == 0 ? "a" : "b") });
+        service.servers.push_back({ BackendServerId("g" + std::to_string(i)), "127.0.0.1", 9000,
+            AvailabilityZoneId(i % 4 == 0 ? "a" : "b") });
     return service;
 }
 
@@ -31,7 +32,8 @@
     declarations->services.push_back(serviceOf(servers));
     declarations->pipelines.push_back({ PipelineId("answer"), ServiceId("generate"), 9s, 0 });
     for (std::int64_t i = 0; i < accounts; ++i)
-        declarations->accounts.push_back({ ClientAccountId("account-" + std::to_string(i)), 1, 0, sha256Hex(std::to_string(i)) });
+        declarations->accounts.push_back(
+            { ClientAccountId("account-" + std::to_string(i)), 1, 0, sha256Hex(std::to_string(i)) });
     return declarations;
 }
 
@@ -78,7 +80,12 @@
     }
 }
 // Without hedging the send is the last action.
-BENCHMARK(wholeRun)->Args({ 20, 5 })->Args({ 10000, 5 })->Args({ 20, 1000 })->Args({ 20, 46000 })->Args({ 10000, 46000 });
+BENCHMARK(wholeRun)
+    ->Args({ 20, 5 })
+    ->Args({ 10000, 5 })
+    ->Args({ 20, 1000 })
+    ->Args({ 20, 46000 })
+    ->Args({ 10000, 46000 });
 
 /// A run that waits: into the fair queue and out, with `accounts` waiting accounts.
 void fairQueue(benchmark::State& state)
@@ -87,7 +94,8 @@
     std::uint64_t n = 0;
     const auto push = [&] {
         ++n;
-        queue.push(ClientAccountId("account-" + std::to_string(n % static_cast<std::uint64_t>(state.range(0)))), 1, { RunId(n), 0.4, 0, start });
+        queue.push(ClientAccountId("account-" + std::to_string(n % static_cast<std::uint64_t>(state.range(0)))), 1,
+            { RunId(n), 0.4, 0, start });
     };
     for (std::int64_t i = 0; i < state.range(0); ++i)
         push();
--- a/src/foxtailwheel/apps/foxtailwheel-slopes.cpp
+++ b/src/foxtailwheel/apps/foxtailwheel-slopes.cpp
@@ -17,7 +17,10 @@
 using namespace foxtailwheel;
 using namespace std::chrono_literals;
 
-double cpuSeconds() { return static_cast<double>(std::clock()) / CLOCKS_PER_SEC; }
+double cpuSeconds()
+{
+    return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
 
 double heapBytes()
 {
@@ -26,8 +29,7 @@
 }
 
 /// Seconds until `holds`, in steps of 100 ms of injected time.
-template <class Condition>
-double secondsUntil(bench::GossipGroup& group, Condition holds)
+template <class Condition> double secondsUntil(bench::GossipGroup& group, Condition holds)
 {
     for (int i = 0; i < 600; ++i) {
         if (holds())
@@ -55,19 +57,24 @@
     group.countBytes(false);
     group.noticeLeaving(0, BackendServerId("server"));
     const double notice = secondsUntil(group, [&] { return group.allKnowLeaving(BackendServerId("server")); });
-    std::printf("gossip instances=%zu messages/s=%.2f sent_bytes/s=%.0f cpu_share=%.6f heap_bytes=%.0f all_met_s=%.1f leaving_server_known_s=%.1f\n", n, perSecond, bytes, cpuShare, memory, meeting, notice);
+    std::printf("gossip instances=%zu messages/s=%.2f sent_bytes/s=%.0f cpu_share=%.6f heap_bytes=%.0f all_met_s=%.1f "
+                "leaving_server_known_s=%.1f\n",
+        n, perSecond, bytes, cpuShare, memory, meeting, notice);
     std::fflush(stdout);
 }
 
 std::string declarationsText(std::size_t servers, std::size_t accounts)
 {
     std::ostringstream text;
-    text << "zones:\n  - { name: a, region: r }\nservices:\n  - name: generate\n    kind: model-engine\n    typical_time: 400ms\n    servers:\n";
+    text << "zones:\n  - { name: a, region: r }\nservices:\n  - name: generate\n    kind: model-engine\n    "
+            "typical_time: 400ms\n    servers:\n";
     for (std::size_t i = 0; i < servers; ++i)
-        text << "      - { name: g" << i << ", address: 10." << i / 65536 << "." << i / 256 % 256 << "." << i % 256 << ":9000, zone: a }\n";
+        text << "      - { name: g" << i << ", address: 10." << i / 65536 << "." << i / 256 % 256 << "." << i % 256
+             << ":9000, zone: a }\n";
     text << "pipelines:\n  - { name: answer, result: generate, deadline: 9s }\naccounts:\n";
     for (std::size_t i = 0; i < accounts; ++i)
-        text << "  - { name: account-" << i << ", rate: 10/s, credential_sha256: " << sha256Hex(std::to_string(i)) << " }\n";
+        text << "  - { name: account-" << i << ", rate: 10/s, credential_sha256: " << sha256Hex(std::to_string(i))
+             << " }\n";
     return text.str();
 }
 
@@ -88,7 +95,9 @@
     cpu = cpuSeconds();
     const auto again = serving::makeCatalog(ConfigVersion(2), declared, catalog.get(), options);
     const double updating = cpuSeconds() - cpu;
-    std::printf("config servers=%zu accounts=%zu text_bytes=%zu parse_s=%.4f make_s=%.4f update_s=%.4f heap_bytes=%.0f faults=%zu\n", servers, accounts, text.size(), parsing, making, updating, heapBytes() - before, parsed.faults.size());
+    std::printf("config servers=%zu accounts=%zu text_bytes=%zu parse_s=%.4f make_s=%.4f update_s=%.4f heap_bytes=%.0f "
+                "faults=%zu\n",
+        servers, accounts, text.size(), parsing, making, updating, heapBytes() - before, parsed.faults.size());
     std::fflush(stdout);
 }
 
@@ -101,14 +110,16 @@
     const double before = heapBytes();
     for (std::size_t i = 0; i < accounts; ++i) {
         for (std::size_t j = 0; j < 8; ++j)
-            ledger.demanded(ClientAccountId("account-" + std::to_string(i)), ids[(i + j) % instances], 1, TimePoint(1h));
+            ledger.demanded(
+                ClientAccountId("account-" + std::to_string(i)), ids[(i + j) % instances], 1, TimePoint(1h));
     }
     const double memory = heapBytes() - before;
     const double cpu = cpuSeconds();
     std::size_t parts = 0;
     for (const auto& it : ledger.accounts())
         parts += ledger.divide(it, 10, ids, TimePoint(1h)).size();
-    std::printf("rates owned_accounts=%zu instances=%zu divide_s=%.5f parts=%zu heap_bytes=%.0f\n", accounts, instances, cpuSeconds() - cpu, parts, memory);
+    std::printf("rates owned_accounts=%zu instances=%zu divide_s=%.5f parts=%zu heap_bytes=%.0f\n", accounts, instances,
+        cpuSeconds() - cpu, parts, memory);
     std::fflush(stdout);
 }
 
--- a/src/foxtailwheel/apps/foxtailwheel-stress.cpp
+++ b/src/foxtailwheel/apps/foxtailwheel-stress.cpp
@@ -26,7 +26,8 @@
     service.typicalTime = 10ms;
     service.concurrency = 8;
     for (int i = 0; i < 8; ++i)
-        service.servers.push_back({ BackendServerId("encode-" + std::to_string(i)), "127.0.0.1", static_cast<std::uint16_t>(9000 + i), AvailabilityZoneId("a") });
+        service.servers.push_back({ BackendServerId("encode-" + std::to_string(i)), "127.0.0.1",
+            static_cast<std::uint16_t>(9000 + i), AvailabilityZoneId("a") });
     declarations->services.push_back(service);
     service.id = ServiceId("generate");
     service.dependsOn = { ServiceId("encode") };
@@ -161,7 +162,8 @@
     while (!m_calls.empty())
         answerOne(random);
     const bool whole = m_replied == m_submitted;
-    std::printf("%lu runs submitted, %lu ended, %lu left\n", m_submitted.load(), m_replied.load(), m_dispatcher->status().runs);
+    std::printf(
+        "%lu runs submitted, %lu ended, %lu left\n", m_submitted.load(), m_replied.load(), m_dispatcher->status().runs);
     return whole ? 0 : 1;
 }
 
--- a/src/foxtailwheel/bench/GossipGroup.cpp
+++ b/src/foxtailwheel/bench/GossipGroup.cpp
@@ -54,7 +54,8 @@
             continue;
         ++m_messages;
         if (m_countsBytes)
-            m_bytes += std::visit([](const auto& message) { return peer::encodeMessage(peer::Message(message)).size(); }, send->message);
+            m_bytes += std::visit(
+                [](const auto& message) { return peer::encodeMessage(peer::Message(message)).size(); }, send->message);
         const std::size_t to = send->to.port - 1U;
         const bool severed = !m_side.empty() && m_side.contains(from) != m_side.contains(to);
         if (!severed && !m_random.chance(m_loss))
@@ -123,7 +124,8 @@
 
 bool GossipGroup::allKnowLeaving(const BackendServerId& server) const
 {
-    return std::all_of(m_members.begin(), m_members.end(), [&](const auto& it) { return it.second->leavingServers().contains(server); });
+    return std::all_of(m_members.begin(), m_members.end(),
+        [&](const auto& it) { return it.second->leavingServers().contains(server); });
 }
 
 bool GossipGroup::agreed() const
--- a/src/foxtailwheel/config/ParseDeclarations.cpp
+++ b/src/foxtailwheel/config/ParseDeclarations.cpp
@@ -13,7 +13,7 @@
 
     using namespace std::chrono_literals;
 
-    constexpr std::size_t largestTextBytes = 4U << 20U;
+    constexpr std::size_t largestTextBytes = 16U << 20U;
     constexpr std::size_t mostStages = 6;
     constexpr Duration longestDeadline = 10min;
     constexpr std::size_t credentialDigits = 64;
@@ -275,7 +275,7 @@
 {
     ParsedDeclarations out;
     if (text.size() > largestTextBytes) {
-        out.faults.push_back({ 0, 0, {}, "the text is larger than 4 MiB", {} });
+        out.faults.push_back({ 0, 0, {}, "the text is larger than 16 MiB", {} });
         return out;
     }
     Parser(text, out).run();
--- a/src/foxtailwheel/control/ConfigStore.cpp
+++ b/src/foxtailwheel/control/ConfigStore.cpp
@@ -100,7 +100,7 @@
 
 std::string encodeConfigChange(const ConfigChange& change)
 {
-    return json {
+    json node {
         { "version", change.version.value() },
         { "change", change.id.value() },
         { "author", change.author },
@@ -108,8 +108,12 @@
         { "note", change.note },
         { "summary", change.summary },
         { "text_hash", change.textHash },
+    };
+    if (change.patch) {
+        node["patch"] = { { "from", change.patch->from.value() }, { "head", change.patch->head },
+            { "tail", change.patch->tail }, { "middle", change.patch->middle } };
     }
-        .dump();
+    return node.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 std::optional<ConfigChange> decodeConfigChange(const std::string& text)
@@ -126,6 +130,11 @@
     for (const auto& it : arrayAt(node, "summary"))
         change.summary.push_back(it.is_string() ? it.get<std::string>() : std::string());
     change.textHash = textAt(node, "text_hash");
+    if (node.contains("patch")) {
+        const auto& patch = node["patch"];
+        change.patch = config::Patch { ConfigVersion(countAt(patch, "from")), change.version, countAt(patch, "head"),
+            countAt(patch, "tail"), textAt(patch, "middle"), change.textHash };
+    }
     return change;
 }
 
@@ -133,7 +142,9 @@
     : m_wanted(std::move(wanted))
 {
     m_change = { m_wanted.base.next(), m_wanted.id, m_wanted.author, now, m_wanted.note, m_wanted.summary,
-        sha256Hex(m_wanted.text) };
+        sha256Hex(m_wanted.text), std::nullopt };
+    if (!m_wanted.baseText.empty())
+        m_change.patch = config::makePatch(m_wanted.base, m_wanted.baseText, m_change.version, m_wanted.text);
     m_result.version = m_wanted.base;
 }
 
@@ -148,7 +159,9 @@
         { configHeadKey(), encodeConfigHead({ m_change.version, m_change.id, m_change.textHash }) });
     transaction.writes.push_back({ configTextKey(m_change.version), m_wanted.text });
     transaction.writes.push_back({ configChangeKey(m_change.version), encodeConfigChange(m_change) });
-    transaction.writes.push_back({ auditKey(m_change.at, m_change.id.value()), encodeConfigChange(m_change) });
+    auto audited = m_change;
+    audited.patch.reset();
+    transaction.writes.push_back({ auditKey(m_change.at, m_change.id.value()), encodeConfigChange(audited) });
     if (m_change.version.value() > keptTexts)
         transaction.writes.push_back(
             { configTextKey(ConfigVersion(m_change.version.value() - keptTexts)), std::nullopt });
--- a/src/foxtailwheel/control/ConfigTest.cpp
+++ b/src/foxtailwheel/control/ConfigTest.cpp
@@ -22,7 +22,8 @@
 
 control::WantedChange wantedChange(std::uint64_t base)
 {
-    return { ConfigVersion(base), control::ChangeId("mine"), "mary", "note", { "~ services/encode" }, "text" };
+    return { ConfigVersion(base), control::ChangeId("mine"), "mary", "note", { "~ services/encode" }, "text: 2",
+        "text: 1" };
 }
 
 platform::ReadResult changeRow(std::uint64_t version, const std::string& id)
--- a/src/foxtailwheel/daemon/Cluster.cpp
+++ b/src/foxtailwheel/daemon/Cluster.cpp
@@ -1,6 +1,5 @@
 #include "Cluster.h"
 
-#include "foxtailwheel/base/Hash.h"
 #include "foxtailwheel/telemetry/Log.h"
 
 #include <algorithm>
@@ -161,32 +160,28 @@
 }
 
 void Cluster::fetchText(
-    const InstanceId& peer, ConfigVersion version, std::function<void(std::optional<std::string>)> done)
+    const InstanceId& peer, ConfigVersion version, ConfigVersion have, std::function<void(peer::ConfigReply)> done)
 {
     const auto endpoint = endpointOf(peer);
     if (endpoint.port == 0) {
-        done(std::nullopt);
+        done({});
         return;
     }
     {
         const std::lock_guard lock(m_mutex);
         m_fetches[version] = std::move(done);
     }
-    m_network->send(endpoint, peer::ConfigRequest { members().front(), version });
+    m_network->send(endpoint, peer::ConfigRequest { members().front(), version, have });
 }
 
 void Cluster::answerConfig(const peer::ConfigRequest& request)
 {
-    const auto current = m_configs->inForce();
-    peer::ConfigReply reply { request.version, {}, {} };
-    if (current.version == request.version)
-        reply = { current.version, current.text, current.hash };
-    m_network->send(request.sender.peers, reply);
+    m_network->send(request.sender.peers, m_configs->replyFor(request.version, request.have));
 }
 
 void Cluster::onConfigReply(const peer::ConfigReply& reply)
 {
-    std::function<void(std::optional<std::string>)> done;
+    std::function<void(peer::ConfigReply)> done;
     {
         const std::lock_guard lock(m_mutex);
         const auto it = m_fetches.find(reply.version);
@@ -195,8 +190,7 @@
         done = std::move(it->second);
         m_fetches.erase(it);
     }
-    const bool whole = !reply.text.empty() && sha256Hex(reply.text) == reply.hash;
-    done(whole ? std::optional(reply.text) : std::nullopt);
+    done(reply);
 }
 
 void Cluster::shareRates()
--- a/src/foxtailwheel/daemon/Cluster.h
+++ b/src/foxtailwheel/daemon/Cluster.h
@@ -38,7 +38,8 @@
     void leave();
     void close();
     /// @brief Gets a text from a peer.
-    void fetchText(const InstanceId& peer, ConfigVersion version, std::function<void(std::optional<std::string>)> done);
+    void fetchText(
+        const InstanceId& peer, ConfigVersion version, ConfigVersion have, std::function<void(peer::ConfigReply)> done);
     std::vector<membership::Member> members() const;
     std::vector<membership::Member> working() const;
     peer::NetworkCounts counts() const { return m_network ? m_network->counts() : peer::NetworkCounts(); }
@@ -74,7 +75,7 @@
     membership::Membership m_membership;
     limits::RateLedger m_ledger;
     std::set<BackendServerId> m_listedLeaving;
-    std::map<ConfigVersion, std::function<void(std::optional<std::string>)>> m_fetches;
+    std::map<ConfigVersion, std::function<void(peer::ConfigReply)>> m_fetches;
 };
 
 } // namespace foxtailwheel::daemon
--- a/src/foxtailwheel/daemon/ConfigService.cpp
+++ b/src/foxtailwheel/daemon/ConfigService.cpp
@@ -11,6 +11,7 @@
 
     constexpr Duration tableTimeout = 1s;
     constexpr Duration applyTimeout = 8s;
+    constexpr std::size_t mostPatches = 32;
 
 } // namespace
 
@@ -102,17 +103,81 @@
 void ConfigService::fetch(const control::FetchText& fetch)
 {
     const auto version = fetch.version;
+    const auto have = inForce().version;
     if (fetch.peer) {
         m_fetchFromPeer(
-            *fetch.peer, version, [this, version](const std::optional<std::string>& text) { onText(version, text); });
+            *fetch.peer, version, have, [this, version](const peer::ConfigReply& reply) { onReply(version, reply); });
         return;
     }
+    if (have.value() == 0 || have.next() != version) {
+        fetchText(version);
+        return;
+    }
+    // One version behind: its change row holds the patch, which is far smaller than the text.
+    m_table.read(control::configChangeKey(version), m_clock.now() + tableTimeout,
+        [this, version](const platform::ReadResult& result) {
+            const auto change
+                = result.rows.empty() ? std::nullopt : control::decodeConfigChange(result.rows.front().value);
+            const auto text = change && change->patch ? patched({ *change->patch }) : std::nullopt;
+            if (text)
+                onText(version, text);
+            else
+                fetchText(version);
+        });
+}
+
+void ConfigService::fetchText(ConfigVersion version)
+{
     m_table.read(control::configTextKey(version), m_clock.now() + tableTimeout,
         [this, version](const platform::ReadResult& result) {
             onText(version, result.rows.empty() ? std::nullopt : std::optional(result.rows.front().value));
         });
 }
 
+std::optional<std::string> ConfigService::patched(const std::vector<config::Patch>& patches) const
+{
+    auto current = inForce();
+    for (const auto& it : patches) {
+        auto next = it.from == current.version ? config::applyPatch(current.text, it)
+                                               : Result<std::string>(fail(Errc::Conflict));
+        if (!next.has_value())
+            return std::nullopt;
+        current.text = std::move(next).value();
+        current.version = it.to;
+    }
+    return current.text;
+}
+
+void ConfigService::onReply(ConfigVersion version, const peer::ConfigReply& reply)
+{
+    if (!reply.patches.empty())
+        onText(version, patched(reply.patches));
+    else if (!reply.text.empty() && sha256Hex(reply.text) == reply.hash)
+        onText(version, reply.text);
+    else
+        onText(version, std::nullopt);
+}
+
+peer::ConfigReply ConfigService::replyFor(ConfigVersion wanted, ConfigVersion have) const
+{
+    const std::lock_guard lock(m_mutex);
+    peer::ConfigReply reply { wanted, {}, {}, {} };
+    if (m_inForce.version != wanted)
+        return reply;
+    auto at = have;
+    std::size_t bytes = 0;
+    for (const auto& it : m_patches) {
+        if (it.from != at)
+            continue;
+        reply.patches.push_back(it);
+        bytes += it.middle.size();
+        at = it.to;
+    }
+    if (have.value() > 0 && at == wanted && bytes < m_inForce.text.size())
+        return reply;
+    return { wanted, m_inForce.text, m_inForce.hash, {} };
+}
+
 void ConfigService::onText(ConfigVersion version, const std::optional<std::string>& text)
 {
     control::FollowActions actions;
@@ -137,8 +202,14 @@
         install.version, std::make_shared<const config::Declarations>(std::move(parsed.declarations)));
     {
         const std::lock_guard lock(m_mutex);
-        if (install.version > m_inForce.version)
+        if (install.version > m_inForce.version) {
+            auto patch = config::makePatch(m_inForce.version, m_inForce.text, install.version, install.text);
+            if (m_inForce.version.value() > 0)
+                m_patches.push_back(std::move(patch));
+            if (m_patches.size() > mostPatches)
+                m_patches.pop_front();
             m_inForce = { install.version, install.text, sha256Hex(install.text) };
+        }
     }
     telemetry::logInfo("config_in_force", { { "version", std::to_string(install.version.value()) } });
 }
--- a/src/foxtailwheel/daemon/ConfigService.h
+++ b/src/foxtailwheel/daemon/ConfigService.h
@@ -3,9 +3,11 @@
 #include "foxtailwheel/base/Clock.h"
 #include "foxtailwheel/config/Difference.h"
 #include "foxtailwheel/control/ConfigFollower.h"
+#include "foxtailwheel/peer/Message.h"
 #include "foxtailwheel/platform/Table.h"
 #include "foxtailwheel/serving/Dispatcher.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -23,7 +25,7 @@
 
 /// @brief Gets a text from a peer.
 using FetchFromPeer = std::function<void(
-    const InstanceId& peer, ConfigVersion version, std::function<void(std::optional<std::string>)> done)>;
+    const InstanceId& peer, ConfigVersion version, ConfigVersion have, std::function<void(peer::ConfigReply)> done)>;
 
 /// @brief Keeps the dispatcher on the highest accepted configuration, and applies operators' changes.
 class ConfigService {
@@ -40,6 +42,8 @@
     /// @brief The text in force; version 0 for none.
     ConfigText inForce() const;
     bool caughtUp() const;
+    /// @brief What a peer that has version `have` in force needs for `wanted`.
+    peer::ConfigReply replyFor(ConfigVersion wanted, ConfigVersion have) const;
     /// @brief Applies a change that was checked already.
     void apply(control::WantedChange wanted, std::function<void(control::ApplyResult)> done);
 
@@ -47,6 +51,9 @@
     void perform(const control::FollowActions& actions);
     void readHead();
     void fetch(const control::FetchText& fetch);
+    void fetchText(ConfigVersion version);
+    std::optional<std::string> patched(const std::vector<config::Patch>& patches) const;
+    void onReply(ConfigVersion version, const peer::ConfigReply& reply);
     void onText(ConfigVersion version, const std::optional<std::string>& text);
     void install(const control::InstallText& install);
 
@@ -57,6 +64,7 @@
     mutable std::mutex m_mutex;
     control::ConfigFollower m_follower;
     ConfigText m_inForce;
+    std::deque<config::Patch> m_patches; ///< The latest, in their order.
 };
 
 } // namespace foxtailwheel::daemon
--- a/src/foxtailwheel/daemon/Instance.cpp
+++ b/src/foxtailwheel/daemon/Instance.cpp
@@ -137,9 +137,9 @@
 
     FetchFromPeer ComposedInstance::peerFetcher()
     {
-        return [this](const InstanceId& peer, ConfigVersion version,
-                   std::function<void(std::optional<std::string>)> done) {
-            m_cluster.fetchText(peer, version, std::move(done));
+        return [this](const InstanceId& peer, ConfigVersion version, ConfigVersion have,
+                   std::function<void(peer::ConfigReply)> done) {
+            m_cluster.fetchText(peer, version, have, std::move(done));
         };
     }
 
--- a/src/foxtailwheel/daemon/OperatorApi.cpp
+++ b/src/foxtailwheel/daemon/OperatorApi.cpp
@@ -176,6 +176,8 @@
         return;
     }
     wanted.summary = changesBetween(current.text, wanted.text);
+    if (wanted.base == current.version)
+        wanted.baseText = current.text;
     const auto copy = wanted;
     m_configs.apply(std::move(wanted), [this, copy, responder](const control::ApplyResult& result) {
         telemetry::logInfo("config_apply",
--- a/src/foxtailwheel/peer/Message.cpp
+++ b/src/foxtailwheel/peer/Message.cpp
@@ -46,6 +46,16 @@
         return fbb.CreateVector(packed);
     }
 
+    std::vector<flatbuffers::Offset<wire::Patch>> pack(
+        FlatBufferBuilder& fbb, const std::vector<config::Patch>& patches)
+    {
+        std::vector<flatbuffers::Offset<wire::Patch>> packed;
+        for (const auto& it : patches)
+            packed.push_back(wire::CreatePatchDirect(
+                fbb, it.from.value(), it.to.value(), it.head, it.tail, it.middle.c_str(), it.hash.c_str()));
+        return packed;
+    }
+
     struct Packer {
         FlatBufferBuilder& fbb;
 
@@ -61,13 +71,14 @@
         }
         auto operator()(const ConfigRequest& it) const
         {
-            return wrap(
-                wire::Body::ConfigRequest, wire::CreateConfigRequest(fbb, pack(fbb, it.sender), it.version.value()));
+            return wrap(wire::Body::ConfigRequest,
+                wire::CreateConfigRequest(fbb, pack(fbb, it.sender), it.version.value(), it.have.value()));
         }
         auto operator()(const ConfigReply& it) const
         {
+            const auto patches = pack(fbb, it.patches);
             return wrap(wire::Body::ConfigReply,
-                wire::CreateConfigReplyDirect(fbb, it.version.value(), it.text.c_str(), it.hash.c_str()));
+                wire::CreateConfigReplyDirect(fbb, it.version.value(), it.text.c_str(), it.hash.c_str(), &patches));
         }
         auto operator()(const Demand& it) const
         {
@@ -131,6 +142,17 @@
         return out;
     }
 
+    std::vector<config::Patch> unpack(const flatbuffers::Vector<flatbuffers::Offset<wire::Patch>>* patches)
+    {
+        std::vector<config::Patch> out;
+        if (patches == nullptr)
+            return out;
+        for (const auto* it : *patches)
+            out.push_back({ ConfigVersion(it->from()), ConfigVersion(it->to()), it->head(), it->tail(),
+                textOf(it->middle()), textOf(it->hash()) });
+        return out;
+    }
+
     bool hasSender(const Digest& digest)
     {
         return !digest.sender.id.empty();
@@ -163,9 +185,11 @@
         if (hasSender(out.digest))
             return Message(std::move(out));
     } else if (const auto* request = envelope->body_as_ConfigRequest()) {
-        return Message(ConfigRequest { unpack(request->sender()), ConfigVersion(request->version()) });
+        return Message(ConfigRequest {
+            unpack(request->sender()), ConfigVersion(request->version()), ConfigVersion(request->have()) });
     } else if (const auto* reply = envelope->body_as_ConfigReply()) {
-        return Message(ConfigReply { ConfigVersion(reply->version()), textOf(reply->text()), textOf(reply->hash()) });
+        return Message(ConfigReply {
+            ConfigVersion(reply->version()), textOf(reply->text()), textOf(reply->hash()), unpack(reply->patches()) });
     } else if (const auto* demand = envelope->body_as_Demand()) {
         return Message(Demand { unpack(demand->sender()), unpack(demand->rates()) });
     } else if (const auto* allowance = envelope->body_as_Allowance()) {
--- a/src/foxtailwheel/peer/PeerTest.cpp
+++ b/src/foxtailwheel/peer/PeerTest.cpp
@@ -32,8 +32,9 @@
     return {
         membership::Ping { 3, InstanceId("t"), digest },
         membership::Ack { 4, InstanceId("u"), digest },
-        peer::ConfigRequest { memberOf("x"), ConfigVersion(8) },
-        peer::ConfigReply { ConfigVersion(8), "text", "hash" },
+        peer::ConfigRequest { memberOf("x"), ConfigVersion(8), ConfigVersion(7) },
+        peer::ConfigReply {
+            ConfigVersion(8), "text", "hash", { { ConfigVersion(7), ConfigVersion(8), 3, 4, "m", "h" } } },
         peer::Demand { memberOf("x"), { { ClientAccountId("coop"), 1.5 } } },
         peer::Allowance { { { ClientAccountId("coop"), 2.5 } } },
     };
