--- a/include/foxtailwheel/serving/Dispatcher.h
+++ b/include/foxtailwheel/serving/Dispatcher.h
@@ -96,7 +96,7 @@
     std::size_t shards = 8;
     bool admission = true;
     bool hedging = true;
-    double extraShare = 0.04; ///< Hedges and costly retries for each first attempt.
+    double extraShare = 0.04; ///< Hedges and costly retries for each first attempt; 0 for none.
     double overcommit = 1.5; ///< Slots filled for each slot of this instance's share.
     std::size_t maxQueued = 20000; ///< Runs that may wait for admission.
 };
--- a/src/foxtailwheel/serving/Dispatcher.cpp
+++ b/src/foxtailwheel/serving/Dispatcher.cpp
@@ -26,6 +26,8 @@
     constexpr Duration streamSilenceLimit = 1s;
     /// Budget taken by a retry of a call that never started, which cost a server nothing.
     constexpr double cheapRetry = 0.05;
+    /// Most extra attempts saved up while little goes wrong.
+    constexpr double savedExtras = 10;
     /// Share of the critical path that a new run must have time for.
     constexpr double acceptableShare = 0.9;
     constexpr Duration limitRefreshPeriod = 100ms;
@@ -74,7 +76,7 @@
         explicit ShardedDispatcher(DispatcherOptions options)
             : m_options(std::move(options))
             , m_shards(m_options.shards)
-            , m_budget(m_options.extraShare)
+            , m_budget(m_options.extraShare, m_options.extraShare > 0 ? savedExtras : 0)
             , m_admission(Admission::create(m_options.maxQueued))
             , m_nextRun(hashOf(m_options.pools.self.value(), m_options.pools.seed) << 20U)
         {
--- a/src/foxtailwheel/testing/FaultWorld.cpp
+++ b/src/foxtailwheel/testing/FaultWorld.cpp
@@ -156,7 +156,8 @@
         options.pools.zone = AvailabilityZoneId("a");
         options.pools.seed = seed;
         options.shards = 2;
-        options.hedging = rates.hedging;
+        if (!rates.extras)
+            options.extraShare = 0;
         instance->dispatcher = serving::makeDispatcher(options);
         instance->dispatcher->configure(ConfigVersion(1), m_declared);
         instance->claims = control::ClaimKeeper::create(*m_table, m_clock, options.pools.self, m_random.next(),
--- a/src/foxtailwheel/testing/FaultWorld.h
+++ b/src/foxtailwheel/testing/FaultWorld.h
@@ -25,7 +25,7 @@
     double tableDown = 0.1; ///< The table refuses.
     double instanceDies = 0.05; ///< An instance dies with all it was doing.
     double callerRepeats = 0.6; ///< The caller repeats a booking on some instance.
-    bool hedging = true;
+    bool extras = true; ///< Hedges and retries.
 };
 
 /// @brief What came of a schedule.
