--- a/cmake/Programs.cmake
+++ b/cmake/Programs.cmake
@@ -17,3 +17,8 @@
 foxtailwheel_program(foxtailwheel-microbench serving)
 target_link_libraries(foxtailwheel-microbench PRIVATE benchmark::benchmark)
 foxtailwheel_program(foxtailwheel-load standin)
+
+foreach(it drive_a_run choose_a_server gossip)
+  add_executable(example-${it} ${PROJECT_SOURCE_DIR}/examples/${it}.cpp)
+  target_link_libraries(example-${it} PRIVATE foxtailwheel_bench)
+endforeach()
--- /dev/null
+++ b/examples/drive_a_run.cpp
@@ -0,0 +1,45 @@
+// Drives one run of a pipeline by hand: events in, actions out, at a time of our choosing.
+#include "foxtailwheel/pipeline/Run.h"
+
+#include <iostream>
+
+using namespace foxtailwheel;
+using namespace std::chrono_literals;
+
+namespace {
+
+class PatientPolicy final : public pipeline::RunPolicy {
+public:
+    Duration expectedTime(const pipeline::Stage& stage) const override { return stage.typicalTime; }
+    std::optional<Duration> hedgeDelay(const pipeline::Stage& /*stage*/) const override { return std::nullopt; }
+    Duration progressLimit(const pipeline::Stage& /*stage*/) const override { return 1s; }
+    bool takeExtra(const pipeline::Stage& /*stage*/, bool /*costly*/) override { return true; }
+};
+
+} // namespace
+
+int main()
+{
+    config::Declarations declared;
+    declared.services.resize(2);
+    declared.services[0].id = ServiceId("encode");
+    declared.services[1].id = ServiceId("rerank");
+    declared.services[1].dependsOn = { ServiceId("encode") };
+    declared.pipelines.push_back({ PipelineId("find"), ServiceId("rerank"), 1s, 0 });
+    const auto plan = std::make_shared<const pipeline::Plan>(pipeline::makePlan(declared, PipelineId("find")).value());
+
+    PatientPolicy policy;
+    const TimePoint now(1h);
+    pipeline::Run run({ RunId(1), plan, pipeline::payloadOf("{}"), now + 1s, false }, policy);
+    pipeline::Actions actions;
+    run.start(now, actions);
+    for (std::size_t i = 0; i < actions.size(); ++i) {
+        if (const auto* call = std::get_if<pipeline::StartCall>(&actions[i])) {
+            std::cout << "call " << call->stage->service << "\n";
+            const auto id = call->id;
+            run.onAnswer(id, pipeline::payloadOf("\"done\""), now, actions);
+        }
+    }
+    std::cout << (run.finished() ? "finished\n" : "still open\n");
+    return run.finished() ? 0 : 1;
+}
--- /dev/null
+++ b/examples/gossip.cpp
@@ -0,0 +1,18 @@
+// Nine instances find each other by gossip, one dies, and the others notice.
+#include "foxtailwheel/bench/GossipGroup.h"
+
+#include <iostream>
+
+using namespace foxtailwheel;
+using namespace std::chrono_literals;
+
+int main()
+{
+    bench::GossipGroup group(9, 0.01, 1);
+    group.run(5s);
+    std::cout << "members seen by the first: " << group.at(0).working().size() << "\n";
+    group.kill(4);
+    group.run(15s);
+    std::cout << "after one died: " << group.at(0).working().size() << "\n";
+    return group.agreed() ? 0 : 1;
+}
--- a/src/foxtailwheel/apps/foxtailwheel-outcomes.cpp
+++ b/src/foxtailwheel/apps/foxtailwheel-outcomes.cpp
@@ -55,22 +55,28 @@
     return counts;
 }
 
-double share(std::uint64_t a, std::uint64_t b) { return b == 0 ? 0 : 100.0 * static_cast<double>(a) / static_cast<double>(b); }
+double share(std::uint64_t a, std::uint64_t b)
+{
+    return b == 0 ? 0 : 100.0 * static_cast<double>(a) / static_cast<double>(b);
+}
 
 } // namespace
 
 int main()
 {
-    std::printf("| fault | schedules | requests | lost | doubled | crossed | wrong \"not run\" | answered, with hedges and retries | without | extra attempts |\n");
+    std::printf("| fault | schedules | requests | lost | doubled | crossed | wrong \"not run\" | answered, with hedges "
+                "and retries | without | extra attempts |\n");
     std::printf("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
     bool clean = true;
     for (const auto& it : faults()) {
         const auto with = runAll(it.rates, true);
         const auto without = runAll(it.rates, false);
         clean = clean && with.clean() && without.clean();
-        std::printf("| %s | %lu | %lu | %lu | %lu | %lu | %lu | %.2f%% | %.2f%% | %.2f%% |\n", std::string(it.name).c_str(), 2 * schedules, with.requests + without.requests,
-            with.lost + without.lost, with.doubled + without.doubled, with.crossed + without.crossed, with.wrongNotRun + without.wrongNotRun,
-            share(with.answered, with.requests), share(without.answered, without.requests), share(with.attempts - with.firstAttempts, with.firstAttempts));
+        std::printf("| %s | %lu | %lu | %lu | %lu | %lu | %lu | %.2f%% | %.2f%% | %.2f%% |\n",
+            std::string(it.name).c_str(), 2 * schedules, with.requests + without.requests, with.lost + without.lost,
+            with.doubled + without.doubled, with.crossed + without.crossed, with.wrongNotRun + without.wrongNotRun,
+            share(with.answered, with.requests), share(without.answered, without.requests),
+            share(with.attempts - with.firstAttempts, with.firstAttempts));
         std::fflush(stdout);
     }
     return clean ? 0 : 1;
--- a/src/foxtailwheel/http/Server.cpp
+++ b/src/foxtailwheel/http/Server.cpp
@@ -155,6 +155,7 @@
     public:
         Connection(tcp::socket socket, const ServerOptions& options, Handler handler, std::shared_ptr<Counts> counts)
             : m_stream(std::move(socket))
+            , m_timer(m_stream.get_executor())
             , m_options(options)
             , m_handler(std::move(handler))
             , m_counts(std::move(counts))
@@ -176,8 +177,13 @@
         net::awaitable<bool> answer(const std::shared_ptr<Exchange>& exchange, bool keepAlive);
         net::awaitable<void> refuse(const boost::system::error_code& ec, bool headerRead);
         void watch();
+        void limit(Duration timeout);
+        void endLimit();
 
         beast::tcp_stream m_stream;
+        net::steady_timer m_timer; ///< Of a read; the stream's own would close the connection before an error is sent.
+        bool m_tooSlow = false;
+        std::uint64_t m_limits = 0;
         beast::flat_buffer m_buffer;
         const ServerOptions& m_options;
         Handler m_handler;
@@ -210,20 +216,43 @@
             });
     }
 
+    /// Bounds the read that comes next.
+    void Connection::limit(Duration timeout)
+    {
+        m_stream.expires_never();
+        m_tooSlow = false;
+        m_timer.expires_after(timeout);
+        m_timer.async_wait([self = shared_from_this(), n = ++m_limits](const boost::system::error_code& ec) {
+            if (ec || n != self->m_limits)
+                return;
+            self->m_tooSlow = true;
+            self->m_stream.cancel();
+        });
+    }
+
+    /// Ends the bound; one that is due at this moment no longer counts.
+    void Connection::endLimit()
+    {
+        ++m_limits;
+        m_timer.cancel();
+    }
+
     net::awaitable<void> Connection::refuse(const boost::system::error_code& ec, bool headerRead)
     {
         namespace bhttp = beast::http;
-        if (ec == bhttp::error::end_of_stream || ec == net::error::operation_aborted
-            || ec == net::error::connection_reset)
+        endLimit();
+        if (ec == bhttp::error::end_of_stream || ec == net::error::connection_reset)
+            co_return;
+        if (ec == net::error::operation_aborted && !m_tooSlow)
             co_return;
         Response response = plainError(400, "malformed_http");
         if (ec == bhttp::error::body_limit)
             response = plainError(413, "body_too_large");
         else if (ec == bhttp::error::header_limit)
             response = plainError(431, "header_too_large");
-        else if (ec == beast::error::timeout && !headerRead && m_buffer.size() == 0)
+        else if (m_tooSlow && !headerRead && m_buffer.size() == 0)
             co_return;
-        else if (ec == beast::error::timeout)
+        else if (m_tooSlow)
             response = plainError(408, "too_slow");
         co_await sendWhole(std::move(response), false);
     }
@@ -234,18 +263,19 @@
         bhttp::request_parser<bhttp::string_body> parser;
         parser.header_limit(m_options.maxHeaderBytes);
         parser.body_limit(m_options.maxBodyBytes);
-        m_stream.expires_after(first ? m_options.headerTimeout : m_options.idleTimeout);
+        limit(first ? m_options.headerTimeout : m_options.idleTimeout);
         auto [headerError, headerBytes] = co_await bhttp::async_read_header(m_stream, m_buffer, parser, token);
         if (headerError) {
             co_await refuse(headerError, false);
             co_return std::nullopt;
         }
-        m_stream.expires_after(m_options.bodyTimeout);
+        limit(m_options.bodyTimeout);
         auto [bodyError, bodyBytes] = co_await bhttp::async_read(m_stream, m_buffer, parser, token);
         if (bodyError) {
             co_await refuse(bodyError, true);
             co_return std::nullopt;
         }
+        endLimit();
         auto message = parser.release();
         keepAlive = message.keep_alive();
         Request request { std::string(message.method_string()), std::string(message.target()), {},
--- a/src/foxtailwheel/pipeline/Run.cpp
+++ b/src/foxtailwheel/pipeline/Run.cpp
@@ -363,7 +363,8 @@
     const auto* attempt = state.find(id.attempt);
     const bool useful
         = attempt != nullptr && attempt->life.open() && state.phase == Phase::Running && !state.streamOwner;
-    if (finished || !useful || state.hedged || state.attempts.size() >= mostAttempts || hopeless(id.stage, now))
+    if (finished || !useful || !stageAt(id.stage).idempotent || state.hedged || state.attempts.size() >= mostAttempts
+        || hopeless(id.stage, now))
         return;
     if (!policy.takeExtra(stageAt(id.stage), true))
         return;
