Control traffic of an instance is bounded: fewer polls, allowances only to who asked

Busy servers tell their load with every response, so only the stalest few are asked now (8 loads and 4 lists of cache events a second), and allowances go only to instances that reported demand.

--- a/include/foxtailwheel/limits/RateLedger.h
+++ b/include/foxtailwheel/limits/RateLedger.h
@@ -12,6 +12,7 @@
 struct Allowance {
     InstanceId instance;
     double perSecond = 0;
+    bool asked = false; ///< The instance has demand, so it needs to be told.
 };
 
 /// @brief What the owner of an account knows of the demand on all instances; divides the rate by max-min fairness.
--- a/include/foxtailwheel/routing/ServerPool.h
+++ b/include/foxtailwheel/routing/ServerPool.h
@@ -55,6 +55,7 @@
     bool leaving = false;
     bool inSubset = false;
     Duration callTime {};
+    TimePoint reportedAt {}; ///< When the last load report was measured.
 };
 
 /// @brief The backend servers of one service as one instance sees them; chooses where each call goes.
--- a/src/foxtailwheel/daemon/Cluster.cpp
+++ b/src/foxtailwheel/daemon/Cluster.cpp
@@ -235,8 +235,10 @@
             const auto declared = catalog->accounts.find(account);
             if (declared == catalog->accounts.end())
                 continue;
-            for (const auto& part : m_ledger.divide(account, declared->second->ratePerSecond, ids, m_clock.now()))
-                allowances[part.instance].rates.push_back({ account, part.perSecond });
+            for (const auto& part : m_ledger.divide(account, declared->second->ratePerSecond, ids, m_clock.now())) {
+                if (part.asked)
+                    allowances[part.instance].rates.push_back({ account, part.perSecond });
+            }
         }
     }
     for (const auto& it : allowances) {
--- a/src/foxtailwheel/daemon/LoadPoller.cpp
+++ b/src/foxtailwheel/daemon/LoadPoller.cpp
@@ -3,6 +3,8 @@
 #include "LoadHeader.h"
 #include "foxtailwheel/base/Json.h"
 
+#include <algorithm>
+
 namespace foxtailwheel::daemon {
 
 namespace {
@@ -10,6 +12,9 @@
     using namespace std::chrono_literals;
 
     constexpr Duration pollTimeout = 800ms;
+    constexpr Duration freshReport = 1s;
+    constexpr std::size_t loadsAskedAtOnce = 8;
+    constexpr std::size_t eventsAskedAtOnce = 4;
 
 } // namespace
 
@@ -20,20 +25,36 @@
 {
 }
 
+std::vector<LoadPoller::Target> LoadPoller::stalest(
+    const serving::Catalog& catalog, bool enginesOnly, std::map<BackendServerId, TimePoint>& asked, std::size_t most)
+{
+    std::vector<Target> targets;
+    const auto now = m_clock.now();
+    for (const auto& service : catalog.declarations->services) {
+        if (enginesOnly && service.kind != config::ServiceKind::ModelEngine)
+            continue;
+        for (const auto& it : catalog.pools.at(service.id)->status()) {
+            const auto heardAt = std::max(asked[it.server.id], enginesOnly ? TimePoint() : it.reportedAt);
+            if (it.inSubset && now - heardAt >= freshReport)
+                targets.push_back({ service.id, it.server, heardAt });
+        }
+    }
+    std::sort(targets.begin(), targets.end(), [](const Target& a, const Target& b) { return a.heardAt < b.heardAt; });
+    targets.resize(std::min(most, targets.size()));
+    for (const auto& it : targets)
+        asked[it.server.id] = now;
+    return targets;
+}
+
 void LoadPoller::poll()
 {
     const auto catalog = m_dispatcher.catalog();
     if (!catalog)
         return;
-    for (const auto& service : catalog->declarations->services) {
-        for (const auto& it : catalog->pools.at(service.id)->status()) {
-            if (!it.inSubset)
-                continue;
-            askLoad(service.id, it.server);
-            if (service.kind == config::ServiceKind::ModelEngine)
-                askCacheEvents(service.id, it.server);
-        }
-    }
+    for (const auto& it : stalest(*catalog, false, m_loadAskedAt, loadsAskedAtOnce))
+        askLoad(it.service, it.server);
+    for (const auto& it : stalest(*catalog, true, m_eventsAskedAt, eventsAskedAtOnce))
+        askCacheEvents(it.service, it.server);
 }
 
 void LoadPoller::askLoad(const ServiceId& service, const config::BackendServer& server)
--- a/src/foxtailwheel/limits/RateLedger.cpp
+++ b/src/foxtailwheel/limits/RateLedger.cpp
@@ -20,7 +20,7 @@
             const auto at = known->second.find(it);
             demand = at != known->second.end() && now < at->second.until ? at->second.perSecond : 0;
         }
-        parts.push_back({ it, demand });
+        parts.push_back({ it, demand, demand > 0 });
     }
     std::sort(
         parts.begin(), parts.end(), [](const Allowance& a, const Allowance& b) { return a.perSecond < b.perSecond; });
--- a/src/foxtailwheel/routing/ServerPool.cpp
+++ b/src/foxtailwheel/routing/ServerPool.cpp
@@ -332,7 +332,7 @@
     std::vector<ServerStatus> rows;
     for (const auto& it : m_impl->servers)
         rows.push_back({ it.declared, it.load.total(), it.load.own(), it.health.suspected(), it.leaving, it.inSubset,
-            fromSeconds(it.callSeconds) });
+            fromSeconds(it.callSeconds), it.load.reportedAt() });
     return rows;
 }
 
