Fault schedules with late first bytes, callers that leave and early end marks

Cause: lines were put in wrong on purpose in a scratch copy. Of eight, the 100,000 schedules missed two: a dispatched call counted as not started (the world reported first bytes at once, so no deadline could fall in between), and a stream whose end was not checked (the world never sent an early end mark). A ninth (results fit an earlier attempt) is harmless for idempotent stages and was left out.

LoadEstimate keeps its history only where own calls were sent: 1 KB less for each unused server of a large pool.

--- a/include/foxtailwheel/routing/LoadEstimate.h
+++ b/include/foxtailwheel/routing/LoadEstimate.h
@@ -2,8 +2,8 @@
 
 #include "foxtailwheel/base/Units.h"
 
-#include <array>
 #include <cstdint>
+#include <vector>
 
 namespace foxtailwheel::routing {
 
@@ -45,7 +45,7 @@
     void remember(TimePoint now);
     std::uint32_t ownAt(TimePoint at) const;
 
-    std::array<Sample, historyLength> m_history {};
+    std::vector<Sample> m_history; ///< Empty until the first own call, since most servers of a large pool get none.
     std::size_t m_next = 0;
     std::uint32_t m_own = 0;
     double m_others = 0;
--- a/src/foxtailwheel/apps/foxtailwheel-outcomes.cpp
+++ b/src/foxtailwheel/apps/foxtailwheel-outcomes.cpp
@@ -19,7 +19,7 @@
     FaultRates rates;
 };
 
-constexpr FaultRates calm { 0, 0, 0, 0, 0, 0, 0, 0, true };
+constexpr FaultRates calm { 0, 0, 0, 0, 0, 0, 0, 0, 0, true };
 
 std::array<Fault, 9> faults()
 {
--- a/src/foxtailwheel/backend/ProtocolTest.cpp
+++ b/src/foxtailwheel/backend/ProtocolTest.cpp
@@ -97,8 +97,8 @@
 Test(PlainProtocol, aCompleteRefusalIsAnAnswer)
 {
     const auto answer = backend::protocolFor(config::ServiceKind::Plain).decode({ 409, {}, "{\"stock\":0}" });
-    const auto body = nlohmann::json::parse(*std::get<pipeline::Payload>(answer));
-    cr_assert_eq(body["rejected"], 409);
-    cr_assert_eq(body["body"]["stock"], 0);
+    const auto refusal = nlohmann::json::parse(*std::get<pipeline::Payload>(answer));
+    cr_assert_eq(refusal["rejected"], 409);
+    cr_assert_eq(refusal["body"]["stock"], 0);
     cr_assert(failureAt(503, {}, config::ServiceKind::Plain) == CallFailure::Failed);
 }
--- a/src/foxtailwheel/routing/LoadEstimate.cpp
+++ b/src/foxtailwheel/routing/LoadEstimate.cpp
@@ -15,6 +15,8 @@
 
 void LoadEstimate::remember(TimePoint now)
 {
+    if (m_history.empty())
+        m_history.resize(historyLength);
     const auto& last = m_history.at((m_next + historyLength - 1) % historyLength);
     if (last.at != TimePoint {} && now - last.at < sampleSpacing)
         return;
--- a/src/foxtailwheel/testing/FaultWorld.cpp
+++ b/src/foxtailwheel/testing/FaultWorld.cpp
@@ -243,11 +243,20 @@
     auto& dispatcher = *m_instances[instance]->dispatcher;
     const auto id = dispatcher.newRun();
     m_asked.emplace(id, std::move(asked));
+    if (m_random.chance(m_rates.callerLeaves))
+        later(instance, someTime(0.02), [this, instance, id] { leave(instance, id); });
     serving::Actions actions;
     dispatcher.submit(id, std::move(request), m_clock.now(), actions);
     perform(instance, std::move(actions));
 }
 
+void FaultWorld::leave(std::size_t instance, RunId run)
+{
+    serving::Actions due;
+    m_instances[instance]->dispatcher->onCallerLeft(run, m_clock.now(), due);
+    perform(instance, std::move(due));
+}
+
 void FaultWorld::perform(std::size_t instance, serving::Actions actions)
 {
     auto& fake = *m_instances[instance];
@@ -306,7 +315,9 @@
         later(instance, someTime(0.005), [this, instance, id, failure] { failCall(instance, id, failure); });
         return;
     }
-    m_instances[instance]->dispatcher->onSent(id, m_clock.now());
+    // The driver's word of the first byte comes when its thread gets to it; the call itself may be quicker.
+    later(instance, someTime(0.003),
+        [this, instance, id] { m_instances[instance]->dispatcher->onSent(id, m_clock.now()); });
     if (m_random.chance(m_rates.callLost)) {
         if (m_random.chance(0.5))
             later(tableInstance, someTime(0.02), [this, send] { execute(send); });
@@ -375,7 +386,8 @@
         perform(instance, std::move(due));
         from += n;
     }
-    if (breaks) {
+    // Now and then the end mark comes although tokens are missing.
+    if (breaks && !m_random.chance(0.3)) {
         failCall(instance, id, m_random.chance(0.5) ? CallFailure::Broken : CallFailure::Truncated);
         return;
     }
--- a/src/foxtailwheel/testing/FaultWorld.h
+++ b/src/foxtailwheel/testing/FaultWorld.h
@@ -25,6 +25,7 @@
     double tableDown = 0.1; ///< The table refuses.
     double instanceDies = 0.05; ///< An instance dies with all it was doing.
     double callerRepeats = 0.6; ///< The caller repeats a booking on some instance.
+    double callerLeaves = 0.05; ///< The caller closes its connection at some time.
     bool extras = true; ///< Hedges and retries.
 };
 
@@ -70,6 +71,7 @@
     void later(std::size_t instance, Duration delay, std::function<void()> work);
     bool step();
     void submit(std::size_t number, bool isRepeat);
+    void leave(std::size_t instance, RunId run);
     void perform(std::size_t instance, serving::Actions actions);
     void call(std::size_t instance, const serving::SendCall& send);
     void stream(std::size_t instance, const serving::SendCall& send, bool breaks);
