--- a/include/foxtailwheel/peer/Network.h
+++ b/include/foxtailwheel/peer/Network.h
@@ -33,7 +33,7 @@
     /// @brief Listens and receives on the pool's threads.
     /// @param key Shared secret of all instances.
     static Result<std::unique_ptr<Network>> listen(
-        http::IoPool& pool, config::Endpoint address, std::string key, Receive receive);
+        http::IoPool& pool, const config::Endpoint& address, std::string key, Receive receive);
     virtual ~Network() = default;
 
     /// @brief Sends a message, or drops it where the peer cannot be reached; never blocks.
--- a/src/foxtailwheel/peer/Network.cpp
+++ b/src/foxtailwheel/peer/Network.cpp
@@ -401,7 +401,7 @@
 } // namespace
 
 Result<std::unique_ptr<Network>> Network::listen(
-    http::IoPool& pool, config::Endpoint address, std::string key, Receive receive)
+    http::IoPool& pool, const config::Endpoint& address, std::string key, Receive receive)
 {
     auto network = std::make_unique<TcpNetwork>(pool.context(), std::move(key), std::move(receive));
     if (const auto ec = network->open(address))
