--- a/src/foxtailwheel/control/ConfigFollower.cpp
+++ b/src/foxtailwheel/control/ConfigFollower.cpp
@@ -4,6 +4,13 @@
 
 namespace foxtailwheel::control {
 
+namespace {
+
+    /// Peers whose versions are remembered; more are not needed to fetch a text.
+    constexpr std::size_t mostAnnounced = 64;
+
+} // namespace
+
 ConfigFollower::ConfigFollower(FollowOptions options, std::uint64_t seed)
     : m_options(options)
     , m_random(seed)
@@ -42,6 +49,8 @@
 
 void ConfigFollower::onAnnounced(const InstanceId& peer, ConfigVersion version, TimePoint now, FollowActions& out)
 {
+    if (m_announced.size() >= mostAnnounced && !m_announced.contains(peer))
+        m_announced.erase(m_announced.begin());
     m_announced[peer] = version;
     m_known = std::max(m_known, version);
     fetchIfBehind(now, out);
--- a/src/foxtailwheel/daemon/OperatorApi.cpp
+++ b/src/foxtailwheel/daemon/OperatorApi.cpp
@@ -236,7 +236,14 @@
 
 void OperatorApi::history(const http::Request& request, const ResponderPtr& responder)
 {
-    sendRows("config/change/", request, responder);
+    // Without a place to begin, the latest changes are shown.
+    const auto limit = std::min(numberOf(request.query("limit"), defaultRows), mostRows);
+    const auto current = m_configs.inForce().version.value();
+    auto shown = request;
+    if (request.query("after").empty() && current > limit)
+        shown.target = "/?limit=" + std::to_string(limit)
+            + "&after=" + http::percentEncode(control::configChangeKey(ConfigVersion(current - limit)));
+    sendRows("config/change/", shown, responder);
 }
 
 void OperatorApi::audit(const http::Request& request, const ResponderPtr& responder)
--- a/src/foxtailwheel/serving/Dispatcher.cpp
+++ b/src/foxtailwheel/serving/Dispatcher.cpp
@@ -1,7 +1,7 @@
 #include "foxtailwheel/serving/Dispatcher.h"
 
+#include "PoolPolicy.h"
 #include "foxtailwheel/base/Hash.h"
-#include "foxtailwheel/limits/ExtraBudget.h"
 #include "foxtailwheel/serving/Admission.h"
 
 #include <algorithm>
@@ -20,14 +20,6 @@
     using pipeline::CallFailure;
     using pipeline::Reason;
 
-    constexpr double hedgeQuantile = 0.95;
-    constexpr double hedgeFallbackFactor = 3;
-    constexpr Duration shortestHedge = 2ms;
-    constexpr Duration streamSilenceLimit = 1s;
-    /// Budget taken by a retry of a call that never started, which cost a server nothing.
-    constexpr double cheapRetry = 0.05;
-    /// Most extra attempts saved up while little goes wrong.
-    constexpr double savedExtras = 10;
     /// Share of the critical path that a new run must have time for.
     constexpr double acceptableShare = 0.9;
     constexpr Duration limitRefreshPeriod = 100ms;
@@ -71,12 +63,12 @@
         std::unordered_map<RunId, std::unique_ptr<RunEntry>> runs;
     };
 
-    class ShardedDispatcher final : public Dispatcher, private pipeline::RunPolicy {
+    class ShardedDispatcher final : public Dispatcher {
     public:
         explicit ShardedDispatcher(DispatcherOptions options)
             : m_options(std::move(options))
             , m_shards(m_options.shards)
-            , m_budget(m_options.extraShare, m_options.extraShare > 0 ? savedExtras : 0)
+            , m_policy([this] { return catalog(); }, m_options.hedging, m_options.extraShare)
             , m_admission(Admission::create(m_options.maxQueued))
             , m_nextRun(hashOf(m_options.pools.self.value(), m_options.pools.seed) << 20U)
         {
@@ -108,12 +100,6 @@
         DispatcherStatus status() const override;
 
     private:
-        // RunPolicy, asked while the run's shard is locked.
-        Duration expectedTime(const pipeline::Stage& stage) const override;
-        std::optional<Duration> hedgeDelay(const pipeline::Stage& stage) const override;
-        Duration progressLimit(const pipeline::Stage& /*stage*/) const override { return streamSilenceLimit; }
-        bool takeExtra(const pipeline::Stage& stage, bool costly) override;
-
         Shard& shardOf(RunId run) { return m_shards[run.value() % m_shards.size()]; }
         std::shared_ptr<routing::ServerPool> poolOf(const ServiceId& service) const;
         Reason check(const SubmitRequest& request, Duration timeLimit, const pipeline::Plan& plan, TimePoint now,
@@ -160,8 +146,7 @@
         mutable std::shared_mutex m_catalogMutex;
         std::shared_ptr<const Catalog> m_catalog;
         std::set<BackendServerId> m_leaving;
-        std::mutex m_budgetMutex;
-        limits::ExtraBudget m_budget;
+        PoolPolicy m_policy;
         std::mutex m_rateMutex;
         limits::RateLimiter m_rates;
         std::unique_ptr<Admission> m_admission;
@@ -220,30 +205,6 @@
         return it == m_catalog->pools.end() ? nullptr : it->second;
     }
 
-    Duration ShardedDispatcher::expectedTime(const pipeline::Stage& stage) const
-    {
-        const auto current = catalog();
-        const auto it = current->pools.find(stage.service);
-        return it == current->pools.end() ? stage.typicalTime : it->second->expectedTime();
-    }
-
-    std::optional<Duration> ShardedDispatcher::hedgeDelay(const pipeline::Stage& stage) const
-    {
-        if (!m_options.hedging)
-            return std::nullopt;
-        const auto fallback = fromSeconds(toSeconds(stage.typicalTime) * hedgeFallbackFactor);
-        const auto current = catalog();
-        const auto it = current->pools.find(stage.service);
-        const auto delay = it == current->pools.end() ? fallback : it->second->timeQuantile(hedgeQuantile, fallback);
-        return std::max(delay, shortestHedge);
-    }
-
-    bool ShardedDispatcher::takeExtra(const pipeline::Stage& /*stage*/, bool costly)
-    {
-        const std::lock_guard lock(m_budgetMutex);
-        return m_budget.take(costly ? 1 : cheapRetry);
-    }
-
     Reason ShardedDispatcher::check(const SubmitRequest& request, Duration timeLimit, const pipeline::Plan& plan,
         TimePoint now, Duration& retryAfter)
     {
@@ -272,7 +233,8 @@
         const auto& plan = *run.plan;
         AdmissionRequest request { run.id, entry.request.account, account.weight, plan.priority, run.deadline, {}, {},
             0, {} };
-        request.criticalPath = plan.criticalPath([this](const pipeline::Stage& it) { return expectedTime(it); });
+        request.criticalPath
+            = plan.criticalPath([this](const pipeline::Stage& it) { return m_policy.expectedTime(it); });
         const double typicalPath
             = toSeconds(plan.criticalPath([](const pipeline::Stage& it) { return it.typicalTime; }));
         double highest = -1;
@@ -301,7 +263,7 @@
         Duration retryAfter {};
         const auto reason = check(request, timeLimit, *plan, now, retryAfter);
         pipeline::RunRequest run { id, plan, request.body, now + timeLimit, request.stream };
-        auto entry = std::make_unique<RunEntry>(std::move(run), static_cast<pipeline::RunPolicy&>(*this));
+        auto entry = std::make_unique<RunEntry>(std::move(run), m_policy);
         entry->request = std::move(request);
         entry->catalog = current;
         entry->submittedAt = now;
@@ -425,11 +387,8 @@
         cost.crossZone += placement->crossesZone ? 1 : 0;
         entry.calls.emplace(call.id,
             PlacedCall { placement->server.id, stage.service, now, price, placement->linkCost, stage.idempotent });
-        if (!call.isExtra) {
-            const double utilization = m_admission->utilization(stage.service);
-            const std::lock_guard lock(m_budgetMutex);
-            m_budget.earn(utilization);
-        }
+        if (!call.isExtra)
+            m_policy.earn(m_admission->utilization(stage.service));
         std::string key;
         if (!stage.idempotent)
             key = entry.request.account.value() + "/" + stage.service.value() + "/" + entry.request.key->value();
--- /dev/null
+++ b/src/foxtailwheel/serving/PoolPolicy.cpp
@@ -0,0 +1,70 @@
+#include "PoolPolicy.h"
+
+#include <algorithm>
+
+namespace foxtailwheel::serving {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr double hedgeQuantile = 0.95;
+    constexpr double hedgeFallbackFactor = 3;
+    constexpr Duration shortestHedge = 2ms;
+    constexpr Duration streamSilenceLimit = 1s;
+    /// Budget taken by a retry of a call that never started, which cost a server nothing.
+    constexpr double cheapRetry = 0.05;
+    /// Most extra attempts saved up while little goes wrong.
+    constexpr double savedExtras = 10;
+
+    const routing::ServerPool* poolOf(const Catalog& catalog, const ServiceId& service)
+    {
+        const auto it = catalog.pools.find(service);
+        return it == catalog.pools.end() ? nullptr : it->second.get();
+    }
+
+} // namespace
+
+PoolPolicy::PoolPolicy(std::function<std::shared_ptr<const Catalog>()> catalog, bool hedging, double extraShare)
+    : m_catalog(std::move(catalog))
+    , m_hedging(hedging)
+    , m_budget(extraShare, extraShare > 0 ? savedExtras : 0)
+{
+}
+
+Duration PoolPolicy::expectedTime(const pipeline::Stage& stage) const
+{
+    const auto catalog = m_catalog();
+    const auto* pool = poolOf(*catalog, stage.service);
+    return pool == nullptr ? stage.typicalTime : pool->expectedTime();
+}
+
+std::optional<Duration> PoolPolicy::hedgeDelay(const pipeline::Stage& stage) const
+{
+    if (!m_hedging)
+        return std::nullopt;
+    const auto fallback = fromSeconds(toSeconds(stage.typicalTime) * hedgeFallbackFactor);
+    const auto catalog = m_catalog();
+    const auto* pool = poolOf(*catalog, stage.service);
+    const auto delay = pool == nullptr ? fallback : pool->timeQuantile(hedgeQuantile, fallback);
+    return std::max(delay, shortestHedge);
+}
+
+Duration PoolPolicy::progressLimit(const pipeline::Stage& /*stage*/) const
+{
+    return streamSilenceLimit;
+}
+
+bool PoolPolicy::takeExtra(const pipeline::Stage& /*stage*/, bool costly)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_budget.take(costly ? 1 : cheapRetry);
+}
+
+void PoolPolicy::earn(double utilization)
+{
+    const std::lock_guard lock(m_mutex);
+    m_budget.earn(utilization);
+}
+
+} // namespace foxtailwheel::serving
