--- /dev/null
+++ b/src/foxtailwheel/control/ClaimCleanerTest.cpp
@@ -0,0 +1,62 @@
+#include "foxtailwheel/control/ClaimCleaner.h"
+
+#include "foxtailwheel/control/Claim.h"
+
+#include <criterion/criterion.h>
+
+using namespace foxtailwheel;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint start { 1h };
+constexpr WallTime now { 1000s };
+
+platform::Row rowKeptUntil(const std::string& key, WallTime until)
+{
+    control::ClaimRow row;
+    row.token = AttemptToken("t");
+    row.progress = control::ClaimProgress::Answered;
+    row.keptUntil = until;
+    return { key, control::encodeClaimRow(row), 2 };
+}
+
+} // namespace
+
+Test(ClaimCleaner, deletesOnlyWhatHasLapsed)
+{
+    control::ClaimCleaner cleaner;
+    cr_assert(cleaner.duePage(start).has_value());
+    cr_assert(!cleaner.duePage(start).has_value());
+    const auto transaction = cleaner.onPage(
+        { true, { rowKeptUntil("claim/a", now - 1s), rowKeptUntil("claim/b", now + 1s), { "claim/c", "garbled", 1 } } },
+        start, now);
+    cr_assert_eq(transaction->writes.size(), 1U);
+    cr_assert_eq(transaction->writes.front().key, std::string("claim/a"));
+    cr_assert_eq(*transaction->conditions.front().version, 2U);
+    cr_assert_eq(cleaner.deleted(), 1U);
+}
+
+Test(ClaimCleaner, walksOnPageByPageAndStartsAnew)
+{
+    control::ClaimCleaner cleaner;
+    const auto page = cleaner.duePage(start);
+    platform::ReadResult full { true, {} };
+    for (std::size_t i = 0; i < page->limit; ++i)
+        full.rows.push_back(rowKeptUntil("claim/" + std::to_string(1000 + i), now + 1s));
+    cr_assert(!cleaner.onPage(full, start, now).has_value());
+    cr_assert(!cleaner.duePage(start).has_value());
+    const auto next = cleaner.duePage(start + 3s);
+    cr_assert_eq(next->after, full.rows.back().key);
+    cleaner.onPage({ true, {} }, start + 3s, now);
+    cr_assert(!cleaner.duePage(start + 6s).has_value());
+    cr_assert(cleaner.duePage(start + 20min)->after.empty());
+}
+
+Test(ClaimCleaner, aTableThatIsAwayLosesNoPlace)
+{
+    control::ClaimCleaner cleaner;
+    cleaner.duePage(start);
+    cr_assert(!cleaner.onPage({}, start, now).has_value());
+    cr_assert(cleaner.duePage(start + 3s).has_value());
+}
--- a/src/foxtailwheel/daemon/Instance.cpp
+++ b/src/foxtailwheel/daemon/Instance.cpp
@@ -8,6 +8,7 @@
 #include "OperatorApi.h"
 #include "OrderService.h"
 #include "foxtailwheel/base/Random.h"
+#include "foxtailwheel/control/ClaimCleaner.h"
 #include "foxtailwheel/control/ClaimKeeper.h"
 #include "foxtailwheel/daemon/Lifecycle.h"
 #include "foxtailwheel/platform/Clients.h"
@@ -27,6 +28,7 @@
     constexpr Duration loadPollPeriod = 1s;
     constexpr Duration listPeriod = 2s;
     constexpr Duration sharePeriod = 1s;
+    constexpr Duration cleanTimeout = 2s;
     constexpr std::size_t leaseContenders = 2;
     constexpr Duration listTimeout = 1s;
     constexpr Duration drainCheckPeriod = 20ms;
@@ -70,6 +72,7 @@
         void tick();
         void pollLoads();
         void shareWork();
+        void cleanClaims(const std::vector<membership::Member>& working);
         void readList();
         void announce(bool leaving);
         void onList(const platform::ListResult& list);
@@ -102,6 +105,7 @@
         mutable std::mutex m_mutex;
         std::condition_variable m_ended;
         Lifecycle m_life;
+        control::ClaimCleaner m_cleaner;
         TimePoint m_drainUntil {};
         std::size_t m_cut = 0;
     };
@@ -243,6 +247,7 @@
             const auto contenders = membership::owners("lease/" + pool.value(), working, leaseContenders);
             return std::find(contenders.begin(), contenders.end(), m_settings.instance) != contenders.end();
         });
+        cleanClaims(working);
         const auto counts = m_cluster.counts();
         m_metrics->gauge("foxtailwheel_peer_sent_bytes", {}, static_cast<double>(counts.sentBytes));
         m_metrics->gauge("foxtailwheel_peer_dropped_frames", {}, static_cast<double>(counts.droppedFrames));
@@ -253,6 +258,31 @@
         m_pool->after(sharePeriod, [this] { shareWork(); });
     }
 
+    void ComposedInstance::cleanClaims(const std::vector<membership::Member>& working)
+    {
+        const auto owner = membership::owners("claim-cleaner", working, 1);
+        if (owner.empty() || owner.front() != m_settings.instance)
+            return;
+        std::optional<control::ClaimCleaner::Page> page;
+        {
+            const std::lock_guard lock(m_mutex);
+            page = m_cleaner.duePage(m_clock->now());
+        }
+        if (!page)
+            return;
+        const auto until = m_clock->now() + cleanTimeout;
+        m_table->scan(page->prefix, page->after, page->limit, until, [this, until](const platform::ReadResult& result) {
+            std::optional<platform::Transaction> deletion;
+            {
+                const std::lock_guard lock(m_mutex);
+                deletion = m_cleaner.onPage(result, m_clock->now(), m_clock->wallNow());
+                m_metrics->gauge("foxtailwheel_claims_deleted", {}, static_cast<double>(m_cleaner.deleted()));
+            }
+            if (deletion)
+                m_table->transact(std::move(*deletion), until + cleanTimeout, [](const platform::TransactResult&) {});
+        });
+    }
+
     void ComposedInstance::announce(bool leaving)
     {
         m_list->announce({ m_settings.instance, m_settings.peers, m_settings.zone, m_settings.region, leaving },
