--- a/src/foxtailwheel/cli/Commands.cpp
+++ b/src/foxtailwheel/cli/Commands.cpp
@@ -27,6 +27,8 @@
     constexpr Duration operatorTimeout = 12s;
     constexpr Duration callTimeout = 11min;
     constexpr auto waitPeriod = 200ms;
+    /// Pages read to find the latest records.
+    constexpr std::size_t mostPages = 1000;
 
     /// One command line being run.
     class Session {
@@ -73,6 +75,7 @@
         std::unique_ptr<ApiClient> connect(const std::string& addressOption, const std::string& secretOption);
         std::optional<json> get(const std::string& target, ExitCode& code);
         ExitCode showRows(const std::string& target, const std::string& key, const std::vector<Column>& columns);
+        std::optional<json> records(const std::string& target, ExitCode& code);
         ExitCode showRecords(const std::string& target, const std::vector<Column>& columns);
         ExitCode sayApplied(const http::Response& response);
         ExitCode waitInForce(ApiClient& client, std::uint64_t version);
@@ -184,21 +187,40 @@
         return ExitCode::Ok;
     }
 
+    /// Reads the records after `--after`; without it, the latest ones.
+    std::optional<json> Session::records(const std::string& target, ExitCode& code)
+    {
+        const auto limit = m_args["limit"].as<unsigned>();
+        auto after = textOption("after");
+        const std::size_t pages = after.empty() ? mostPages : 1;
+        json kept = json::array();
+        for (std::size_t i = 0; i < pages; ++i) {
+            const auto body
+                = get(target + "?limit=" + std::to_string(limit) + "&after=" + http::percentEncode(after), code);
+            if (!body)
+                return std::nullopt;
+            const auto& rows = arrayAt(*body, "rows");
+            for (const auto& it : rows)
+                kept.push_back(it["record"]);
+            if (rows.size() < limit || rows.empty())
+                break;
+            after = textAt(rows.back(), "key");
+        }
+        while (kept.size() > limit)
+            kept.erase(kept.begin());
+        return kept;
+    }
+
     ExitCode Session::showRecords(const std::string& target, const std::vector<Column>& columns)
     {
         ExitCode code = ExitCode::Ok;
-        const auto body = get(target + "?limit=" + std::to_string(m_args["limit"].as<unsigned>())
-                + "&after=" + http::percentEncode(textOption("after")),
-            code);
-        if (!body)
+        const auto shown = records(target, code);
+        if (!shown)
             return code;
-        json records = json::array();
-        for (const auto& it : arrayAt(*body, "rows"))
-            records.push_back(it["record"]);
         if (wantsJson())
-            m_out << records.dump(2) << "\n";
+            m_out << shown->dump(2) << "\n";
         else
-            printTable(m_out, columns, records);
+            printTable(m_out, columns, *shown);
         return ExitCode::Ok;
     }
 
