--- a/src/foxtailwheel/cli/Output.cpp
+++ b/src/foxtailwheel/cli/Output.cpp
@@ -12,6 +12,10 @@
         if (!row.contains(key))
             return "-";
         const auto& value = row[key];
+        if (value.is_array() && !value.empty() && value.front().is_string()) {
+            const auto more = value.size() - 1;
+            return value.front().get<std::string>() + (more > 0 ? " (and " + std::to_string(more) + " more)" : "");
+        }
         return value.is_string() ? value.get<std::string>() : value.dump();
     }
 
