--- a/src/foxtailwheel/control/OutcomePropertyTest.cpp
+++ b/src/foxtailwheel/control/OutcomePropertyTest.cpp
@@ -63,3 +63,16 @@
     rates.callerRepeats = 1;
     cr_assert(rc::check("instances die", [&rates](std::uint32_t seed) { checkClean(runSchedules(seed, rates)); }));
 }
+
+Test(OutcomeProperty, withoutTheTableNothingWithAnEffectRunsAndTheRestGoesOn)
+{
+    FaultRates rates;
+    rates.tableDown = 1;
+    rates.instanceDies = 0;
+    FaultCounts all;
+    for (std::uint64_t seed = 0; seed < 1000; ++seed)
+        all.add(FaultWorld(seed, rates).run(requestsPerSchedule));
+    cr_assert(all.clean());
+    cr_assert_eq(all.effects, 0U);
+    cr_assert_gt(all.answered, 1000U);
+}
--- a/src/foxtailwheel/testing/FaultWorld.cpp
+++ b/src/foxtailwheel/testing/FaultWorld.cpp
@@ -42,6 +42,7 @@
     doubled += other.doubled;
     crossed += other.crossed;
     wrongNotRun += other.wrongNotRun;
+    effects += other.effects;
     attempts += other.attempts;
     firstAttempts += other.firstAttempts;
 }
@@ -213,6 +214,7 @@
         if (it.second.replies == 0 && m_instances[it.second.instance]->alive)
             ++m_counts.lost;
     }
+    m_counts.effects = m_executions.size();
     for (const auto& it : m_executions)
         m_counts.doubled += it.second > 1 ? 1 : 0;
     for (const auto& it : m_toldNotRun)
--- a/src/foxtailwheel/testing/FaultWorld.h
+++ b/src/foxtailwheel/testing/FaultWorld.h
@@ -39,6 +39,7 @@
     std::uint64_t doubled = 0; ///< Effects that ran twice, or second replies.
     std::uint64_t crossed = 0; ///< Answers or tokens of another request, or out of order.
     std::uint64_t wrongNotRun = 0; ///< Told "not run" although the call ran.
+    std::uint64_t effects = 0; ///< Bookings that ran.
     std::uint64_t attempts = 0; ///< Calls to backend servers, hedges and retries included.
     std::uint64_t firstAttempts = 0;
 
