A test let a responder outlive its pool

The test gives them back first, and the header says that they must not outlive it; the daemon's sessions never do.

--- a/include/foxtailwheel/http/Server.h
+++ b/include/foxtailwheel/http/Server.h
@@ -12,7 +12,8 @@
 
 namespace foxtailwheel::http {
 
-/// @brief The answering side of one request; thread-safe, and may be kept until the answer is there.
+/// @brief The answering side of one request; thread-safe, and may be kept until the answer is there, but no longer than
+/// the `IoPool` lives.
 class Responder {
 public:
     virtual ~Responder() = default;
--- a/src/foxtailwheel/http/HttpTest.cpp
+++ b/src/foxtailwheel/http/HttpTest.cpp
@@ -116,6 +116,8 @@
         held.push_back(responder);
     });
     cr_assert(it.call("x", true, 300ms).end == http::CallEnd::TimedOut);
+    it.pool->stop();
+    held.clear();
 }
 
 Test(Http, aServerThatClosesIsBroken)
