--- a/cmake/Options.cmake
+++ b/cmake/Options.cmake
@@ -1,3 +1,4 @@
+option(FOXTAILWHEEL_DEPLOY "Build only the program for the operators' platform" OFF)
 option(FOXTAILWHEEL_ASAN "Build with the address and undefined-behaviour sanitizers" OFF)
 option(FOXTAILWHEEL_TSAN "Build with the thread sanitizer" OFF)
 
--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -24,14 +24,17 @@
 
 # Input and output.
 foxtailwheel_package(http DEPENDS config LIBRARIES Threads::Threads)
-foxtailwheel_package(platform DEPENDS http)
+foxtailwheel_package(store DEPENDS http)
 foxtailwheel_package(backend DEPENDS http serving)
 foxtailwheel_package(peer DEPENDS http membership LIBRARIES OpenSSL::Crypto)
-foxtailwheel_package(control DEPENDS serving platform)
+foxtailwheel_package(control DEPENDS serving store)
 foxtailwheel_package(telemetry DEPENDS base LIBRARIES log4cplus::log4cplus prometheus-cpp::core)
 foxtailwheel_package(daemon DEPENDS backend control peer telemetry)
-foxtailwheel_package(cli DEPENDS http LIBRARIES cxxopts::cxxopts)
 
-# Measurement and test parts.
-foxtailwheel_package(bench DEPENDS serving peer)
-foxtailwheel_package(standin DEPENDS http limits)
+if(NOT FOXTAILWHEEL_DEPLOY)
+  foxtailwheel_package(cli DEPENDS http LIBRARIES cxxopts::cxxopts)
+
+  # Measurement and test parts.
+  foxtailwheel_package(bench DEPENDS serving peer)
+  foxtailwheel_package(standin DEPENDS http limits)
+endif()
--- a/include/foxtailwheel/control/Claim.h
+++ b/include/foxtailwheel/control/Claim.h
@@ -3,7 +3,7 @@
 #include "foxtailwheel/base/Ids.h"
 #include "foxtailwheel/base/Units.h"
 #include "foxtailwheel/pipeline/Actions.h"
-#include "foxtailwheel/platform/Table.h"
+#include "foxtailwheel/store/Table.h"
 #include "foxtailwheel/serving/Dispatcher.h"
 
 #include <optional>
@@ -51,14 +51,14 @@
     /// @brief The step that is due.
     ClaimStep step() const { return m_step; }
     /// @brief The transaction of an `Insert` step.
-    platform::Transaction insertion() const;
+    store::Transaction insertion() const;
     /// @brief Key of the row, for a `ReadBack` step.
     const std::string& key() const { return m_key; }
     const ClaimRow& wanted() const { return m_wanted; }
     /// @brief Takes the answer to an `Insert` step.
-    void onInsert(const platform::TransactResult& result, WallTime now);
+    void onInsert(const store::TransactResult& result, WallTime now);
     /// @brief Takes the answer to a `ReadBack` step.
-    void onRead(const platform::ReadResult& result, WallTime now);
+    void onRead(const store::ReadResult& result, WallTime now);
     /// @brief The time is over; the result is `Unavailable` unless it was decided before.
     void expire();
     /// @brief The result, once `step` is `Done`.
@@ -67,7 +67,7 @@
     bool mayHold() const { return m_mayHold; }
 
 private:
-    void judge(const platform::Row& row, WallTime now);
+    void judge(const store::Row& row, WallTime now);
     void finish(pipeline::ClaimState state, pipeline::Payload answer = nullptr);
 
     std::string m_key;
@@ -78,7 +78,7 @@
 };
 
 /// @brief The transaction that records how a claimed call ended; applied only while the row is the attempt's own.
-platform::Transaction claimRecord(const std::string& key, const ClaimRow& held, std::uint64_t version,
+store::Transaction claimRecord(const std::string& key, const ClaimRow& held, std::uint64_t version,
     pipeline::ClaimEnd end, const pipeline::Payload& answer);
 
 } // namespace foxtailwheel::control
--- a/include/foxtailwheel/control/ClaimCleaner.h
+++ b/include/foxtailwheel/control/ClaimCleaner.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailwheel/base/Units.h"
-#include "foxtailwheel/platform/Table.h"
+#include "foxtailwheel/store/Table.h"
 
 #include <cstdint>
 #include <optional>
@@ -23,7 +23,7 @@
     };
     std::optional<Page> duePage(TimePoint now);
     /// @brief Takes a page; gives the transaction that deletes what has lapsed, where anything has.
-    std::optional<platform::Transaction> onPage(const platform::ReadResult& result, TimePoint now, WallTime calendar);
+    std::optional<store::Transaction> onPage(const store::ReadResult& result, TimePoint now, WallTime calendar);
     /// @brief Rows deleted so far.
     std::uint64_t deleted() const { return m_deleted; }
 
--- a/include/foxtailwheel/control/ClaimKeeper.h
+++ b/include/foxtailwheel/control/ClaimKeeper.h
@@ -17,7 +17,7 @@
 public:
     /// @param table Must outlive the keeper, like `clock`.
     static std::unique_ptr<ClaimKeeper> create(
-        platform::Table& table, const Clock& clock, InstanceId self, std::uint64_t seed, Defer defer);
+        store::Table& table, const Clock& clock, InstanceId self, std::uint64_t seed, Defer defer);
     virtual ~ClaimKeeper() = default;
 
     /// @brief Claims; `done` is called once, soon after the call's deadline at the latest.
--- a/include/foxtailwheel/control/ConfigStore.h
+++ b/include/foxtailwheel/control/ConfigStore.h
@@ -4,7 +4,7 @@
 #include "foxtailwheel/base/Error.h"
 #include "foxtailwheel/base/Ids.h"
 #include "foxtailwheel/config/Patch.h"
-#include "foxtailwheel/platform/Table.h"
+#include "foxtailwheel/store/Table.h"
 
 #include <functional>
 #include <memory>
@@ -88,11 +88,11 @@
 
     ApplyStep step() const { return m_step; }
     /// @brief The transaction of a `Transact` step.
-    platform::Transaction transaction() const;
+    store::Transaction transaction() const;
     /// @brief The key of a `ReadBack` step.
     std::string readKey() const { return configChangeKey(m_change.version); }
-    void onTransact(const platform::TransactResult& result);
-    void onRead(const platform::ReadResult& result);
+    void onTransact(const store::TransactResult& result);
+    void onRead(const store::ReadResult& result);
     /// @brief The time is over.
     void expire();
     const ApplyResult& result() const { return m_result; }
@@ -110,7 +110,7 @@
 
 /// @brief Runs an `ApplyMachine` against the table.
 /// @param done Called once, soon after `deadline` at the latest.
-void applyChange(platform::Table& table, const Clock& clock, WantedChange wanted, TimePoint deadline,
+void applyChange(store::Table& table, const Clock& clock, WantedChange wanted, TimePoint deadline,
     std::function<void(ApplyResult)> done);
 
 } // namespace foxtailwheel::control
--- a/include/foxtailwheel/control/Lease.h
+++ b/include/foxtailwheel/control/Lease.h
@@ -2,7 +2,7 @@
 
 #include "foxtailwheel/base/Ids.h"
 #include "foxtailwheel/base/Units.h"
-#include "foxtailwheel/platform/Table.h"
+#include "foxtailwheel/store/Table.h"
 
 #include <cstdint>
 #include <optional>
@@ -44,14 +44,14 @@
     /// @brief The step that is due; `None` also while an answer is awaited.
     LeaseStep step(TimePoint now) const;
     /// @brief The transaction of a `Write` step; remembers that it is on its way.
-    platform::Transaction beginWrite(TimePoint now);
+    store::Transaction beginWrite(TimePoint now);
     /// @brief A `Read` step is on its way.
     void beginRead() { m_waiting = true; }
     const std::string& key() const { return m_key; }
     /// @brief Takes the answer to a `Read` step.
-    void onRead(const platform::ReadResult& result, TimePoint now);
+    void onRead(const store::ReadResult& result, TimePoint now);
     /// @brief Takes the answer to a `Write` step.
-    void onWrite(const platform::TransactResult& result, TimePoint now);
+    void onWrite(const store::TransactResult& result, TimePoint now);
 
     /// @brief The number to order with; empty where this instance must not order now.
     /// @param fencingChecked False where engines ignore the number, so that old orders must be waited out first.
--- /dev/null
+++ b/include/foxtailwheel/daemon/ForwardService.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "foxtailwheel/backend/ForwardProtocol.h"
+#include "foxtailwheel/base/Clock.h"
+#include "foxtailwheel/http/Client.h"
+#include "foxtailwheel/http/IoPool.h"
+#include "foxtailwheel/http/Server.h"
+#include "foxtailwheel/serving/Forwarder.h"
+#include "foxtailwheel/telemetry/Metrics.h"
+
+#include <memory>
+
+namespace foxtailwheel::daemon {
+
+/// @brief Carries out what a `Forwarder` decides: callers' requests in, calls to backend servers out.
+///
+/// Runs on the one thread of its pool, as do all callbacks that it gives out.
+class ForwardService {
+public:
+    /// @param options The service adds its own log to them.
+    ForwardService(http::IoPool& pool, http::Client& client, const Clock& clock,
+        const backend::ForwardProtocol& protocol, telemetry::Metrics& metrics, serving::ForwarderOptions options);
+    ~ForwardService();
+    ForwardService(const ForwardService&) = delete;
+    ForwardService& operator=(const ForwardService&) = delete;
+
+    /// @brief Takes a caller's request.
+    void handle(http::Request request, const std::shared_ptr<http::Responder>& responder);
+    /// @brief Puts a configuration in force.
+    void configure(std::shared_ptr<const config::RouteTable> table);
+    /// @brief Takes the announced backend servers.
+    void setServers(const std::vector<serving::AnnouncedServer>& servers);
+    /// @brief The credentials in force were current at `asOf`.
+    void confirmCredentials(TimePoint asOf);
+    /// @brief Sets the number of live instances, this one included.
+    void setInstances(std::size_t n);
+    serving::ForwarderStatus status() const;
+
+private:
+    struct Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace foxtailwheel::daemon
--- a/include/foxtailwheel/http/Client.h
+++ b/include/foxtailwheel/http/Client.h
@@ -33,6 +33,8 @@
     TimePoint sendBy; ///< The first byte is not handed to a socket after this.
     TimePoint deadline; ///< The whole response must be there by then.
     bool idempotent = true; ///< A call that is not goes out on a new connection and is never sent twice.
+    bool newConnection = false; ///< Takes no idle connection, and leaves none behind.
+    bool probes = false; ///< Sends keep-alive probes, for calls that are answered late.
 };
 
 /// @brief What the caller is told on the way; all run one after another.
--- a/include/foxtailwheel/http/IoPool.h
+++ b/include/foxtailwheel/http/IoPool.h
@@ -27,6 +27,8 @@
     void after(Duration delay, std::function<void()> work);
     /// @brief Runs `work` once the process gets SIGTERM or SIGINT, each time with the count of signals so far.
     void onTerminate(std::function<void(int)> work);
+    /// @brief Runs `work` each time the process gets SIGHUP.
+    void onReload(std::function<void()> work);
     /// @brief Stops all work and joins the threads; called by the destructor too.
     void stop();
     /// @brief The context that the threads run.
--- a/include/foxtailwheel/http/Server.h
+++ b/include/foxtailwheel/http/Server.h
@@ -31,16 +31,20 @@
     virtual void onGone(std::function<void()> work) = 0;
 };
 
-/// @brief Limits of a server.
-struct ServerOptions {
-    config::Endpoint listen; ///< Port 0 takes a free one.
+/// @brief Limits that may change while a server runs.
+struct ServerLimits {
     std::uint64_t maxBodyBytes = 1U << 20U;
     std::uint32_t maxHeaderBytes = 16U << 10U;
-    std::uint32_t maxConnections = 4096;
-    std::size_t maxUnreadBytes = 256U << 10U; ///< Of one stream, before its caller counts as gone.
     Duration headerTimeout = std::chrono::seconds(5);
     Duration bodyTimeout = std::chrono::seconds(10);
     Duration idleTimeout = std::chrono::seconds(30);
+};
+
+/// @brief Address and limits of a server.
+struct ServerOptions : ServerLimits {
+    config::Endpoint listen; ///< Port 0 takes a free one.
+    std::uint32_t maxConnections = 4096;
+    std::size_t maxUnreadBytes = 256U << 10U; ///< Of one stream, before its caller counts as gone.
     Duration writeTimeout = std::chrono::seconds(10);
 };
 
@@ -59,6 +63,10 @@
     std::uint16_t port() const;
     /// @brief Stops listening; requests in progress go on, and their connections close after them.
     void stopAccepting();
+    /// @brief From now on every answer tells its caller to close the connection; new connections are still taken.
+    void closeAfterAnswers();
+    /// @brief Takes new limits of time and size for requests to come; the address and the bodies' buffers stay.
+    void setLimits(const ServerLimits& limits);
     /// @brief Requests that are not yet answered in full.
     std::size_t inProgress() const;
     std::size_t connections() const;
--- a/include/foxtailwheel/platform/Breaker.h
+++ b/include/foxtailwheel/store/Breaker.h
@@ -5,7 +5,7 @@
 
 #include <cstdint>
 
-namespace foxtailwheel::platform {
+namespace foxtailwheel::store {
 
 /// @brief Circuit breaker and limit for the calls to one platform service. Not thread-safe.
 ///
@@ -33,4 +33,4 @@
     Random m_random;
 };
 
-} // namespace foxtailwheel::platform
+} // namespace foxtailwheel::store
--- a/include/foxtailwheel/platform/Clients.h
+++ b/include/foxtailwheel/store/Clients.h
@@ -3,12 +3,12 @@
 #include "foxtailwheel/base/Clock.h"
 #include "foxtailwheel/config/Settings.h"
 #include "foxtailwheel/http/Client.h"
-#include "foxtailwheel/platform/InstanceList.h"
-#include "foxtailwheel/platform/Table.h"
+#include "foxtailwheel/store/InstanceList.h"
+#include "foxtailwheel/store/Table.h"
 
 #include <memory>
 
-namespace foxtailwheel::platform {
+namespace foxtailwheel::store {
 
 /// @brief Table service over its HTTP interface, behind a breaker and a limit of calls at once.
 /// @param seed Seed of the jitter; different on each instance.
@@ -18,4 +18,4 @@
 /// @brief Instance list over its HTTP interface.
 std::unique_ptr<InstanceList> instanceListClient(http::Client& client, config::Endpoint server);
 
-} // namespace foxtailwheel::platform
+} // namespace foxtailwheel::store
--- a/include/foxtailwheel/platform/InstanceList.h
+++ b/include/foxtailwheel/store/InstanceList.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace foxtailwheel::platform {
+namespace foxtailwheel::store {
 
 /// @brief One entry of the platform's list.
 struct ListedInstance {
@@ -36,4 +36,4 @@
     virtual void announce(const ListedInstance& self, TimePoint deadline) = 0;
 };
 
-} // namespace foxtailwheel::platform
+} // namespace foxtailwheel::store
--- a/include/foxtailwheel/platform/Table.h
+++ b/include/foxtailwheel/store/Table.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace foxtailwheel::platform {
+namespace foxtailwheel::store {
 
 /// @brief One row of the platform's table service.
 struct Row {
@@ -69,4 +69,4 @@
         = 0;
 };
 
-} // namespace foxtailwheel::platform
+} // namespace foxtailwheel::store
--- a/include/foxtailwheel/telemetry/Log.h
+++ b/include/foxtailwheel/telemetry/Log.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -15,7 +16,7 @@
 /// @brief Fields of a log line in their order.
 using Fields = std::initializer_list<Field>;
 
-/// @brief Sends log lines of `level` (`error`, `warn`, `info`, `debug`) and above to standard error.
+/// @brief Sends log lines of `level` (`error`, `warn`, `info`, `debug`) and above to standard output.
 ///
 /// A line is `time level event name=value ...`; values with spaces or quotes are quoted.
 void configureLog(const std::string& level);
@@ -24,8 +25,10 @@
 void logWarning(std::string_view event, Fields fields = {});
 void logInfo(std::string_view event, Fields fields = {});
 void logDebug(std::string_view event, Fields fields = {});
+/// @brief Like `logInfo`, for fields that are known only at run time.
+void logInfoFields(std::string_view event, std::span<const Field> fields);
 
 /// @brief The text of a log line without its time and level.
-std::string formatLine(std::string_view event, Fields fields);
+std::string formatLine(std::string_view event, std::span<const Field> fields);
 
 } // namespace foxtailwheel::telemetry
--- a/src/foxtailwheel/base/Clock.cpp
+++ b/src/foxtailwheel/base/Clock.cpp
@@ -1,12 +1,21 @@
 #include "foxtailwheel/base/Clock.h"
 
+#include <ctime>
+
 namespace foxtailwheel {
 
 namespace {
 
     class SystemClock final : public Clock {
     public:
-        TimePoint now() const override { return std::chrono::steady_clock::now(); }
+        /// Counts the time that a suspended machine misses, unlike the steady clock of the standard library: leases,
+        /// deadlines and the age of credentials run on meanwhile.
+        TimePoint now() const override
+        {
+            timespec time {};
+            clock_gettime(CLOCK_BOOTTIME, &time);
+            return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+        }
         WallTime wallNow() const override
         {
             return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
--- a/src/foxtailwheel/control/Claim.cpp
+++ b/src/foxtailwheel/control/Claim.cpp
@@ -12,7 +12,7 @@
 
     using nlohmann::json;
     using pipeline::ClaimState;
-    using platform::TransactEnd;
+    using store::TransactEnd;
 
     constexpr std::array<std::string_view, 3> progressNames { "claimed", "answered", "unknown" };
 
@@ -72,7 +72,7 @@
 {
 }
 
-platform::Transaction ClaimMachine::insertion() const
+store::Transaction ClaimMachine::insertion() const
 {
     return { { { m_key, std::nullopt } }, { { m_key, encodeClaimRow(m_wanted) } } };
 }
@@ -83,7 +83,7 @@
     m_result = { state, std::move(answer) };
 }
 
-void ClaimMachine::judge(const platform::Row& row, WallTime now)
+void ClaimMachine::judge(const store::Row& row, WallTime now)
 {
     const auto held = decodeClaimRow(row.value);
     if (!held) {
@@ -106,7 +106,7 @@
         finish(ClaimState::Unknown);
 }
 
-void ClaimMachine::onInsert(const platform::TransactResult& result, WallTime now)
+void ClaimMachine::onInsert(const store::TransactResult& result, WallTime now)
 {
     if (m_step != ClaimStep::Insert)
         return;
@@ -130,7 +130,7 @@
     }
 }
 
-void ClaimMachine::onRead(const platform::ReadResult& result, WallTime now)
+void ClaimMachine::onRead(const store::ReadResult& result, WallTime now)
 {
     if (m_step != ClaimStep::ReadBack || !result.answered)
         return;
@@ -146,10 +146,10 @@
         finish(ClaimState::Unavailable);
 }
 
-platform::Transaction claimRecord(const std::string& key, const ClaimRow& held, std::uint64_t version,
+store::Transaction claimRecord(const std::string& key, const ClaimRow& held, std::uint64_t version,
     pipeline::ClaimEnd end, const pipeline::Payload& answer)
 {
-    platform::Transaction transaction { { { key, version } }, {} };
+    store::Transaction transaction { { { key, version } }, {} };
     if (end == pipeline::ClaimEnd::NotStarted) {
         transaction.writes.push_back({ key, std::nullopt });
         return transaction;
--- a/src/foxtailwheel/control/ClaimCleaner.cpp
+++ b/src/foxtailwheel/control/ClaimCleaner.cpp
@@ -23,8 +23,8 @@
     return Page { "claim/", m_after, pageRows };
 }
 
-std::optional<platform::Transaction> ClaimCleaner::onPage(
-    const platform::ReadResult& result, TimePoint now, WallTime calendar)
+std::optional<store::Transaction> ClaimCleaner::onPage(
+    const store::ReadResult& result, TimePoint now, WallTime calendar)
 {
     m_waiting = false;
     m_dueAt = now + pagePeriod;
@@ -34,7 +34,7 @@
     m_after = last ? std::string() : result.rows.back().key;
     if (last)
         m_dueAt = now + roundPeriod;
-    platform::Transaction transaction;
+    store::Transaction transaction;
     for (const auto& it : result.rows) {
         const auto row = decodeClaimRow(it.value);
         if (!row || calendar < row->keptUntil)
--- a/src/foxtailwheel/control/ClaimCleanerTest.cpp
+++ b/src/foxtailwheel/control/ClaimCleanerTest.cpp
@@ -12,7 +12,7 @@
 constexpr TimePoint start { 1h };
 constexpr WallTime now { 1000s };
 
-platform::Row rowKeptUntil(const std::string& key, WallTime until)
+store::Row rowKeptUntil(const std::string& key, WallTime until)
 {
     control::ClaimRow row;
     row.token = AttemptToken("t");
@@ -41,7 +41,7 @@
 {
     control::ClaimCleaner cleaner;
     const auto page = cleaner.duePage(start);
-    platform::ReadResult full { true, {} };
+    store::ReadResult full { true, {} };
     for (std::size_t i = 0; i < page->limit; ++i)
         full.rows.push_back(rowKeptUntil("claim/" + std::to_string(1000 + i), now + 1s));
     cr_assert(!cleaner.onPage(full, start, now).has_value());
--- a/src/foxtailwheel/control/ClaimKeeper.cpp
+++ b/src/foxtailwheel/control/ClaimKeeper.cpp
@@ -19,7 +19,7 @@
 
     class TableClaimKeeper final : public ClaimKeeper {
     public:
-        TableClaimKeeper(platform::Table& table, const Clock& clock, InstanceId self, std::uint64_t seed, Defer defer)
+        TableClaimKeeper(store::Table& table, const Clock& clock, InstanceId self, std::uint64_t seed, Defer defer)
             : m_table(table)
             , m_clock(clock)
             , m_self(std::move(self))
@@ -54,12 +54,12 @@
         void advance(const std::shared_ptr<Claiming>& claiming, ClaimId id);
         void answered(const std::shared_ptr<Claiming>& claiming, ClaimId id, bool progressed);
         void record(const std::shared_ptr<Recording>& recording);
-        void write(const std::shared_ptr<Recording>& recording, const platform::Row& row);
+        void write(const std::shared_ptr<Recording>& recording, const store::Row& row);
         void retryRecord(const std::shared_ptr<Recording>& recording);
         void recorded();
         Duration jittered(Duration pause);
 
-        platform::Table& m_table;
+        store::Table& m_table;
         const Clock& m_clock;
         InstanceId m_self;
         mutable std::mutex m_mutex;
@@ -95,13 +95,13 @@
         const auto until = std::min(claiming->deadline, m_clock.now() + tableTimeout);
         if (claiming->machine.step() == ClaimStep::Insert) {
             m_table.transact(
-                claiming->machine.insertion(), until, [this, claiming, id](const platform::TransactResult& result) {
+                claiming->machine.insertion(), until, [this, claiming, id](const store::TransactResult& result) {
                     claiming->machine.onInsert(result, m_clock.wallNow());
-                    answered(claiming, id, result.end != platform::TransactEnd::NotApplied);
+                    answered(claiming, id, result.end != store::TransactEnd::NotApplied);
                 });
             return;
         }
-        m_table.read(claiming->machine.key(), until, [this, claiming, id](const platform::ReadResult& result) {
+        m_table.read(claiming->machine.key(), until, [this, claiming, id](const store::ReadResult& result) {
             claiming->machine.onRead(result, m_clock.wallNow());
             answered(claiming, id, result.answered);
         });
@@ -162,7 +162,7 @@
     void TableClaimKeeper::record(const std::shared_ptr<Recording>& recording)
     {
         m_table.read(
-            recording->key, m_clock.now() + tableTimeout, [this, recording](const platform::ReadResult& result) {
+            recording->key, m_clock.now() + tableTimeout, [this, recording](const store::ReadResult& result) {
                 if (!result.answered) {
                     retryRecord(recording);
                     return;
@@ -177,12 +177,12 @@
             });
     }
 
-    void TableClaimKeeper::write(const std::shared_ptr<Recording>& recording, const platform::Row& row)
+    void TableClaimKeeper::write(const std::shared_ptr<Recording>& recording, const store::Row& row)
     {
         auto transaction = claimRecord(recording->key, recording->held, row.version, recording->end, recording->answer);
         m_table.transact(std::move(transaction), m_clock.now() + tableTimeout,
-            [this, recording](const platform::TransactResult& result) {
-                if (result.end == platform::TransactEnd::Applied)
+            [this, recording](const store::TransactResult& result) {
+                if (result.end == store::TransactEnd::Applied)
                     recorded();
                 else
                     retryRecord(recording);
@@ -215,7 +215,7 @@
 } // namespace
 
 std::unique_ptr<ClaimKeeper> ClaimKeeper::create(
-    platform::Table& table, const Clock& clock, InstanceId self, std::uint64_t seed, Defer defer)
+    store::Table& table, const Clock& clock, InstanceId self, std::uint64_t seed, Defer defer)
 {
     return std::make_unique<TableClaimKeeper>(table, clock, std::move(self), seed, std::move(defer));
 }
--- a/src/foxtailwheel/control/ClaimTest.cpp
+++ b/src/foxtailwheel/control/ClaimTest.cpp
@@ -9,7 +9,7 @@
 using control::ClaimRow;
 using control::ClaimStep;
 using pipeline::ClaimState;
-using platform::TransactEnd;
+using store::TransactEnd;
 
 namespace {
 
@@ -20,7 +20,7 @@
     return { AttemptToken(token), "hash", InstanceId("i"), progress, "answer", now + 10s, now + 100s };
 }
 
-platform::TransactResult conflictWith(const ClaimRow& row)
+store::TransactResult conflictWith(const ClaimRow& row)
 {
     return { TransactEnd::ConditionFailed, { { "key", control::encodeClaimRow(row), 3 } } };
 }
--- a/src/foxtailwheel/control/ConfigStore.cpp
+++ b/src/foxtailwheel/control/ConfigStore.cpp
@@ -11,7 +11,7 @@
 
     using namespace std::chrono_literals;
     using nlohmann::json;
-    using platform::TransactEnd;
+    using store::TransactEnd;
 
     constexpr Duration tableTimeout = 2s;
 
@@ -25,7 +25,7 @@
     /// Drives one machine; kept alive by its own callbacks.
     struct Applying {
         ApplyMachine machine;
-        platform::Table& table;
+        store::Table& table;
         const Clock& clock;
         TimePoint deadline;
         std::function<void(ApplyResult)> done;
@@ -43,7 +43,7 @@
         }
         const auto until = std::min(applying->deadline, now + tableTimeout);
         if (machine.step() == ApplyStep::Transact) {
-            applying->table.transact(machine.transaction(), until, [applying](const platform::TransactResult& result) {
+            applying->table.transact(machine.transaction(), until, [applying](const store::TransactResult& result) {
                 applying->machine.onTransact(result);
                 if (result.end == TransactEnd::NotApplied)
                     applying->machine.expire();
@@ -51,7 +51,7 @@
             });
             return;
         }
-        applying->table.read(machine.readKey(), until, [applying](const platform::ReadResult& result) {
+        applying->table.read(machine.readKey(), until, [applying](const store::ReadResult& result) {
             applying->machine.onRead(result);
             if (!result.answered)
                 applying->machine.expire();
@@ -148,10 +148,10 @@
     m_result.version = m_wanted.base;
 }
 
-platform::Transaction ApplyMachine::transaction() const
+store::Transaction ApplyMachine::transaction() const
 {
     const bool first = m_wanted.base.value() == 0;
-    platform::Transaction transaction;
+    store::Transaction transaction;
     // The head is written once for each version and never deleted, so the row's version is the configuration's.
     transaction.conditions.push_back({ configHeadKey(), first ? std::nullopt : std::optional(m_wanted.base.value()) });
     transaction.conditions.push_back({ configChangeKey(m_change.version), std::nullopt });
@@ -168,7 +168,7 @@
     return transaction;
 }
 
-void ApplyMachine::onTransact(const platform::TransactResult& result)
+void ApplyMachine::onTransact(const store::TransactResult& result)
 {
     if (m_step != ApplyStep::Transact)
         return;
@@ -195,7 +195,7 @@
     }
 }
 
-void ApplyMachine::onRead(const platform::ReadResult& result)
+void ApplyMachine::onRead(const store::ReadResult& result)
 {
     if (m_step != ApplyStep::ReadBack || !result.answered)
         return;
@@ -223,7 +223,7 @@
     m_result.end = m_mayBeApplied ? ApplyEnd::Ambiguous : ApplyEnd::Unavailable;
 }
 
-void applyChange(platform::Table& table, const Clock& clock, WantedChange wanted, TimePoint deadline,
+void applyChange(store::Table& table, const Clock& clock, WantedChange wanted, TimePoint deadline,
     std::function<void(ApplyResult)> done)
 {
     auto applying = std::make_shared<Applying>(
--- a/src/foxtailwheel/control/ConfigTest.cpp
+++ b/src/foxtailwheel/control/ConfigTest.cpp
@@ -14,7 +14,7 @@
 using control::FetchText;
 using control::FollowActions;
 using control::InstallText;
-using platform::TransactEnd;
+using store::TransactEnd;
 
 namespace {
 
@@ -26,7 +26,7 @@
         "text: 1" };
 }
 
-platform::ReadResult changeRow(std::uint64_t version, const std::string& id)
+store::ReadResult changeRow(std::uint64_t version, const std::string& id)
 {
     control::ConfigChange change;
     change.version = ConfigVersion(version);
--- a/src/foxtailwheel/control/Lease.cpp
+++ b/src/foxtailwheel/control/Lease.cpp
@@ -7,7 +7,7 @@
 namespace {
 
     using namespace std::chrono_literals;
-    using platform::TransactEnd;
+    using store::TransactEnd;
 
     constexpr Duration readPeriod = 1s;
 
@@ -56,7 +56,7 @@
     return now >= m_readAt ? LeaseStep::Read : LeaseStep::None;
 }
 
-platform::Transaction Lease::beginWrite(TimePoint now)
+store::Transaction Lease::beginWrite(TimePoint now)
 {
     m_waiting = true;
     m_sentAt = now;
@@ -66,7 +66,7 @@
     return { { { m_key, condition } }, { { m_key, encodeLeaseRow(m_wanted) } } };
 }
 
-void Lease::onRead(const platform::ReadResult& result, TimePoint now)
+void Lease::onRead(const store::ReadResult& result, TimePoint now)
 {
     m_waiting = false;
     m_readAt = now + readPeriod;
@@ -82,7 +82,7 @@
     m_known = true;
 }
 
-void Lease::onWrite(const platform::TransactResult& result, TimePoint now)
+void Lease::onWrite(const store::TransactResult& result, TimePoint now)
 {
     m_waiting = false;
     if (result.end == TransactEnd::Applied) {
--- a/src/foxtailwheel/control/LeaseTest.cpp
+++ b/src/foxtailwheel/control/LeaseTest.cpp
@@ -20,21 +20,21 @@
     std::string value;
     std::uint64_t version = 0;
 
-    platform::ReadResult read() const
+    store::ReadResult read() const
     {
-        platform::ReadResult result { true, {} };
+        store::ReadResult result { true, {} };
         if (version > 0)
             result.rows.push_back({ "lease", value, version });
         return result;
     }
 
-    platform::TransactResult write(const platform::Transaction& transaction)
+    store::TransactResult write(const store::Transaction& transaction)
     {
         if (transaction.conditions.front().version.value_or(0) != version)
-            return { platform::TransactEnd::ConditionFailed, read().rows };
+            return { store::TransactEnd::ConditionFailed, read().rows };
         value = *transaction.writes.front().value;
         ++version;
-        return { platform::TransactEnd::Applied, {} };
+        return { store::TransactEnd::Applied, {} };
     }
 };
 
@@ -56,12 +56,12 @@
         return;
     case LeaseStep::Read:
         contender.lease.beginRead();
-        contender.lease.onRead(random.chance(0.1) ? platform::ReadResult() : store.read(), now);
+        contender.lease.onRead(random.chance(0.1) ? store::ReadResult() : store.read(), now);
         return;
     case LeaseStep::Write:
         auto result = store.write(contender.lease.beginWrite(now));
         if (random.chance(0.1))
-            result = { platform::TransactEnd::Ambiguous, {} };
+            result = { store::TransactEnd::Ambiguous, {} };
         contender.lease.onWrite(result, now);
         return;
     }
--- a/src/foxtailwheel/daemon/Cluster.cpp
+++ b/src/foxtailwheel/daemon/Cluster.cpp
@@ -107,7 +107,7 @@
     }
 }
 
-void Cluster::onList(const platform::ListResult& list)
+void Cluster::onList(const store::ListResult& list)
 {
     const std::set<BackendServerId> leaving(list.leavingServers.begin(), list.leavingServers.end());
     withMembership([&](membership::Membership& it, membership::MembershipActions& actions) {
--- a/src/foxtailwheel/daemon/Cluster.h
+++ b/src/foxtailwheel/daemon/Cluster.h
@@ -7,7 +7,7 @@
 #include "foxtailwheel/limits/RateLedger.h"
 #include "foxtailwheel/membership/Membership.h"
 #include "foxtailwheel/peer/Network.h"
-#include "foxtailwheel/platform/InstanceList.h"
+#include "foxtailwheel/store/InstanceList.h"
 #include "foxtailwheel/serving/Dispatcher.h"
 
 #include <functional>
@@ -31,7 +31,7 @@
     /// @brief Exchanges demands and allowances; called once a second.
     void shareRates();
     /// @brief Takes the platform's list.
-    void onList(const platform::ListResult& list);
+    void onList(const store::ListResult& list);
     /// @brief A backend server said that it is leaving.
     void serverLeaving(const BackendServerId& server);
     /// @brief Tells the others that this instance leaves.
--- a/src/foxtailwheel/daemon/ConfigService.cpp
+++ b/src/foxtailwheel/daemon/ConfigService.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-ConfigService::ConfigService(platform::Table& table, const Clock& clock, serving::Dispatcher& dispatcher,
+ConfigService::ConfigService(store::Table& table, const Clock& clock, serving::Dispatcher& dispatcher,
     FetchFromPeer fetchFromPeer, std::uint64_t seed)
     : m_table(table)
     , m_clock(clock)
@@ -95,7 +95,7 @@
 
 void ConfigService::readHead()
 {
-    m_table.read(control::configHeadKey(), m_clock.now() + tableTimeout, [this](const platform::ReadResult& result) {
+    m_table.read(control::configHeadKey(), m_clock.now() + tableTimeout, [this](const store::ReadResult& result) {
         const auto head = result.rows.empty() ? std::nullopt : control::decodeConfigHead(result.rows.front().value);
         control::FollowActions actions;
         {
@@ -121,7 +121,7 @@
     }
     // One version behind: its change row holds the patch, which is far smaller than the text.
     m_table.read(control::configChangeKey(version), m_clock.now() + tableTimeout,
-        [this, version](const platform::ReadResult& result) {
+        [this, version](const store::ReadResult& result) {
             const auto change
                 = result.rows.empty() ? std::nullopt : control::decodeConfigChange(result.rows.front().value);
             const auto text = change && change->patch ? patched({ *change->patch }) : std::nullopt;
@@ -135,7 +135,7 @@
 void ConfigService::fetchText(ConfigVersion version)
 {
     m_table.read(control::configTextKey(version), m_clock.now() + tableTimeout,
-        [this, version](const platform::ReadResult& result) {
+        [this, version](const store::ReadResult& result) {
             onText(version, result.rows.empty() ? std::nullopt : std::optional(result.rows.front().value));
         });
 }
--- a/src/foxtailwheel/daemon/ConfigService.h
+++ b/src/foxtailwheel/daemon/ConfigService.h
@@ -4,7 +4,7 @@
 #include "foxtailwheel/config/Difference.h"
 #include "foxtailwheel/control/ConfigFollower.h"
 #include "foxtailwheel/peer/Message.h"
-#include "foxtailwheel/platform/Table.h"
+#include "foxtailwheel/store/Table.h"
 #include "foxtailwheel/serving/Dispatcher.h"
 
 #include <deque>
@@ -30,7 +30,7 @@
 /// @brief Keeps the dispatcher on the highest accepted configuration, and applies operators' changes.
 class ConfigService {
 public:
-    ConfigService(platform::Table& table, const Clock& clock, serving::Dispatcher& dispatcher,
+    ConfigService(store::Table& table, const Clock& clock, serving::Dispatcher& dispatcher,
         FetchFromPeer fetchFromPeer, std::uint64_t seed);
 
     /// @brief Lets time pass; called some times a second.
@@ -59,7 +59,7 @@
     void onText(ConfigVersion version, const std::optional<std::string>& text);
     void install(const control::InstallText& install);
 
-    platform::Table& m_table;
+    store::Table& m_table;
     const Clock& m_clock;
     serving::Dispatcher& m_dispatcher;
     FetchFromPeer m_fetchFromPeer;
--- a/src/foxtailwheel/daemon/Instance.cpp
+++ b/src/foxtailwheel/daemon/Instance.cpp
@@ -11,7 +11,7 @@
 #include "foxtailwheel/control/ClaimCleaner.h"
 #include "foxtailwheel/control/ClaimKeeper.h"
 #include "foxtailwheel/daemon/Lifecycle.h"
-#include "foxtailwheel/platform/Clients.h"
+#include "foxtailwheel/store/Clients.h"
 #include "foxtailwheel/telemetry/Log.h"
 
 #include <algorithm>
@@ -75,7 +75,7 @@
         void cleanClaims(const std::vector<membership::Member>& working);
         void readList();
         void announce(bool leaving);
-        void onList(const platform::ListResult& list);
+        void onList(const store::ListResult& list);
         void drain();
         void checkDrained();
         bool process(LifeEvent event);
@@ -89,8 +89,8 @@
         std::unique_ptr<http::IoPool> m_pool;
         std::unique_ptr<http::Client> m_client;
         std::unique_ptr<telemetry::Metrics> m_metrics = telemetry::Metrics::create();
-        std::unique_ptr<platform::Table> m_table;
-        std::unique_ptr<platform::InstanceList> m_list;
+        std::unique_ptr<store::Table> m_table;
+        std::unique_ptr<store::InstanceList> m_list;
         std::unique_ptr<serving::Dispatcher> m_dispatcher;
         std::unique_ptr<control::ClaimKeeper> m_claims;
         Cluster m_cluster;
@@ -114,8 +114,8 @@
         : m_settings(std::move(settings))
         , m_pool(http::IoPool::create(m_settings.threads))
         , m_client(http::Client::create(*m_pool, *m_clock))
-        , m_table(platform::tableClient(*m_client, *m_clock, m_settings.table, m_seed))
-        , m_list(platform::instanceListClient(*m_client, m_settings.instanceList))
+        , m_table(store::tableClient(*m_client, *m_clock, m_settings.table, m_seed))
+        , m_list(store::instanceListClient(*m_client, m_settings.instanceList))
         , m_dispatcher(serving::makeDispatcher(dispatcherOptions(m_settings, m_seed)))
         , m_claims(control::ClaimKeeper::create(*m_table, *m_clock, m_settings.instance, m_seed + 1, deferrer()))
         , m_cluster(m_settings, *m_clock, *m_dispatcher, m_seed + 3)
@@ -271,15 +271,15 @@
         if (!page)
             return;
         const auto until = m_clock->now() + cleanTimeout;
-        m_table->scan(page->prefix, page->after, page->limit, until, [this, until](const platform::ReadResult& result) {
-            std::optional<platform::Transaction> deletion;
+        m_table->scan(page->prefix, page->after, page->limit, until, [this, until](const store::ReadResult& result) {
+            std::optional<store::Transaction> deletion;
             {
                 const std::lock_guard lock(m_mutex);
                 deletion = m_cleaner.onPage(result, m_clock->now(), m_clock->wallNow());
                 m_metrics->gauge("foxtailwheel_claims_deleted", {}, static_cast<double>(m_cleaner.deleted()));
             }
             if (deletion)
-                m_table->transact(std::move(*deletion), until + cleanTimeout, [](const platform::TransactResult&) {});
+                m_table->transact(std::move(*deletion), until + cleanTimeout, [](const store::TransactResult&) {});
         });
     }
 
@@ -292,11 +292,11 @@
     void ComposedInstance::readList()
     {
         announce(state() != LifeState::Starting && state() != LifeState::Serving);
-        m_list->fetch(m_clock->now() + listTimeout, [this](const platform::ListResult& list) { onList(list); });
+        m_list->fetch(m_clock->now() + listTimeout, [this](const store::ListResult& list) { onList(list); });
         m_pool->after(listPeriod, [this] { readList(); });
     }
 
-    void ComposedInstance::onList(const platform::ListResult& list)
+    void ComposedInstance::onList(const store::ListResult& list)
     {
         if (list.answered)
             m_cluster.onList(list);
--- a/src/foxtailwheel/daemon/OperatorApi.cpp
+++ b/src/foxtailwheel/daemon/OperatorApi.cpp
@@ -57,7 +57,7 @@
 } // namespace
 
 OperatorApi::OperatorApi(const config::Settings& settings, const Clock& clock, serving::Dispatcher& dispatcher,
-    ConfigService& configs, platform::Table& table, OperatorHooks hooks)
+    ConfigService& configs, store::Table& table, OperatorHooks hooks)
     : m_settings(settings)
     , m_clock(clock)
     , m_dispatcher(dispatcher)
@@ -205,7 +205,7 @@
     const control::WantedChange& wanted, const control::ApplyResult& result, const ResponderPtr& responder)
 {
     const auto key = control::configTextKey(result.version);
-    m_table.read(key, m_clock.now() + tableTimeout, [wanted, result, responder](const platform::ReadResult& read) {
+    m_table.read(key, m_clock.now() + tableTimeout, [wanted, result, responder](const store::ReadResult& read) {
         json body { { "error", "conflict" },
             { "message", "another change came first: edit version " + std::to_string(result.version.value()) },
             { "base", wanted.base.value() }, { "version", result.version.value() } };
@@ -219,7 +219,7 @@
 {
     const auto limit = std::min(numberOf(request.query("limit"), defaultRows), mostRows);
     m_table.scan(std::move(prefix), request.query("after"), limit, m_clock.now() + tableTimeout,
-        [responder](const platform::ReadResult& result) {
+        [responder](const store::ReadResult& result) {
             if (!result.answered) {
                 responder->respond(errorResponse(503, "table_unavailable", "the table could not be asked"));
                 return;
@@ -259,8 +259,8 @@
         { "at_ms", at } };
     const auto key = control::auditKey(m_clock.wallNow(), m_settings.instance.value());
     m_table.transact({ { { key, std::nullopt } }, { { key, record.dump() } } }, m_clock.now() + tableTimeout,
-        [this, responder](const platform::TransactResult& result) {
-            const bool recorded = result.end == platform::TransactEnd::Applied;
+        [this, responder](const store::TransactResult& result) {
+            const bool recorded = result.end == store::TransactEnd::Applied;
             responder->respond(jsonResponse(200, { { "draining", true }, { "recorded", recorded } }));
             m_hooks.drain();
         });
--- a/src/foxtailwheel/daemon/OperatorApi.h
+++ b/src/foxtailwheel/daemon/OperatorApi.h
@@ -4,7 +4,7 @@
 #include "foxtailwheel/base/Clock.h"
 #include "foxtailwheel/config/Settings.h"
 #include "foxtailwheel/http/Server.h"
-#include "foxtailwheel/platform/Table.h"
+#include "foxtailwheel/store/Table.h"
 #include "foxtailwheel/serving/Dispatcher.h"
 
 #include <functional>
@@ -33,7 +33,7 @@
 class OperatorApi {
 public:
     OperatorApi(const config::Settings& settings, const Clock& clock, serving::Dispatcher& dispatcher,
-        ConfigService& configs, platform::Table& table, OperatorHooks hooks);
+        ConfigService& configs, store::Table& table, OperatorHooks hooks);
 
     void handle(const http::Request& request, const std::shared_ptr<http::Responder>& responder);
 
@@ -65,7 +65,7 @@
     const Clock& m_clock;
     serving::Dispatcher& m_dispatcher;
     ConfigService& m_configs;
-    platform::Table& m_table;
+    store::Table& m_table;
     OperatorHooks m_hooks;
 };
 
--- a/src/foxtailwheel/daemon/OrderService.cpp
+++ b/src/foxtailwheel/daemon/OrderService.cpp
@@ -36,7 +36,7 @@
     std::set<BackendServerId> onTheirWay;
 };
 
-OrderService::OrderService(platform::Table& table, http::Client& client, const Clock& clock,
+OrderService::OrderService(store::Table& table, http::Client& client, const Clock& clock,
     serving::Dispatcher& dispatcher, telemetry::Metrics& metrics, InstanceId self)
     : m_table(table)
     , m_client(client)
@@ -77,14 +77,14 @@
         return;
     case control::LeaseStep::Read:
         pool->lease.beginRead();
-        m_table.read(pool->lease.key(), now + tableTimeout, [this, pool](const platform::ReadResult& result) {
+        m_table.read(pool->lease.key(), now + tableTimeout, [this, pool](const store::ReadResult& result) {
             const std::lock_guard inner(pool->mutex);
             pool->lease.onRead(result, m_clock.now());
         });
         return;
     case control::LeaseStep::Write:
         m_table.transact(
-            pool->lease.beginWrite(now), now + tableTimeout, [this, pool](const platform::TransactResult& result) {
+            pool->lease.beginWrite(now), now + tableTimeout, [this, pool](const store::TransactResult& result) {
                 const std::lock_guard inner(pool->mutex);
                 pool->lease.onWrite(result, m_clock.now());
             });
--- a/src/foxtailwheel/daemon/OrderService.h
+++ b/src/foxtailwheel/daemon/OrderService.h
@@ -3,7 +3,7 @@
 #include "foxtailwheel/base/Clock.h"
 #include "foxtailwheel/control/Lease.h"
 #include "foxtailwheel/http/Client.h"
-#include "foxtailwheel/platform/Table.h"
+#include "foxtailwheel/store/Table.h"
 #include "foxtailwheel/serving/Dispatcher.h"
 #include "foxtailwheel/telemetry/Metrics.h"
 
@@ -20,7 +20,7 @@
 /// harm.
 class OrderService {
 public:
-    OrderService(platform::Table& table, http::Client& client, const Clock& clock, serving::Dispatcher& dispatcher,
+    OrderService(store::Table& table, http::Client& client, const Clock& clock, serving::Dispatcher& dispatcher,
         telemetry::Metrics& metrics, InstanceId self);
 
     /// @brief Lets time pass; called once a second.
@@ -35,7 +35,7 @@
     void send(const std::shared_ptr<Pool>& pool, const config::Service& service, const config::BackendServer& server,
         FencingNumber fencing);
 
-    platform::Table& m_table;
+    store::Table& m_table;
     http::Client& m_client;
     const Clock& m_clock;
     serving::Dispatcher& m_dispatcher;
--- a/src/foxtailwheel/http/Client.cpp
+++ b/src/foxtailwheel/http/Client.cpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http.hpp>
 #include <map>
 #include <mutex>
+#include <netinet/tcp.h>
 #include <optional>
 #include <vector>
 
@@ -34,6 +35,12 @@
     constexpr std::size_t mostIdlePerServer = 64;
     constexpr Duration longestIdle = 10s;
     constexpr Duration connectLimit = 500ms;
+    /// Requests up to this size fit the socket's buffer and are written before the answer is awaited.
+    constexpr std::size_t smallRequestBytes = 8U << 10U;
+    /// A peer that went silent is found after about three seconds.
+    constexpr int probeIdleSeconds = 1;
+    constexpr int probeIntervalSeconds = 1;
+    constexpr int probeCount = 2;
 
     using Stream = beast::tcp_stream;
 
@@ -117,7 +124,9 @@
         net::awaitable<bool> connect();
         net::awaitable<CallResult> attempt();
         net::awaitable<bool> write();
+        net::awaitable<void> writeAside();
         net::awaitable<CallResult> read();
+        void setProbes();
         net::awaitable<boost::system::error_code> readBody(
             bhttp::response_parser<bhttp::buffer_body>& parser, std::string& body);
         CallResult ended(CallEnd end, std::string detail) const { return { end, {}, std::move(detail) }; }
@@ -132,6 +141,8 @@
         std::unique_ptr<Stream> m_stream;
         beast::flat_buffer m_buffer;
         std::atomic<bool> m_cancelled { false };
+        bhttp::request<bhttp::string_body> m_message;
+        bool m_writing = false;
         bool m_sent = false;
         bool m_reused = false;
         bool m_gotBytes = false;
@@ -172,30 +183,58 @@
         if (connectError)
             co_return false;
         m_stream->socket().set_option(tcp::no_delay(true), ec);
+        if (m_request.probes)
+            setProbes();
         co_return true;
     }
 
+    void PooledCall::setProbes()
+    {
+        boost::system::error_code ignored;
+        m_stream->socket().set_option(net::socket_base::keep_alive(true), ignored);
+        const auto handle = m_stream->socket().native_handle();
+        setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &probeIdleSeconds, sizeof probeIdleSeconds);
+        setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &probeIntervalSeconds, sizeof probeIntervalSeconds);
+        setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &probeCount, sizeof probeCount);
+    }
+
     net::awaitable<bool> PooledCall::write()
     {
         const auto& request = m_request.request;
-        bhttp::request<bhttp::string_body> message;
-        message.method_string(request.method);
-        message.target(request.target);
-        message.version(11);
-        message.set(bhttp::field::host, m_request.server.toString());
+        m_message = {};
+        m_message.method_string(request.method);
+        m_message.target(request.target);
+        m_message.version(11);
+        if (findHeader(request.headers, "Host").empty())
+            m_message.set(bhttp::field::host, m_request.server.toString());
         for (const auto& it : request.headers)
-            message.insert(it.name, it.value);
-        message.keep_alive(true);
-        message.body() = request.body;
-        message.prepare_payload();
+            m_message.insert(it.name, it.value);
+        m_message.keep_alive(true);
+        m_message.body() = request.body;
+        m_message.prepare_payload();
         if (!m_sent && m_events.onFirstByte)
             m_events.onFirstByte();
         m_sent = true;
         setExpiry(m_request.deadline);
-        auto [ec, n] = co_await bhttp::async_write(*m_stream, message, token);
+        if (request.body.size() > smallRequestBytes) {
+            m_writing = true;
+            net::co_spawn(
+                m_strand, [self = shared_from_this()]() -> net::awaitable<void> { co_await self->writeAside(); },
+                net::detached);
+            co_return true;
+        }
+        auto [ec, n] = co_await bhttp::async_write(*m_stream, m_message, token);
         co_return !ec;
     }
 
+    /// Writes while the answer is awaited: a server may answer before it has read the whole request.
+    net::awaitable<void> PooledCall::writeAside()
+    {
+        auto* stream = m_stream.get();
+        auto [ec, n] = co_await bhttp::async_write(*stream, m_message, token);
+        m_writing = static_cast<bool>(ec);
+    }
+
     net::awaitable<boost::system::error_code> PooledCall::readBody(
         bhttp::response_parser<bhttp::buffer_body>& parser, std::string& body)
     {
@@ -233,7 +272,7 @@
         const auto bodyError = co_await readBody(parser, result.response.body);
         if (bodyError)
             co_return failed(bodyError);
-        if (parser.keep_alive() && m_buffer.size() == 0 && !m_cancelled) {
+        if (parser.keep_alive() && m_buffer.size() == 0 && !m_cancelled && !m_writing && !m_request.newConnection) {
             m_stream->expires_never();
             m_pool->give(m_request.server, std::move(m_stream), m_clock.now());
         }
@@ -260,7 +299,7 @@
     net::awaitable<void> PooledCall::run()
     {
         auto result = co_await attempt();
-        const bool stale = m_reused && !m_gotBytes && result.end == CallEnd::Broken;
+        const bool stale = m_reused && !m_gotBytes && result.end == CallEnd::Broken && !m_writing;
         if (stale) {
             m_stream.reset();
             result = co_await attempt();
@@ -285,7 +324,8 @@
 
         std::shared_ptr<Call> start(CallRequest request, CallEvents events) override
         {
-            auto stream = request.idempotent ? m_idle->take(request.server, m_clock.now()) : nullptr;
+            const bool reuses = request.idempotent && !request.newConnection;
+            auto stream = reuses ? m_idle->take(request.server, m_clock.now()) : nullptr;
             net::any_io_executor strand
                 = stream ? stream->get_executor() : net::any_io_executor(net::make_strand(m_context));
             auto call = std::make_shared<PooledCall>(
--- a/src/foxtailwheel/http/IoPool.cpp
+++ b/src/foxtailwheel/http/IoPool.cpp
@@ -18,6 +18,7 @@
         : context(static_cast<int>(n))
         , guard(net::make_work_guard(context))
         , signals(context)
+        , reloadSignals(context)
     {
     }
 
@@ -31,10 +32,22 @@
         });
     }
 
+    void awaitReload()
+    {
+        reloadSignals.async_wait([this](const boost::system::error_code& ec, int /*signal*/) {
+            if (ec)
+                return;
+            onReload();
+            awaitReload();
+        });
+    }
+
     net::io_context context;
     net::executor_work_guard<net::io_context::executor_type> guard;
     net::signal_set signals;
+    net::signal_set reloadSignals;
     std::function<void(int)> onSignal;
+    std::function<void()> onReload;
     int signalCount = 0;
     std::vector<std::thread> threads;
 };
@@ -80,6 +93,13 @@
     m_impl->awaitSignal();
 }
 
+void IoPool::onReload(std::function<void()> work)
+{
+    m_impl->onReload = std::move(work);
+    m_impl->reloadSignals.add(SIGHUP);
+    m_impl->awaitReload();
+}
+
 void IoPool::stop()
 {
     m_impl->guard.reset();
--- a/src/foxtailwheel/http/Server.cpp
+++ b/src/foxtailwheel/http/Server.cpp
@@ -34,6 +34,32 @@
         std::atomic<std::size_t> inProgress { 0 };
         std::atomic<std::size_t> connections { 0 };
         std::atomic<bool> closing { false };
+        std::atomic<bool> closingAnswers { false };
+    };
+
+    /// Limits as they stand now, shared by the connections.
+    class LimitsNow {
+    public:
+        explicit LimitsNow(const ServerLimits& limits)
+            : m_limits(limits)
+        {
+        }
+
+        ServerLimits get() const
+        {
+            const std::lock_guard lock(m_mutex);
+            return m_limits;
+        }
+
+        void set(const ServerLimits& limits)
+        {
+            const std::lock_guard lock(m_mutex);
+            m_limits = limits;
+        }
+
+    private:
+        mutable std::mutex m_mutex;
+        ServerLimits m_limits;
     };
 
     enum class PartKind { Whole, Head, Chunk, End, Abort };
@@ -150,13 +176,34 @@
             "{\"outcome\":\"not_run\",\"reason\":\"" + code + "\"}" };
     }
 
+    struct FramingFault {
+        unsigned status = 400;
+        std::string code;
+    };
+
+    /// Finds what would let two readers of a request disagree about its end or its host (RFC 9112).
+    std::optional<FramingFault> framingFault(const beast::http::request<beast::http::string_body>& message)
+    {
+        namespace bhttp = beast::http;
+        if (message.version() >= 11 && message.count(bhttp::field::host) != 1)
+            return FramingFault { 400, "host_missing_or_repeated" };
+        const auto codings = message.count(bhttp::field::transfer_encoding);
+        if (codings > 0 && message.count(bhttp::field::content_length) > 0)
+            return FramingFault { 400, "length_and_transfer_encoding" };
+        if (codings > 1 || (codings == 1 && !beast::iequals(message[bhttp::field::transfer_encoding], "chunked")))
+            return FramingFault { message.chunked() ? 501U : 400U, "unknown_transfer_encoding" };
+        return std::nullopt;
+    }
+
     /// One connection of a caller.
     class Connection : public std::enable_shared_from_this<Connection> {
     public:
-        Connection(tcp::socket socket, const ServerOptions& options, Handler handler, std::shared_ptr<Counts> counts)
+        Connection(tcp::socket socket, const ServerOptions& options, std::shared_ptr<const LimitsNow> limits,
+            Handler handler, std::shared_ptr<Counts> counts)
             : m_stream(std::move(socket))
             , m_timer(m_stream.get_executor())
             , m_options(options)
+            , m_limitsNow(std::move(limits))
             , m_handler(std::move(handler))
             , m_counts(std::move(counts))
         {
@@ -171,7 +218,7 @@
     private:
         net::awaitable<std::optional<Request>> readRequest(bool& keepAlive, bool first);
         net::awaitable<bool> sendWhole(Response response, bool keepAlive);
-        net::awaitable<bool> sendHead(Response response);
+        net::awaitable<bool> sendHead(Response response, bool keepAlive);
         net::awaitable<bool> sendChunk(std::string chunk);
         net::awaitable<bool> sendEnd();
         net::awaitable<bool> answer(const std::shared_ptr<Exchange>& exchange, bool keepAlive);
@@ -186,6 +233,7 @@
         std::uint64_t m_limits = 0;
         beast::flat_buffer m_buffer;
         const ServerOptions& m_options;
+        std::shared_ptr<const LimitsNow> m_limitsNow;
         Handler m_handler;
         std::shared_ptr<Counts> m_counts;
         std::weak_ptr<Exchange> m_current;
@@ -261,15 +309,21 @@
     {
         namespace bhttp = beast::http;
         bhttp::request_parser<bhttp::string_body> parser;
-        parser.header_limit(m_options.maxHeaderBytes);
-        parser.body_limit(m_options.maxBodyBytes);
-        limit(first ? m_options.headerTimeout : m_options.idleTimeout);
+        const auto limits = m_limitsNow->get();
+        parser.header_limit(limits.maxHeaderBytes);
+        parser.body_limit(limits.maxBodyBytes);
+        limit(first ? limits.headerTimeout : limits.idleTimeout);
         auto [headerError, headerBytes] = co_await bhttp::async_read_header(m_stream, m_buffer, parser, token);
         if (headerError) {
             co_await refuse(headerError, false);
             co_return std::nullopt;
         }
-        limit(m_options.bodyTimeout);
+        if (const auto fault = framingFault(parser.get())) {
+            endLimit();
+            co_await sendWhole(plainError(fault->status, fault->code), false);
+            co_return std::nullopt;
+        }
+        limit(limits.bodyTimeout);
         auto [bodyError, bodyBytes] = co_await bhttp::async_read(m_stream, m_buffer, parser, token);
         if (bodyError) {
             co_await refuse(bodyError, true);
@@ -299,12 +353,13 @@
         co_return !ec;
     }
 
-    net::awaitable<bool> Connection::sendHead(Response response)
+    net::awaitable<bool> Connection::sendHead(Response response, bool keepAlive)
     {
         namespace bhttp = beast::http;
         bhttp::response<bhttp::empty_body> message { static_cast<bhttp::status>(response.status), 11 };
         for (const auto& it : response.headers)
             message.insert(it.name, it.value);
+        message.keep_alive(keepAlive);
         message.chunked(true);
         bhttp::response_serializer<bhttp::empty_body> serializer(message);
         m_stream.expires_after(m_options.writeTimeout);
@@ -334,10 +389,12 @@
             auto part = co_await exchange->next();
             switch (part.kind) {
             case PartKind::Whole:
+                keepAlive = keepAlive && !m_counts->closing && !m_counts->closingAnswers;
                 usable = co_await sendWhole(std::move(part.response), keepAlive);
                 co_return usable&& keepAlive;
             case PartKind::Head:
-                usable = co_await sendHead(std::move(part.response));
+                keepAlive = keepAlive && !m_counts->closing && !m_counts->closingAnswers;
+                usable = co_await sendHead(std::move(part.response), keepAlive);
                 break;
             case PartKind::Chunk:
                 usable = co_await sendChunk(std::move(part.chunk));
@@ -367,7 +424,7 @@
             m_current = exchange;
             watch();
             m_handler(std::move(*request), exchange);
-            usable = co_await answer(exchange, keepAlive && !m_counts->closing);
+            usable = co_await answer(exchange, keepAlive);
             m_current.reset();
             exchange->leave();
             --m_counts->inProgress;
@@ -383,6 +440,7 @@
         : context(ioContext)
         , acceptor(net::make_strand(ioContext))
         , options(std::move(o))
+        , limits(std::make_shared<LimitsNow>(options))
         , handler(std::move(h))
     {
     }
@@ -393,6 +451,7 @@
     net::io_context& context;
     tcp::acceptor acceptor;
     ServerOptions options;
+    std::shared_ptr<LimitsNow> limits;
     Handler handler;
     std::shared_ptr<Counts> counts = std::make_shared<Counts>();
 };
@@ -421,7 +480,7 @@
         if (ec || counts->connections >= options.maxConnections)
             continue;
         const auto executor = socket.get_executor();
-        auto connection = std::make_shared<Connection>(std::move(socket), options, handler, counts);
+        auto connection = std::make_shared<Connection>(std::move(socket), options, limits, handler, counts);
         // The options live in this object, which each connection keeps alive.
         net::co_spawn(
             executor,
@@ -465,6 +524,16 @@
     });
 }
 
+void Server::closeAfterAnswers()
+{
+    m_impl->counts->closingAnswers = true;
+}
+
+void Server::setLimits(const ServerLimits& limits)
+{
+    m_impl->limits->set(limits);
+}
+
 std::size_t Server::inProgress() const
 {
     return m_impl->counts->inProgress;
--- a/src/foxtailwheel/routing/ServerPool.cpp
+++ b/src/foxtailwheel/routing/ServerPool.cpp
@@ -31,6 +31,9 @@
     constexpr double roamSlope = 5;
     /// Share of the call time that a cached prefix saves.
     constexpr double prefixSaving = 0.35;
+    /// A server keeps its affine calls up to this multiple of the mean load, and this many calls above it.
+    constexpr double affinityLoadFactor = 1.5;
+    constexpr double affinityLoadSlack = 6;
 
     struct Server {
         config::BackendServer declared;
@@ -64,6 +67,9 @@
     double busyShare() const;
     Candidate candidateOf(std::size_t place, const PlacementRequest& request, TimePoint now) const;
     void collect(const PlacementRequest& request, bool avoiding, TimePoint now);
+    void keepZone(const AvailabilityZoneId& zone);
+    std::size_t pick(const PlacementRequest& request, TimePoint now);
+    std::size_t pickAffine(std::uint64_t affinity, TimePoint now) const;
     Server* find(const BackendServerId& id);
     void learn(Server& server, double seconds, TimePoint now);
 
@@ -165,11 +171,49 @@
         const bool usable = request.careful ? !server.health.suspected() : server.health.usable(now, server.load.own());
         const bool avoided = avoiding
             && std::find(request.avoid.begin(), request.avoid.end(), server.declared.id) != request.avoid.end();
-        if (usable && !avoided)
+        const bool full = request.mostOwnCalls && server.load.own() >= *request.mostOwnCalls;
+        if (usable && !avoided && !full)
             candidates.push_back(candidateOf(place, request, now));
     }
 }
 
+/// Leaves only the candidates in `zone`, where there is one.
+void ServerPool::Impl::keepZone(const AvailabilityZoneId& zone)
+{
+    const auto there = [&](const Candidate& it) { return servers[it.server].declared.zone == zone; };
+    if (std::any_of(candidates.begin(), candidates.end(), there))
+        std::erase_if(candidates, [&](const Candidate& it) { return !there(it); });
+}
+
+std::size_t ServerPool::Impl::pick(const PlacementRequest& request, TimePoint now)
+{
+    if (request.affinity)
+        return pickAffine(*request.affinity, now);
+    return candidates[policy->pick(candidates, random)].server;
+}
+
+/// Rendezvous hashing with bounded loads: the highest weight wins unless the server has far more than the mean load.
+std::size_t ServerPool::Impl::pickAffine(std::uint64_t affinity, TimePoint now) const
+{
+    double mean = 0;
+    for (const auto& it : candidates)
+        mean += loadAt(servers[it.server], now) / static_cast<double>(candidates.size());
+    const double bound = affinityLoadFactor * mean + affinityLoadSlack;
+    std::size_t best = candidates.front().server;
+    std::uint64_t bestWeight = 0;
+    bool bestFits = false;
+    for (const auto& it : candidates) {
+        const bool fits = loadAt(servers[it.server], now) <= bound;
+        const auto weight = hashOf(servers[it.server].declared.id.value(), affinity);
+        if (std::pair(fits, weight) > std::pair(bestFits, bestWeight)) {
+            best = it.server;
+            bestWeight = weight;
+            bestFits = fits;
+        }
+    }
+    return best;
+}
+
 Server* ServerPool::Impl::find(const BackendServerId& id)
 {
     const auto it = places.find(id);
@@ -237,12 +281,15 @@
         m_impl->collect(request, false, now);
     if (m_impl->candidates.empty())
         return std::nullopt;
-    const auto& picked = m_impl->candidates[m_impl->policy->pick(m_impl->candidates, m_impl->random)];
-    auto& server = m_impl->servers[picked.server];
+    if (request.zone)
+        m_impl->keepZone(*request.zone);
+    const auto place = m_impl->pick(request, now);
+    auto& server = m_impl->servers[place];
+    const double expected = m_impl->candidateOf(place, request, now).expectedSeconds;
     server.load.started(now);
     if (request.prefix)
         server.prefixes.used(*request.prefix);
-    return Placement { server.declared, server.linkCost, fromSeconds(picked.expectedSeconds), !server.isLocal };
+    return Placement { server.declared, server.linkCost, fromSeconds(expected), !server.isLocal };
 }
 
 void ServerPool::ended(const BackendServerId& id, const CallReport& report, TimePoint now)
--- /dev/null
+++ b/src/foxtailwheel/serving/ServerDirectory.cpp
@@ -0,0 +1,118 @@
+#include "ServerDirectory.h"
+
+#include <algorithm>
+
+namespace foxtailwheel::serving {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    /// Time of a plain call until it is measured.
+    constexpr Duration typicalCallTime = 20ms;
+
+} // namespace
+
+ServerDirectory::ServerDirectory(const ForwarderOptions& options, std::function<CallId()> newCall)
+    : m_options(options)
+    , m_newCall(std::move(newCall))
+{
+}
+
+config::Service ServerDirectory::declared(
+    const config::RoutedService& service, const std::vector<AnnouncedServer>& servers) const
+{
+    config::Service out;
+    out.id = service.id;
+    out.kind = service.promptRoomTokens > 0 ? config::ServiceKind::ModelEngine : config::ServiceKind::Plain;
+    out.typicalTime = service.batch ? service.batch->callTime + service.batch->pieceTime : typicalCallTime;
+    out.concurrency = service.batch ? service.batch->slots : service.slots;
+    for (const auto& it : servers) {
+        out.servers.push_back(it.server);
+        if (out.concurrency == 0)
+            out.concurrency = it.slots;
+    }
+    out.concurrency = std::max(1U, out.concurrency);
+    return out;
+}
+
+config::Declarations ServerDirectory::links(const std::vector<AnnouncedServer>& servers) const
+{
+    config::Declarations out;
+    const auto& own = m_options.pools.zone;
+    for (const auto& it : servers) {
+        if (it.server.zone != own && out.findLink(own, it.server.zone) == nullptr)
+            out.links.push_back({ own, it.server.zone, m_options.crossZoneDelay, {} });
+    }
+    return out;
+}
+
+ServiceState ServerDirectory::make(const config::RoutedService& service) const
+{
+    auto pool = routing::ServerPool::create(declared(service, {}), {}, m_options.pools);
+    limits::WindowBudget budget(m_options.retryShare, m_options.retryExtra, m_options.retryWindow);
+    budget.setInstances(m_instances);
+    std::unique_ptr<BatchQueue> batches;
+    if (service.batch) {
+        batches = std::make_unique<BatchQueue>(*service.batch, *pool, m_newCall);
+        batches->setShare(1.0 / static_cast<double>(m_instances));
+    }
+    return { std::move(pool), std::move(budget), std::move(batches), {} };
+}
+
+void ServerDirectory::refresh(const config::RoutedService& service, ServiceState& state)
+{
+    const auto& servers = m_announced[service.id];
+    state.announced = servers;
+    state.pool->update(declared(service, servers), links(servers));
+    std::set<BackendServerId> leaving;
+    for (const auto& it : servers) {
+        if (it.leaving)
+            leaving.insert(it.server.id);
+    }
+    state.pool->setLeaving(leaving);
+    if (state.batches && service.batch)
+        state.batches->setLimits(*service.batch);
+}
+
+void ServerDirectory::configure(const config::RouteTable& table)
+{
+    // A service that was dropped keeps its state: requests of the configuration before may still use it.
+    for (const auto& it : table.services) {
+        m_declared[it.id] = it;
+        auto found = m_services.find(it.id);
+        if (found == m_services.end())
+            found = m_services.emplace(it.id, make(it)).first;
+        refresh(it, found->second);
+    }
+}
+
+void ServerDirectory::setServers(const std::vector<AnnouncedServer>& servers)
+{
+    std::map<ServiceId, std::vector<AnnouncedServer>> byService;
+    for (const auto& it : servers)
+        byService[it.service].push_back(it);
+    std::swap(m_announced, byService);
+    for (auto& [id, state] : m_services) {
+        if (m_announced[id] != state.announced)
+            refresh(m_declared.at(id), state);
+    }
+}
+
+void ServerDirectory::setInstances(std::size_t n)
+{
+    m_instances = std::max<std::size_t>(1, n);
+    for (auto& it : m_services) {
+        it.second.budget.setInstances(m_instances);
+        if (it.second.batches)
+            it.second.batches->setShare(1.0 / static_cast<double>(m_instances));
+    }
+}
+
+ServiceState* ServerDirectory::find(const ServiceId& id)
+{
+    const auto it = m_services.find(id);
+    return it == m_services.end() ? nullptr : &it->second;
+}
+
+} // namespace foxtailwheel::serving
--- a/src/foxtailwheel/platform/Breaker.cpp
+++ b/src/foxtailwheel/store/Breaker.cpp
@@ -1,8 +1,8 @@
-#include "foxtailwheel/platform/Breaker.h"
+#include "foxtailwheel/store/Breaker.h"
 
 #include <algorithm>
 
-namespace foxtailwheel::platform {
+namespace foxtailwheel::store {
 
 namespace {
 
@@ -43,4 +43,4 @@
     m_tryAt = now + fromSeconds(toSeconds(m_pause) * (0.5 + m_random.uniform() / 2));
 }
 
-} // namespace foxtailwheel::platform
+} // namespace foxtailwheel::store
--- a/src/foxtailwheel/platform/InstanceListClient.cpp
+++ b/src/foxtailwheel/store/InstanceListClient.cpp
@@ -1,8 +1,8 @@
-#include "foxtailwheel/platform/Clients.h"
+#include "foxtailwheel/store/Clients.h"
 
 #include "foxtailwheel/base/Json.h"
 
-namespace foxtailwheel::platform {
+namespace foxtailwheel::store {
 
 namespace {
 
@@ -74,4 +74,4 @@
     return std::make_unique<HttpInstanceList>(client, std::move(server));
 }
 
-} // namespace foxtailwheel::platform
+} // namespace foxtailwheel::store
--- a/src/foxtailwheel/platform/TableClient.cpp
+++ b/src/foxtailwheel/store/TableClient.cpp
@@ -1,10 +1,10 @@
 #include "foxtailwheel/base/Json.h"
-#include "foxtailwheel/platform/Breaker.h"
-#include "foxtailwheel/platform/Clients.h"
+#include "foxtailwheel/store/Breaker.h"
+#include "foxtailwheel/store/Clients.h"
 
 #include <mutex>
 
-namespace foxtailwheel::platform {
+namespace foxtailwheel::store {
 
 namespace {
 
@@ -148,4 +148,4 @@
     return std::make_unique<HttpTable>(client, clock, std::move(server), seed);
 }
 
-} // namespace foxtailwheel::platform
+} // namespace foxtailwheel::store
--- a/src/foxtailwheel/telemetry/Log.cpp
+++ b/src/foxtailwheel/telemetry/Log.cpp
@@ -31,7 +31,7 @@
 
 } // namespace
 
-std::string formatLine(std::string_view event, Fields fields)
+std::string formatLine(std::string_view event, std::span<const Field> fields)
 {
     std::string line = "event=" + std::string(event);
     for (const auto& it : fields)
@@ -42,7 +42,7 @@
 void configureLog(const std::string& level)
 {
     static const log4cplus::Initializer initializer;
-    const log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    const log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(false, true));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>("time=%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p %m%n"));
     auto root = rootLogger();
     root.removeAllAppenders();
@@ -59,22 +59,27 @@
 
 void logError(std::string_view event, Fields fields)
 {
-    LOG4CPLUS_ERROR(rootLogger(), formatLine(event, fields));
+    LOG4CPLUS_ERROR(rootLogger(), formatLine(event, { fields.begin(), fields.size() }));
 }
 
 void logWarning(std::string_view event, Fields fields)
 {
-    LOG4CPLUS_WARN(rootLogger(), formatLine(event, fields));
+    LOG4CPLUS_WARN(rootLogger(), formatLine(event, { fields.begin(), fields.size() }));
 }
 
 void logInfo(std::string_view event, Fields fields)
+{
+    LOG4CPLUS_INFO(rootLogger(), formatLine(event, { fields.begin(), fields.size() }));
+}
+
+void logInfoFields(std::string_view event, std::span<const Field> fields)
 {
     LOG4CPLUS_INFO(rootLogger(), formatLine(event, fields));
 }
 
 void logDebug(std::string_view event, Fields fields)
 {
-    LOG4CPLUS_DEBUG(rootLogger(), formatLine(event, fields));
+    LOG4CPLUS_DEBUG(rootLogger(), formatLine(event, { fields.begin(), fields.size() }));
 }
 
 } // namespace foxtailwheel::telemetry
--- a/src/foxtailwheel/testing/FaultWorld.cpp
+++ b/src/foxtailwheel/testing/FaultWorld.cpp
@@ -64,41 +64,41 @@
 };
 
 /// Table with faults: answers lost before and after the write, writes that land late, refusals.
-class FaultWorld::FakeTable final : public platform::Table {
+class FaultWorld::FakeTable final : public store::Table {
 public:
     explicit FakeTable(FaultWorld& world)
         : m_world(world)
     {
     }
 
-    void transact(platform::Transaction transaction, TimePoint deadline,
-        std::function<void(platform::TransactResult)> done) override;
-    void read(std::string key, TimePoint deadline, std::function<void(platform::ReadResult)> done) override;
-    void scan(std::string, std::string, std::size_t, TimePoint, std::function<void(platform::ReadResult)> done) override
+    void transact(store::Transaction transaction, TimePoint deadline,
+        std::function<void(store::TransactResult)> done) override;
+    void read(std::string key, TimePoint deadline, std::function<void(store::ReadResult)> done) override;
+    void scan(std::string, std::string, std::size_t, TimePoint, std::function<void(store::ReadResult)> done) override
     {
         done({});
     }
 
 private:
-    platform::TransactResult apply(const platform::Transaction& transaction);
+    store::TransactResult apply(const store::Transaction& transaction);
 
     FaultWorld& m_world;
-    std::map<std::string, platform::Row> m_rows;
+    std::map<std::string, store::Row> m_rows;
 };
 
-platform::TransactResult FaultWorld::FakeTable::apply(const platform::Transaction& transaction)
+store::TransactResult FaultWorld::FakeTable::apply(const store::Transaction& transaction)
 {
-    platform::TransactResult result { platform::TransactEnd::Applied, {} };
+    store::TransactResult result { store::TransactEnd::Applied, {} };
     for (const auto& it : transaction.conditions) {
         const auto found = m_rows.find(it.key);
         const std::uint64_t version = found == m_rows.end() ? 0 : found->second.version;
         if (version == it.version.value_or(0))
             continue;
-        result.end = platform::TransactEnd::ConditionFailed;
+        result.end = store::TransactEnd::ConditionFailed;
         if (found != m_rows.end())
             result.conflicts.push_back(found->second);
     }
-    if (result.end != platform::TransactEnd::Applied)
+    if (result.end != store::TransactEnd::Applied)
         return result;
     for (const auto& it : transaction.writes) {
         if (!it.value) {
@@ -112,7 +112,7 @@
 }
 
 void FaultWorld::FakeTable::transact(
-    platform::Transaction transaction, TimePoint deadline, std::function<void(platform::TransactResult)> done)
+    store::Transaction transaction, TimePoint deadline, std::function<void(store::TransactResult)> done)
 {
     auto& random = m_world.m_random;
     const auto wait = std::max<Duration>(deadline - m_world.m_clock.now(), 1ms);
@@ -125,17 +125,17 @@
         const auto delay = random.chance(0.5) ? m_world.someTime(0.005) : wait + m_world.someTime(0.5);
         if (lands)
             m_world.later(tableInstance, delay, [this, transaction] { apply(transaction); });
-        m_world.later(tableInstance, wait, [done] { done({ platform::TransactEnd::Ambiguous, {} }); });
+        m_world.later(tableInstance, wait, [done] { done({ store::TransactEnd::Ambiguous, {} }); });
         return;
     }
     m_world.later(tableInstance, m_world.someTime(0.005), [this, transaction, done] { done(apply(transaction)); });
 }
 
-void FaultWorld::FakeTable::read(std::string key, TimePoint, std::function<void(platform::ReadResult)> done)
+void FaultWorld::FakeTable::read(std::string key, TimePoint, std::function<void(store::ReadResult)> done)
 {
     const bool answers = !m_world.m_random.chance(m_world.m_rates.tableDown);
     m_world.later(tableInstance, m_world.someTime(0.005), [this, key, done, answers] {
-        platform::ReadResult result { answers, {} };
+        store::ReadResult result { answers, {} };
         const auto it = m_rows.find(key);
         if (answers && it != m_rows.end())
             result.rows.push_back(it->second);
--- a/src/foxtailwheel/testing/FaultWorld.h
+++ b/src/foxtailwheel/testing/FaultWorld.h
@@ -3,7 +3,7 @@
 #include "foxtailwheel/base/Clock.h"
 #include "foxtailwheel/base/Random.h"
 #include "foxtailwheel/control/ClaimKeeper.h"
-#include "foxtailwheel/platform/Table.h"
+#include "foxtailwheel/store/Table.h"
 #include "foxtailwheel/serving/Dispatcher.h"
 
 #include <functional>
