--- a/include/foxtailwheel/daemon/ForwardService.h
+++ b/include/foxtailwheel/daemon/ForwardService.h
@@ -8,7 +8,10 @@
 #include "foxtailwheel/serving/Forwarder.h"
 #include "foxtailwheel/telemetry/Metrics.h"
 
+#include <functional>
 #include <memory>
+#include <set>
+#include <vector>
 
 namespace foxtailwheel::daemon {
 
@@ -32,8 +35,12 @@
     void setServers(const std::vector<serving::AnnouncedServer>& servers);
     /// @brief The credentials in force were current at `asOf`.
     void confirmCredentials(TimePoint asOf);
-    /// @brief Sets the number of live instances, this one included.
-    void setInstances(std::size_t n);
+    /// @brief Takes the live instances, this one included, and those that are gone.
+    void setMembers(const std::vector<InstanceId>& live, const std::set<InstanceId>& gone);
+    /// @brief Another instance has said something about pieces.
+    void onPeer(const InstanceId& from, const serving::PieceMessage& message);
+    /// @brief Sets how messages to other instances are sent.
+    void setTell(std::function<void(const InstanceId&, const serving::PieceMessage&)> tell);
     serving::ForwarderStatus status() const;
 
 private:
--- a/include/foxtailwheel/peer/Message.h
+++ b/include/foxtailwheel/peer/Message.h
@@ -3,6 +3,7 @@
 #include "foxtailwheel/base/Error.h"
 #include "foxtailwheel/config/Patch.h"
 #include "foxtailwheel/membership/Member.h"
+#include "foxtailwheel/serving/PieceBroker.h"
 
 #include <cstdint>
 #include <span>
@@ -54,8 +55,17 @@
     friend bool operator==(const Allowance&, const Allowance&) = default;
 };
 
+/// @brief What an instance tells another about pieces.
+struct PieceNews {
+    membership::Member sender;
+    serving::PieceMessage news;
+
+    friend bool operator==(const PieceNews&, const PieceNews&) = default;
+};
+
 /// @brief Any message between instances.
-using Message = std::variant<membership::Ping, membership::Ack, ConfigRequest, ConfigReply, Demand, Allowance>;
+using Message
+    = std::variant<membership::Ping, membership::Ack, ConfigRequest, ConfigReply, Demand, Allowance, PieceNews>;
 
 /// @brief Most bytes of one encoded message.
 constexpr std::size_t largestMessageBytes = 20U << 20U;
--- a/include/foxtailwheel/peer/Messages_generated.h
+++ b/include/foxtailwheel/peer/Messages_generated.h
@@ -50,6 +50,24 @@
 struct Allowance;
 struct AllowanceBuilder;
 
+struct Piece;
+struct PieceBuilder;
+
+struct PiecesAsked;
+struct PiecesAskedBuilder;
+
+struct PiecesTaken;
+struct PiecesTakenBuilder;
+
+struct PiecesCancelled;
+struct PiecesCancelledBuilder;
+
+struct PieceMade;
+struct PieceMadeBuilder;
+
+struct PiecesMade;
+struct PiecesMadeBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -61,11 +79,15 @@
   ConfigReply = 4,
   Demand = 5,
   Allowance = 6,
+  PiecesAsked = 7,
+  PiecesTaken = 8,
+  PiecesCancelled = 9,
+  PiecesMade = 10,
   MIN = NONE,
-  MAX = Allowance
+  MAX = PiecesMade
 };
 
-inline const Body (&EnumValuesBody())[7] {
+inline const Body (&EnumValuesBody())[11] {
   static const Body values[] = {
     Body::NONE,
     Body::Ping,
@@ -73,13 +95,17 @@
     Body::ConfigRequest,
     Body::ConfigReply,
     Body::Demand,
-    Body::Allowance
+    Body::Allowance,
+    Body::PiecesAsked,
+    Body::PiecesTaken,
+    Body::PiecesCancelled,
+    Body::PiecesMade
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[8] = {
+  static const char * const names[12] = {
     "NONE",
     "Ping",
     "Ack",
@@ -87,13 +113,17 @@
     "ConfigReply",
     "Demand",
     "Allowance",
+    "PiecesAsked",
+    "PiecesTaken",
+    "PiecesCancelled",
+    "PiecesMade",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::Allowance)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::PiecesMade)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -126,6 +156,22 @@
   static const Body enum_value = Body::Allowance;
 };
 
+template<> struct BodyTraits<foxtailwheel::peer::wire::PiecesAsked> {
+  static const Body enum_value = Body::PiecesAsked;
+};
+
+template<> struct BodyTraits<foxtailwheel::peer::wire::PiecesTaken> {
+  static const Body enum_value = Body::PiecesTaken;
+};
+
+template<> struct BodyTraits<foxtailwheel::peer::wire::PiecesCancelled> {
+  static const Body enum_value = Body::PiecesCancelled;
+};
+
+template<> struct BodyTraits<foxtailwheel::peer::wire::PiecesMade> {
+  static const Body enum_value = Body::PiecesMade;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -1010,6 +1056,583 @@
       rates__);
 }
 
+struct Piece FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PieceBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST = 4,
+    VT_STAGE = 6,
+    VT_INDEX = 8,
+    VT_KEY = 10,
+    VT_INPUTS = 12
+  };
+  const flatbuffers::String *request() const {
+    return GetPointer<const flatbuffers::String *>(VT_REQUEST);
+  }
+  uint32_t stage() const {
+    return GetField<uint32_t>(VT_STAGE, 0);
+  }
+  uint32_t index() const {
+    return GetField<uint32_t>(VT_INDEX, 0);
+  }
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *inputs() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_INPUTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_REQUEST) &&
+           verifier.VerifyString(request()) &&
+           VerifyField<uint32_t>(verifier, VT_STAGE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyOffset(verifier, VT_INPUTS) &&
+           verifier.VerifyVector(inputs()) &&
+           verifier.VerifyVectorOfStrings(inputs()) &&
+           verifier.EndTable();
+  }
+};
+
+struct PieceBuilder {
+  typedef Piece Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request(flatbuffers::Offset<flatbuffers::String> request) {
+    fbb_.AddOffset(Piece::VT_REQUEST, request);
+  }
+  void add_stage(uint32_t stage) {
+    fbb_.AddElement<uint32_t>(Piece::VT_STAGE, stage, 0);
+  }
+  void add_index(uint32_t index) {
+    fbb_.AddElement<uint32_t>(Piece::VT_INDEX, index, 0);
+  }
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(Piece::VT_KEY, key);
+  }
+  void add_inputs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> inputs) {
+    fbb_.AddOffset(Piece::VT_INPUTS, inputs);
+  }
+  explicit PieceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Piece> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Piece>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Piece> CreatePiece(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> request = 0,
+    uint32_t stage = 0,
+    uint32_t index = 0,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> inputs = 0) {
+  PieceBuilder builder_(_fbb);
+  builder_.add_inputs(inputs);
+  builder_.add_key(key);
+  builder_.add_index(index);
+  builder_.add_stage(stage);
+  builder_.add_request(request);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Piece> CreatePieceDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *request = nullptr,
+    uint32_t stage = 0,
+    uint32_t index = 0,
+    const char *key = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *inputs = nullptr) {
+  auto request__ = request ? _fbb.CreateString(request) : 0;
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto inputs__ = inputs ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*inputs) : 0;
+  return foxtailwheel::peer::wire::CreatePiece(
+      _fbb,
+      request__,
+      stage,
+      index,
+      key__,
+      inputs__);
+}
+
+struct PiecesAsked FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PiecesAskedBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SENDER = 4,
+    VT_GROUP = 6,
+    VT_SERVICE = 8,
+    VT_PIECES = 10,
+    VT_PRIORITY = 12,
+    VT_GOAL_US = 14,
+    VT_LEFT_US = 16,
+    VT_ZONE = 18,
+    VT_AGAIN = 20
+  };
+  const foxtailwheel::peer::wire::Member *sender() const {
+    return GetPointer<const foxtailwheel::peer::wire::Member *>(VT_SENDER);
+  }
+  uint64_t group() const {
+    return GetField<uint64_t>(VT_GROUP, 0);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::Piece>> *pieces() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::Piece>> *>(VT_PIECES);
+  }
+  uint32_t priority() const {
+    return GetField<uint32_t>(VT_PRIORITY, 0);
+  }
+  int64_t goal_us() const {
+    return GetField<int64_t>(VT_GOAL_US, 0);
+  }
+  int64_t left_us() const {
+    return GetField<int64_t>(VT_LEFT_US, 0);
+  }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  bool again() const {
+    return GetField<uint8_t>(VT_AGAIN, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SENDER) &&
+           verifier.VerifyTable(sender()) &&
+           VerifyField<uint64_t>(verifier, VT_GROUP, 8) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_PIECES) &&
+           verifier.VerifyVector(pieces()) &&
+           verifier.VerifyVectorOfTables(pieces()) &&
+           VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
+           VerifyField<int64_t>(verifier, VT_GOAL_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_LEFT_US, 8) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<uint8_t>(verifier, VT_AGAIN, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct PiecesAskedBuilder {
+  typedef PiecesAsked Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sender(flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender) {
+    fbb_.AddOffset(PiecesAsked::VT_SENDER, sender);
+  }
+  void add_group(uint64_t group) {
+    fbb_.AddElement<uint64_t>(PiecesAsked::VT_GROUP, group, 0);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(PiecesAsked::VT_SERVICE, service);
+  }
+  void add_pieces(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::Piece>>> pieces) {
+    fbb_.AddOffset(PiecesAsked::VT_PIECES, pieces);
+  }
+  void add_priority(uint32_t priority) {
+    fbb_.AddElement<uint32_t>(PiecesAsked::VT_PRIORITY, priority, 0);
+  }
+  void add_goal_us(int64_t goal_us) {
+    fbb_.AddElement<int64_t>(PiecesAsked::VT_GOAL_US, goal_us, 0);
+  }
+  void add_left_us(int64_t left_us) {
+    fbb_.AddElement<int64_t>(PiecesAsked::VT_LEFT_US, left_us, 0);
+  }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(PiecesAsked::VT_ZONE, zone);
+  }
+  void add_again(bool again) {
+    fbb_.AddElement<uint8_t>(PiecesAsked::VT_AGAIN, static_cast<uint8_t>(again), 0);
+  }
+  explicit PiecesAskedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PiecesAsked> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PiecesAsked>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PiecesAsked> CreatePiecesAsked(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender = 0,
+    uint64_t group = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::Piece>>> pieces = 0,
+    uint32_t priority = 0,
+    int64_t goal_us = 0,
+    int64_t left_us = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    bool again = false) {
+  PiecesAskedBuilder builder_(_fbb);
+  builder_.add_left_us(left_us);
+  builder_.add_goal_us(goal_us);
+  builder_.add_group(group);
+  builder_.add_zone(zone);
+  builder_.add_priority(priority);
+  builder_.add_pieces(pieces);
+  builder_.add_service(service);
+  builder_.add_sender(sender);
+  builder_.add_again(again);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PiecesAsked> CreatePiecesAskedDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender = 0,
+    uint64_t group = 0,
+    const char *service = nullptr,
+    const std::vector<flatbuffers::Offset<foxtailwheel::peer::wire::Piece>> *pieces = nullptr,
+    uint32_t priority = 0,
+    int64_t goal_us = 0,
+    int64_t left_us = 0,
+    const char *zone = nullptr,
+    bool again = false) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto pieces__ = pieces ? _fbb.CreateVector<flatbuffers::Offset<foxtailwheel::peer::wire::Piece>>(*pieces) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  return foxtailwheel::peer::wire::CreatePiecesAsked(
+      _fbb,
+      sender,
+      group,
+      service__,
+      pieces__,
+      priority,
+      goal_us,
+      left_us,
+      zone__,
+      again);
+}
+
+struct PiecesTaken FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PiecesTakenBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SENDER = 4,
+    VT_GROUP = 6,
+    VT_EXPECTED_US = 8
+  };
+  const foxtailwheel::peer::wire::Member *sender() const {
+    return GetPointer<const foxtailwheel::peer::wire::Member *>(VT_SENDER);
+  }
+  uint64_t group() const {
+    return GetField<uint64_t>(VT_GROUP, 0);
+  }
+  int64_t expected_us() const {
+    return GetField<int64_t>(VT_EXPECTED_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SENDER) &&
+           verifier.VerifyTable(sender()) &&
+           VerifyField<uint64_t>(verifier, VT_GROUP, 8) &&
+           VerifyField<int64_t>(verifier, VT_EXPECTED_US, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct PiecesTakenBuilder {
+  typedef PiecesTaken Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sender(flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender) {
+    fbb_.AddOffset(PiecesTaken::VT_SENDER, sender);
+  }
+  void add_group(uint64_t group) {
+    fbb_.AddElement<uint64_t>(PiecesTaken::VT_GROUP, group, 0);
+  }
+  void add_expected_us(int64_t expected_us) {
+    fbb_.AddElement<int64_t>(PiecesTaken::VT_EXPECTED_US, expected_us, 0);
+  }
+  explicit PiecesTakenBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PiecesTaken> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PiecesTaken>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PiecesTaken> CreatePiecesTaken(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender = 0,
+    uint64_t group = 0,
+    int64_t expected_us = 0) {
+  PiecesTakenBuilder builder_(_fbb);
+  builder_.add_expected_us(expected_us);
+  builder_.add_group(group);
+  builder_.add_sender(sender);
+  return builder_.Finish();
+}
+
+struct PiecesCancelled FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PiecesCancelledBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SENDER = 4,
+    VT_GROUP = 6
+  };
+  const foxtailwheel::peer::wire::Member *sender() const {
+    return GetPointer<const foxtailwheel::peer::wire::Member *>(VT_SENDER);
+  }
+  uint64_t group() const {
+    return GetField<uint64_t>(VT_GROUP, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SENDER) &&
+           verifier.VerifyTable(sender()) &&
+           VerifyField<uint64_t>(verifier, VT_GROUP, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct PiecesCancelledBuilder {
+  typedef PiecesCancelled Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sender(flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender) {
+    fbb_.AddOffset(PiecesCancelled::VT_SENDER, sender);
+  }
+  void add_group(uint64_t group) {
+    fbb_.AddElement<uint64_t>(PiecesCancelled::VT_GROUP, group, 0);
+  }
+  explicit PiecesCancelledBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PiecesCancelled> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PiecesCancelled>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PiecesCancelled> CreatePiecesCancelled(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender = 0,
+    uint64_t group = 0) {
+  PiecesCancelledBuilder builder_(_fbb);
+  builder_.add_group(group);
+  builder_.add_sender(sender);
+  return builder_.Finish();
+}
+
+struct PieceMade FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PieceMadeBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_INDEX = 4,
+    VT_HANDLE = 6,
+    VT_FAILURE = 8,
+    VT_SERVER = 10,
+    VT_HOST = 12,
+    VT_PORT = 14,
+    VT_ZONE = 16
+  };
+  uint32_t index() const {
+    return GetField<uint32_t>(VT_INDEX, 0);
+  }
+  const flatbuffers::String *handle() const {
+    return GetPointer<const flatbuffers::String *>(VT_HANDLE);
+  }
+  uint8_t failure() const {
+    return GetField<uint8_t>(VT_FAILURE, 0);
+  }
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  const flatbuffers::String *host() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOST);
+  }
+  uint16_t port() const {
+    return GetField<uint16_t>(VT_PORT, 0);
+  }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
+           VerifyOffset(verifier, VT_HANDLE) &&
+           verifier.VerifyString(handle()) &&
+           VerifyField<uint8_t>(verifier, VT_FAILURE, 1) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyOffset(verifier, VT_HOST) &&
+           verifier.VerifyString(host()) &&
+           VerifyField<uint16_t>(verifier, VT_PORT, 2) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           verifier.EndTable();
+  }
+};
+
+struct PieceMadeBuilder {
+  typedef PieceMade Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_index(uint32_t index) {
+    fbb_.AddElement<uint32_t>(PieceMade::VT_INDEX, index, 0);
+  }
+  void add_handle(flatbuffers::Offset<flatbuffers::String> handle) {
+    fbb_.AddOffset(PieceMade::VT_HANDLE, handle);
+  }
+  void add_failure(uint8_t failure) {
+    fbb_.AddElement<uint8_t>(PieceMade::VT_FAILURE, failure, 0);
+  }
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(PieceMade::VT_SERVER, server);
+  }
+  void add_host(flatbuffers::Offset<flatbuffers::String> host) {
+    fbb_.AddOffset(PieceMade::VT_HOST, host);
+  }
+  void add_port(uint16_t port) {
+    fbb_.AddElement<uint16_t>(PieceMade::VT_PORT, port, 0);
+  }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(PieceMade::VT_ZONE, zone);
+  }
+  explicit PieceMadeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PieceMade> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PieceMade>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PieceMade> CreatePieceMade(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t index = 0,
+    flatbuffers::Offset<flatbuffers::String> handle = 0,
+    uint8_t failure = 0,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    flatbuffers::Offset<flatbuffers::String> host = 0,
+    uint16_t port = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0) {
+  PieceMadeBuilder builder_(_fbb);
+  builder_.add_zone(zone);
+  builder_.add_host(host);
+  builder_.add_server(server);
+  builder_.add_handle(handle);
+  builder_.add_index(index);
+  builder_.add_port(port);
+  builder_.add_failure(failure);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PieceMade> CreatePieceMadeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t index = 0,
+    const char *handle = nullptr,
+    uint8_t failure = 0,
+    const char *server = nullptr,
+    const char *host = nullptr,
+    uint16_t port = 0,
+    const char *zone = nullptr) {
+  auto handle__ = handle ? _fbb.CreateString(handle) : 0;
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  auto host__ = host ? _fbb.CreateString(host) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  return foxtailwheel::peer::wire::CreatePieceMade(
+      _fbb,
+      index,
+      handle__,
+      failure,
+      server__,
+      host__,
+      port,
+      zone__);
+}
+
+struct PiecesMade FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PiecesMadeBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SENDER = 4,
+    VT_GROUP = 6,
+    VT_PIECES = 8
+  };
+  const foxtailwheel::peer::wire::Member *sender() const {
+    return GetPointer<const foxtailwheel::peer::wire::Member *>(VT_SENDER);
+  }
+  uint64_t group() const {
+    return GetField<uint64_t>(VT_GROUP, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::PieceMade>> *pieces() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::PieceMade>> *>(VT_PIECES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SENDER) &&
+           verifier.VerifyTable(sender()) &&
+           VerifyField<uint64_t>(verifier, VT_GROUP, 8) &&
+           VerifyOffset(verifier, VT_PIECES) &&
+           verifier.VerifyVector(pieces()) &&
+           verifier.VerifyVectorOfTables(pieces()) &&
+           verifier.EndTable();
+  }
+};
+
+struct PiecesMadeBuilder {
+  typedef PiecesMade Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sender(flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender) {
+    fbb_.AddOffset(PiecesMade::VT_SENDER, sender);
+  }
+  void add_group(uint64_t group) {
+    fbb_.AddElement<uint64_t>(PiecesMade::VT_GROUP, group, 0);
+  }
+  void add_pieces(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::PieceMade>>> pieces) {
+    fbb_.AddOffset(PiecesMade::VT_PIECES, pieces);
+  }
+  explicit PiecesMadeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PiecesMade> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PiecesMade>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PiecesMade> CreatePiecesMade(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender = 0,
+    uint64_t group = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::PieceMade>>> pieces = 0) {
+  PiecesMadeBuilder builder_(_fbb);
+  builder_.add_group(group);
+  builder_.add_pieces(pieces);
+  builder_.add_sender(sender);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PiecesMade> CreatePiecesMadeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender = 0,
+    uint64_t group = 0,
+    const std::vector<flatbuffers::Offset<foxtailwheel::peer::wire::PieceMade>> *pieces = nullptr) {
+  auto pieces__ = pieces ? _fbb.CreateVector<flatbuffers::Offset<foxtailwheel::peer::wire::PieceMade>>(*pieces) : 0;
+  return foxtailwheel::peer::wire::CreatePiecesMade(
+      _fbb,
+      sender,
+      group,
+      pieces__);
+}
+
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EnvelopeBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1041,6 +1664,18 @@
   const foxtailwheel::peer::wire::Allowance *body_as_Allowance() const {
     return body_type() == foxtailwheel::peer::wire::Body::Allowance ? static_cast<const foxtailwheel::peer::wire::Allowance *>(body()) : nullptr;
   }
+  const foxtailwheel::peer::wire::PiecesAsked *body_as_PiecesAsked() const {
+    return body_type() == foxtailwheel::peer::wire::Body::PiecesAsked ? static_cast<const foxtailwheel::peer::wire::PiecesAsked *>(body()) : nullptr;
+  }
+  const foxtailwheel::peer::wire::PiecesTaken *body_as_PiecesTaken() const {
+    return body_type() == foxtailwheel::peer::wire::Body::PiecesTaken ? static_cast<const foxtailwheel::peer::wire::PiecesTaken *>(body()) : nullptr;
+  }
+  const foxtailwheel::peer::wire::PiecesCancelled *body_as_PiecesCancelled() const {
+    return body_type() == foxtailwheel::peer::wire::Body::PiecesCancelled ? static_cast<const foxtailwheel::peer::wire::PiecesCancelled *>(body()) : nullptr;
+  }
+  const foxtailwheel::peer::wire::PiecesMade *body_as_PiecesMade() const {
+    return body_type() == foxtailwheel::peer::wire::Body::PiecesMade ? static_cast<const foxtailwheel::peer::wire::PiecesMade *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -1074,6 +1709,22 @@
   return body_as_Allowance();
 }
 
+template<> inline const foxtailwheel::peer::wire::PiecesAsked *Envelope::body_as<foxtailwheel::peer::wire::PiecesAsked>() const {
+  return body_as_PiecesAsked();
+}
+
+template<> inline const foxtailwheel::peer::wire::PiecesTaken *Envelope::body_as<foxtailwheel::peer::wire::PiecesTaken>() const {
+  return body_as_PiecesTaken();
+}
+
+template<> inline const foxtailwheel::peer::wire::PiecesCancelled *Envelope::body_as<foxtailwheel::peer::wire::PiecesCancelled>() const {
+  return body_as_PiecesCancelled();
+}
+
+template<> inline const foxtailwheel::peer::wire::PiecesMade *Envelope::body_as<foxtailwheel::peer::wire::PiecesMade>() const {
+  return body_as_PiecesMade();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1134,6 +1785,22 @@
       auto ptr = reinterpret_cast<const foxtailwheel::peer::wire::Allowance *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::PiecesAsked: {
+      auto ptr = reinterpret_cast<const foxtailwheel::peer::wire::PiecesAsked *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::PiecesTaken: {
+      auto ptr = reinterpret_cast<const foxtailwheel::peer::wire::PiecesTaken *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::PiecesCancelled: {
+      auto ptr = reinterpret_cast<const foxtailwheel::peer::wire::PiecesCancelled *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::PiecesMade: {
+      auto ptr = reinterpret_cast<const foxtailwheel::peer::wire::PiecesMade *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/include/foxtailwheel/serving/BatchQueue.h
+++ b/include/foxtailwheel/serving/BatchQueue.h
@@ -36,6 +36,8 @@
     std::uint32_t index = 0; ///< From 0, within the stage.
     std::string key; ///< What the piece is made of, for stages that need no other.
     std::vector<std::string> inputs; ///< Handles of the stages that this one needs.
+
+    friend bool operator==(const Piece&, const Piece&) = default;
 };
 
 /// @brief Pieces of one stage of one request.
@@ -43,6 +45,7 @@
     PieceGroupId id;
     std::vector<Piece> pieces;
     std::uint32_t priority = 0; ///< 0 is the most urgent.
+    TimePoint goal; ///< The results are wanted by then.
     TimePoint deadline; ///< The results are of no use after it.
     std::optional<AvailabilityZoneId> preferredZone; ///< Where the results will be used.
     bool again = false; ///< The same pieces were asked for before.
@@ -70,6 +73,7 @@
 /// @brief Send one call with these pieces.
 struct SendBatch {
     CallId call;
+    ServiceId service;
     config::BackendServer server;
     std::vector<Piece> pieces;
     std::vector<Duration> timeLeft; ///< For each piece.
@@ -89,13 +93,14 @@
 /// @brief The pieces that wait for one service, over all requests, and when they leave in which call.
 ///
 /// A call costs a fixed time besides the time of its pieces, so pieces wait while all servers are busy and leave
-/// together: under load calls fill up, while an idle server takes a piece at once. Within the queue the more urgent
-/// pieces leave first, then those of the earlier deadline. Not thread-safe.
+/// together: under load calls fill up, while an idle server takes a piece at once. Pieces that can still meet their goal
+/// leave before those that cannot; within both the more urgent leave first, then those of the earlier goal. Not
+/// thread-safe.
 class BatchQueue {
 public:
     /// @param pool Chooses the server; outlives the queue.
     /// @param newCall Gives the number of the next call.
-    BatchQueue(config::BatchLimits limits, routing::ServerPool& pool, std::function<CallId()> newCall);
+    BatchQueue(ServiceId service, config::BatchLimits limits, routing::ServerPool& pool, std::function<CallId()> newCall);
     ~BatchQueue();
     BatchQueue(const BatchQueue&) = delete;
     BatchQueue& operator=(const BatchQueue&) = delete;
--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -6,6 +6,7 @@
 #include "foxtailwheel/http/Message.h"
 #include "foxtailwheel/routing/ServerPool.h"
 #include "foxtailwheel/serving/BatchQueue.h"
+#include "foxtailwheel/serving/PieceBroker.h"
 
 #include <cstdint>
 #include <memory>
@@ -128,7 +129,8 @@
 
 /// @brief What the forwarder wants done.
 using ForwardAction
-    = std::variant<SendForward, StopForward, SendBatch, ReleaseResults, ReplyWhole, ReplyHead, ReplyBytes, ReplyEnd>;
+    = std::variant<SendForward, StopForward, SendBatch, TellInstance, ReleaseResults, ReplyWhole, ReplyHead, ReplyBytes,
+        ReplyEnd>;
 using ForwardActions = std::vector<ForwardAction>;
 
 /// @brief How a call of a caller's request ended.
@@ -166,7 +168,7 @@
     double retryExtra = 50; ///< Repeated calls besides in a window, over all instances; the operators' bound.
     Duration retryWindow = std::chrono::seconds(10);
     Duration credentialLife = std::chrono::milliseconds(4500); ///< Oldest confirmation of credentials that counts.
-    bool batchAcrossRequests = true; ///< Off only to measure what batches gain.
+    bool batchAcrossInstances = true; ///< Off only to measure what shared batches gain.
     bool earlyRefusal = true; ///< Off only to measure what refusing at once gains.
     bool affinity = true; ///< Off only to measure what cached prompts gain.
     bool secondAttempts = true; ///< Off only to measure what they gain.
@@ -197,8 +199,14 @@
     virtual void setServers(const std::vector<AnnouncedServer>& servers, TimePoint now, ForwardActions& out) = 0;
     /// @brief The credentials in force are known to have been current at `asOf`.
     virtual void confirmCredentials(TimePoint asOf) = 0;
-    /// @brief Sets the number of live instances, this one included.
-    virtual void setInstances(std::size_t n) = 0;
+    /// @brief Takes the live instances, this one included, and those that are gone.
+    virtual void setMembers(const std::vector<InstanceId>& live, const std::set<InstanceId>& gone, TimePoint now,
+        ForwardActions& out)
+        = 0;
+    /// @brief Another instance has said something about pieces.
+    virtual void onPeer(
+        const InstanceId& from, const PieceMessage& message, TimePoint now, ForwardActions& out)
+        = 0;
 
     virtual ForwardId newRequest() = 0;
     virtual void submit(ForwardId id, ForwardRequest request, TimePoint now, ForwardActions& out) = 0;
--- /dev/null
+++ b/include/foxtailwheel/serving/PieceBroker.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "foxtailwheel/base/Ids.h"
+#include "foxtailwheel/base/Units.h"
+#include "foxtailwheel/serving/BatchQueue.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace foxtailwheel::serving {
+
+/// @brief To the owner of a service: have these pieces made.
+struct PiecesAsked {
+    PieceGroupId group; ///< Numbered by who asks.
+    ServiceId service;
+    std::vector<Piece> pieces;
+    std::uint32_t priority = 0;
+    Duration goalLeft {}; ///< Time within which the pieces are wanted; may be over.
+    Duration timeLeft {}; ///< Time after which they are of no use.
+    AvailabilityZoneId preferredZone; ///< Empty for none.
+    bool again = false;
+
+    friend bool operator==(const PiecesAsked&, const PiecesAsked&) = default;
+};
+
+/// @brief From the owner: the pieces are in its queue.
+struct PiecesTaken {
+    PieceGroupId group;
+    Duration expected {}; ///< Time until they are made, as the queue stands.
+
+    friend bool operator==(const PiecesTaken&, const PiecesTaken&) = default;
+};
+
+/// @brief To the owner: the pieces are not wanted any more.
+struct PiecesCancelled {
+    PieceGroupId group;
+
+    friend bool operator==(const PiecesCancelled&, const PiecesCancelled&) = default;
+};
+
+/// @brief What came of one piece.
+struct MadePiece {
+    std::uint32_t index = 0;
+    PieceResult result;
+
+    friend bool operator==(const MadePiece&, const MadePiece&) = default;
+};
+
+/// @brief From the owner: these pieces are decided.
+struct PiecesMade {
+    PieceGroupId group;
+    std::vector<MadePiece> pieces;
+
+    friend bool operator==(const PiecesMade&, const PiecesMade&) = default;
+};
+
+/// @brief Anything that instances tell each other about pieces.
+using PieceMessage = std::variant<PiecesAsked, PiecesTaken, PiecesCancelled, PiecesMade>;
+
+/// @brief Send a message to another instance.
+struct TellInstance {
+    InstanceId to;
+    PieceMessage message;
+};
+
+/// @brief What a broker wants done.
+using BrokerAction = std::variant<SendBatch, PieceDone, TellInstance>;
+using BrokerActions = std::vector<BrokerAction>;
+
+/// @brief The batch queue of a service; null where the service takes no pieces.
+using FindQueue = std::function<BatchQueue*(const ServiceId&)>;
+
+/// @brief Gathers the pieces of all instances at one owner for each service, so that batches form across instances.
+///
+/// The owner is the live instance that weighs most for the service by rendezvous hash. A wrong owner does no harm: its
+/// batches are smaller. Where the owner does not confirm or does not answer in time, its asker makes the pieces itself
+/// and avoids it for a while. Not thread-safe.
+class PieceBroker {
+public:
+    PieceBroker(InstanceId self, FindQueue findQueue);
+    ~PieceBroker();
+    PieceBroker(const PieceBroker&) = delete;
+    PieceBroker& operator=(const PieceBroker&) = delete;
+
+    /// @brief Takes the instances that may own services and those that are gone.
+    /// @param live This one included; empty means this one alone.
+    void setMembers(const std::vector<InstanceId>& live, const std::set<InstanceId>& gone, TimePoint now,
+        BrokerActions& out);
+    /// @brief The instance that owns a service now.
+    InstanceId ownerOf(const ServiceId& service, TimePoint now) const;
+    /// @brief Has the pieces of a group made, here or at the owner.
+    void ask(const ServiceId& service, PieceGroup group, TimePoint now, BrokerActions& out);
+    /// @brief The group is not wanted any more.
+    void cancel(PieceGroupId group, BrokerActions& out);
+    /// @brief Another instance has said something.
+    void onMessage(const InstanceId& from, const PieceMessage& message, TimePoint now, BrokerActions& out);
+    /// @brief A batch call of a service ended.
+    void onBatchEnd(const ServiceId& service, CallId call, BatchEnd end, const std::vector<PieceResult>& results,
+        TimePoint now, BrokerActions& out);
+    /// @brief Sends what can leave the queue of a service.
+    void pump(const ServiceId& service, TimePoint now, BrokerActions& out);
+    /// @brief Does what is due.
+    void onTime(TimePoint now, BrokerActions& out);
+    /// @brief When `onTime` is next needed.
+    TimePoint nextTime() const;
+    /// @brief Expected time until more pieces of a service would be made, as far as it is known here.
+    Duration expectedWait(const ServiceId& service, std::uint32_t priority, std::size_t pieces, TimePoint now) const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace foxtailwheel::serving
--- a/include/foxtailwheel/store/Feed.h
+++ b/include/foxtailwheel/store/Feed.h
@@ -44,4 +44,14 @@
         = 0;
 };
 
+/// @brief Writes single rows without a condition.
+class RowWriter {
+public:
+    virtual ~RowWriter() = default;
+    /// @brief Writes a row; `done` is told whether the store acknowledged it.
+    virtual void put(const std::string& table, const std::string& key, const std::string& value, TimePoint deadline,
+        std::function<void(bool)> done)
+        = 0;
+};
+
 } // namespace foxtailwheel::store
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -52,6 +52,7 @@
     void carry(serving::SendForward& send);
     void carry(serving::StopForward& stop);
     void carry(serving::SendBatch& batch);
+    void carry(serving::TellInstance& tell);
     void carry(serving::ReleaseResults& release);
     void carry(serving::ReplyWhole& reply);
     void carry(serving::ReplyHead& reply);
@@ -75,6 +76,7 @@
     std::unordered_map<ForwardId, Session> sessions;
     std::unordered_map<CallId, OpenCall> calls;
     std::map<config::Endpoint, std::vector<std::string>> releases;
+    std::function<void(const InstanceId&, const serving::PieceMessage&)> tell;
     TimePoint wakeAt = TimePoint::max();
 };
 
@@ -217,6 +219,12 @@
     perform(std::move(actions));
 }
 
+void ForwardService::Impl::carry(serving::TellInstance& message)
+{
+    if (tell)
+        tell(message.to, message.message);
+}
+
 void ForwardService::Impl::carry(serving::ReleaseResults& release)
 {
     if (releases.empty())
@@ -352,9 +360,23 @@
     m_impl->forwarder->confirmCredentials(asOf);
 }
 
-void ForwardService::setInstances(std::size_t n)
+void ForwardService::setMembers(const std::vector<InstanceId>& live, const std::set<InstanceId>& gone)
+{
+    serving::ForwardActions actions;
+    m_impl->forwarder->setMembers(live, gone, m_impl->clock.now(), actions);
+    m_impl->perform(std::move(actions));
+}
+
+void ForwardService::onPeer(const InstanceId& from, const serving::PieceMessage& message)
+{
+    serving::ForwardActions actions;
+    m_impl->forwarder->onPeer(from, message, m_impl->clock.now(), actions);
+    m_impl->perform(std::move(actions));
+}
+
+void ForwardService::setTell(std::function<void(const InstanceId&, const serving::PieceMessage&)> tell)
 {
-    m_impl->forwarder->setInstances(n);
+    m_impl->tell = std::move(tell);
 }
 
 serving::ForwarderStatus ForwardService::status() const
--- a/src/foxtailwheel/peer/Message.cpp
+++ b/src/foxtailwheel/peer/Message.cpp
@@ -56,9 +56,75 @@
         return packed;
     }
 
+    std::vector<flatbuffers::Offset<wire::Piece>> pack(FlatBufferBuilder& fbb, const std::vector<serving::Piece>& pieces)
+    {
+        std::vector<flatbuffers::Offset<wire::Piece>> packed;
+        for (const auto& it : pieces) {
+            const auto inputs = fbb.CreateVectorOfStrings(it.inputs);
+            packed.push_back(wire::CreatePiece(fbb, fbb.CreateString(it.request),
+                static_cast<std::uint32_t>(it.stage), it.index, fbb.CreateString(it.key), inputs));
+        }
+        return packed;
+    }
+
+    flatbuffers::Offset<wire::PieceMade> pack(FlatBufferBuilder& fbb, const serving::MadePiece& piece)
+    {
+        const auto* made = std::get_if<serving::ResultHandle>(&piece.result);
+        if (made == nullptr)
+            return wire::CreatePieceMadeDirect(fbb, piece.index, nullptr,
+                static_cast<std::uint8_t>(std::get<serving::PieceFailure>(piece.result)));
+        const auto& maker = made->maker;
+        return wire::CreatePieceMadeDirect(fbb, piece.index, made->value.c_str(), 0, maker.id.value().c_str(),
+            maker.host.c_str(), maker.port, maker.zone.value().c_str());
+    }
+
+    std::int64_t microseconds(Duration d)
+    {
+        return std::chrono::duration_cast<std::chrono::microseconds>(d).count();
+    }
+
+    /// Packs one kind of news about pieces into its own table.
+    struct PieceNewsPacker {
+        FlatBufferBuilder& fbb;
+        const Member& sender;
+
+        flatbuffers::Offset<wire::Envelope> operator()(const serving::PiecesAsked& it) const
+        {
+            const auto pieces = pack(fbb, it.pieces);
+            return wrap(wire::Body::PiecesAsked,
+                wire::CreatePiecesAskedDirect(fbb, pack(fbb, sender), it.group.value(), it.service.value().c_str(),
+                    &pieces, it.priority, microseconds(it.goalLeft), microseconds(it.timeLeft),
+                    it.preferredZone.value().c_str(), it.again));
+        }
+        flatbuffers::Offset<wire::Envelope> operator()(const serving::PiecesTaken& it) const
+        {
+            return wrap(wire::Body::PiecesTaken,
+                wire::CreatePiecesTaken(fbb, pack(fbb, sender), it.group.value(), microseconds(it.expected)));
+        }
+        flatbuffers::Offset<wire::Envelope> operator()(const serving::PiecesCancelled& it) const
+        {
+            return wrap(wire::Body::PiecesCancelled,
+                wire::CreatePiecesCancelled(fbb, pack(fbb, sender), it.group.value()));
+        }
+        flatbuffers::Offset<wire::Envelope> operator()(const serving::PiecesMade& it) const
+        {
+            std::vector<flatbuffers::Offset<wire::PieceMade>> pieces;
+            for (const auto& piece : it.pieces)
+                pieces.push_back(pack(fbb, piece));
+            return wrap(wire::Body::PiecesMade,
+                wire::CreatePiecesMadeDirect(fbb, pack(fbb, sender), it.group.value(), &pieces));
+        }
+
+        template <class T> flatbuffers::Offset<wire::Envelope> wrap(wire::Body type, flatbuffers::Offset<T> body) const
+        {
+            return wire::CreateEnvelope(fbb, type, body.Union());
+        }
+    };
+
     struct Packer {
         FlatBufferBuilder& fbb;
 
+        auto operator()(const PieceNews& it) const { return std::visit(PieceNewsPacker { fbb, it.sender }, it.news); }
         auto operator()(const Ping& it) const
         {
             return wrap(wire::Body::Ping,
@@ -153,6 +219,63 @@
         return out;
     }
 
+    serving::PiecesAsked unpack(const wire::PiecesAsked& asked)
+    {
+        serving::PiecesAsked out;
+        out.group = serving::PieceGroupId(asked.group());
+        out.service = ServiceId(textOf(asked.service()));
+        out.priority = asked.priority();
+        out.goalLeft = std::chrono::microseconds(asked.goal_us());
+        out.timeLeft = std::chrono::microseconds(asked.left_us());
+        out.preferredZone = AvailabilityZoneId(textOf(asked.zone()));
+        out.again = asked.again();
+        if (asked.pieces() == nullptr)
+            return out;
+        for (const auto* it : *asked.pieces()) {
+            serving::Piece piece { textOf(it->request()), it->stage(), it->index(), textOf(it->key()), {} };
+            if (it->inputs() != nullptr) {
+                for (const auto* input : *it->inputs())
+                    piece.inputs.push_back(input->str());
+            }
+            out.pieces.push_back(std::move(piece));
+        }
+        return out;
+    }
+
+    serving::PiecesMade unpack(const wire::PiecesMade& made)
+    {
+        serving::PiecesMade out { serving::PieceGroupId(made.group()), {} };
+        if (made.pieces() == nullptr)
+            return out;
+        for (const auto* it : *made.pieces()) {
+            if (const auto handle = textOf(it->handle()); !handle.empty()) {
+                const config::BackendServer maker { BackendServerId(textOf(it->server())), textOf(it->host()),
+                    it->port(), AvailabilityZoneId(textOf(it->zone())) };
+                out.pieces.push_back({ it->index(), serving::ResultHandle { handle, maker } });
+            } else {
+                const auto last = static_cast<std::uint8_t>(serving::PieceFailure::Failed);
+                out.pieces.push_back(
+                    { it->index(), static_cast<serving::PieceFailure>(std::min(it->failure(), last)) });
+            }
+        }
+        return out;
+    }
+
+    std::optional<Message> unpackPieceNews(const wire::Envelope& envelope)
+    {
+        if (const auto* it = envelope.body_as_PiecesAsked())
+            return PieceNews { unpack(it->sender()), unpack(*it) };
+        if (const auto* it = envelope.body_as_PiecesTaken())
+            return PieceNews { unpack(it->sender()),
+                serving::PiecesTaken {
+                    serving::PieceGroupId(it->group()), std::chrono::microseconds(it->expected_us()) } };
+        if (const auto* it = envelope.body_as_PiecesCancelled())
+            return PieceNews { unpack(it->sender()), serving::PiecesCancelled { serving::PieceGroupId(it->group()) } };
+        if (const auto* it = envelope.body_as_PiecesMade())
+            return PieceNews { unpack(it->sender()), unpack(*it) };
+        return std::nullopt;
+    }
+
     bool hasSender(const Digest& digest)
     {
         return !digest.sender.id.empty();
@@ -194,6 +317,8 @@
         return Message(Demand { unpack(demand->sender()), unpack(demand->rates()) });
     } else if (const auto* allowance = envelope->body_as_Allowance()) {
         return Message(Allowance { unpack(allowance->rates()) });
+    } else if (auto news = unpackPieceNews(*envelope)) {
+        return std::move(*news);
     }
     return fail(Errc::ParseFailed, "a message of a peer is of an unknown kind");
 }
--- a/src/foxtailwheel/peer/Network.cpp
+++ b/src/foxtailwheel/peer/Network.cpp
@@ -18,6 +18,7 @@
 #include <deque>
 #include <map>
 #include <mutex>
+#include <netinet/tcp.h>
 #include <optional>
 
 namespace foxtailwheel::peer {
@@ -34,6 +35,8 @@
     constexpr Duration connectTimeout = 500ms;
     constexpr Duration handshakeTimeout = 2s;
     constexpr Duration writeTimeout = 3s;
+    /// Bytes that stay unacknowledged this long break the connection: the other end has gone silent.
+    constexpr unsigned unacknowledgedMilliseconds = 1000;
     constexpr Duration readIdleTimeout = 60s;
     constexpr Duration longestIdle = 30s;
     constexpr std::size_t mostQueuedBytes = 16U << 20U;
@@ -68,6 +71,16 @@
         return n;
     }
 
+    /// Frames go one way, so anything to read is the connection's end.
+    bool stillOpen(tcp::socket& socket)
+    {
+        char byte = 0;
+        boost::system::error_code ec;
+        socket.non_blocking(true, ec);
+        socket.receive(net::buffer(&byte, 1), tcp::socket::message_peek, ec);
+        return ec == net::error::would_block;
+    }
+
     /// Frames on their way to one peer, over one connection that is made anew when it breaks.
     class Outgoing : public std::enable_shared_from_this<Outgoing> {
     public:
@@ -134,6 +147,8 @@
         if (connectError)
             co_return false;
         m_stream->socket().set_option(tcp::no_delay(true), ec);
+        setsockopt(m_stream->socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMilliseconds,
+            sizeof unacknowledgedMilliseconds);
         const bool proven = co_await shakeHands();
         co_return proven;
     }
@@ -170,7 +185,7 @@
         while (!m_queue.empty()) {
             const auto now = std::chrono::steady_clock::now();
             // The other end closes an idle connection, and what is written after that is lost without an error.
-            bool connected = m_stream != nullptr && m_stream->socket().is_open() && now - m_usedAt < longestIdle;
+            bool connected = m_stream != nullptr && stillOpen(m_stream->socket()) && now - m_usedAt < longestIdle;
             m_usedAt = now;
             if (!connected)
                 connected = co_await connect();
--- a/src/foxtailwheel/serving/BatchQueue.cpp
+++ b/src/foxtailwheel/serving/BatchQueue.cpp
@@ -25,6 +25,7 @@
         PieceGroupId group;
         Piece piece;
         std::uint32_t priority = 0;
+        TimePoint goal;
         TimePoint deadline;
         std::optional<AvailabilityZoneId> zone;
         std::uint64_t order = 0; ///< Ties are taken in the order of arrival.
@@ -32,7 +33,7 @@
 
         friend bool operator<(const Waiting& a, const Waiting& b)
         {
-            return std::tie(a.priority, a.deadline, a.order) < std::tie(b.priority, b.deadline, b.order);
+            return std::tie(a.priority, a.goal, a.order) < std::tie(b.priority, b.goal, b.order);
         }
     };
 
@@ -46,8 +47,9 @@
 } // namespace
 
 struct BatchQueue::Impl {
-    Impl(config::BatchLimits l, routing::ServerPool& p, std::function<CallId()> n)
-        : limits(l)
+    Impl(ServiceId s, config::BatchLimits l, routing::ServerPool& p, std::function<CallId()> n)
+        : service(std::move(s))
+        , limits(l)
         , pool(p)
         , newCall(std::move(n))
     {
@@ -56,11 +58,12 @@
     Duration expectedTime(std::size_t pieces) const { return limits.callTime + limits.pieceTime * pieces; }
     std::size_t mostCalls(TimePoint now) const;
     bool sendOne(TimePoint now, std::vector<BatchAction>& out);
-    std::vector<Waiting> take();
+    std::vector<Waiting> take(TimePoint now);
     void dropLate(TimePoint now, std::vector<BatchAction>& out);
     void putBack(Waiting piece, PieceFailure failure, TimePoint now, std::vector<BatchAction>& out);
     routing::CallReport reportOf(const InProgress& call, BatchEnd end, TimePoint now) const;
 
+    ServiceId service;
     config::BatchLimits limits;
     routing::ServerPool& pool;
     std::function<CallId()> newCall;
@@ -77,11 +80,19 @@
     return static_cast<std::size_t>(std::max(1.0, std::ceil(share * pool.slots(now))));
 }
 
-std::vector<Waiting> BatchQueue::Impl::take()
+std::vector<Waiting> BatchQueue::Impl::take(TimePoint now)
 {
     std::vector<Waiting> pieces;
-    while (!waiting.empty() && pieces.size() < limits.pieces)
-        pieces.push_back(std::move(waiting.extract(waiting.begin()).value()));
+    const auto takeAll = [&](bool lateToo) {
+        for (auto it = waiting.begin(); it != waiting.end() && pieces.size() < limits.pieces;) {
+            const auto next = std::next(it);
+            if (lateToo || it->goal >= now + expectedTime(pieces.size() + 1))
+                pieces.push_back(std::move(waiting.extract(it).value()));
+            it = next;
+        }
+    };
+    takeAll(false);
+    takeAll(true);
     return pieces;
 }
 
@@ -95,9 +106,9 @@
     const auto placement = pool.place(wanted, now);
     if (!placement)
         return false;
-    InProgress call { placement->server.id, take(), now, {} };
+    InProgress call { placement->server.id, take(now), now, {} };
     call.expected = expectedTime(call.pieces.size());
-    SendBatch send { newCall(), placement->server, {}, {}, {} };
+    SendBatch send { newCall(), service, placement->server, {}, {}, {} };
     auto latest = now;
     for (const auto& it : call.pieces) {
         send.pieces.push_back(it.piece);
@@ -155,8 +166,9 @@
     return report;
 }
 
-BatchQueue::BatchQueue(config::BatchLimits limits, routing::ServerPool& pool, std::function<CallId()> newCall)
-    : m_impl(std::make_unique<Impl>(limits, pool, std::move(newCall)))
+BatchQueue::BatchQueue(
+    ServiceId service, config::BatchLimits limits, routing::ServerPool& pool, std::function<CallId()> newCall)
+    : m_impl(std::make_unique<Impl>(std::move(service), limits, pool, std::move(newCall)))
 {
 }
 
@@ -175,7 +187,7 @@
 void BatchQueue::add(PieceGroup group, TimePoint now, std::vector<BatchAction>& out)
 {
     for (auto& it : group.pieces)
-        m_impl->waiting.insert({ group.id, std::move(it), group.priority, group.deadline, group.preferredZone,
+        m_impl->waiting.insert({ group.id, std::move(it), group.priority, group.goal, group.deadline, group.preferredZone,
             ++m_impl->arrivals, 0 });
     pump(now, out);
 }
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -36,6 +36,8 @@
     constexpr Duration leastMoveDelay = 900ms;
     /// Pause within a resumable stream after which it is moved; callers leave after two seconds.
     constexpr Duration streamSilence = 1100ms;
+    /// Least time from the last stage's results to the first event of an answer.
+    constexpr Duration leastAnswerTime = 100ms;
     /// Part of its time that a request must have left to be worth sending.
     constexpr Duration leastTimeToSend = 5ms;
 
@@ -81,6 +83,7 @@
         explicit RoutingForwarder(ForwarderOptions options)
             : m_options(std::move(options))
             , m_directory(m_options, [this] { return newCall(); })
+            , m_broker(m_options.pools.self, [this](const ServiceId& id) { return queueOf(id); })
             , m_random(m_options.pools.seed)
         {
         }
@@ -90,7 +93,10 @@
         std::shared_ptr<const config::RouteTable> table() const override { return m_table; }
         void setServers(const std::vector<AnnouncedServer>& servers, TimePoint now, ForwardActions& out) override;
         void confirmCredentials(TimePoint asOf) override { m_confirmedAt = std::max(m_confirmedAt, asOf); }
-        void setInstances(std::size_t n) override { m_directory.setInstances(n); }
+        void setMembers(const std::vector<InstanceId>& live, const std::set<InstanceId>& gone, TimePoint now,
+            ForwardActions& out) override;
+        void onPeer(
+            const InstanceId& from, const PieceMessage& message, TimePoint now, ForwardActions& out) override;
         ForwardId newRequest() override { return ForwardId(++m_lastRun); }
         void submit(ForwardId id, ForwardRequest request, TimePoint now, ForwardActions& out) override;
         void onCallerLeft(ForwardId id, TimePoint now, ForwardActions& out) override;
@@ -104,12 +110,16 @@
         void onTime(TimePoint now, ForwardActions& out) override;
         TimePoint nextTime() const override
         {
-            return m_timers.empty() ? TimePoint::max() : m_timers.begin()->first;
+            const auto timer = m_timers.empty() ? TimePoint::max() : m_timers.begin()->first;
+            return std::min(timer, m_broker.nextTime());
         }
         ForwarderStatus status(TimePoint now) const override;
 
     private:
         CallId newCall() { return CallId(++m_lastCall); }
+        BatchQueue* queueOf(const ServiceId& id);
+        void pumpAll(TimePoint now, ForwardActions& out);
+        void shareQueues(TimePoint now);
         ForwardRun* find(ForwardId id);
         ForwardRun* ownerOf(CallId call);
         void setTimer(TimePoint at, Timer timer) { m_timers.emplace(at, std::move(timer)); }
@@ -124,7 +134,9 @@
         void requestPieces(ForwardRun& run, StageIndex stage, TimePoint now, ForwardActions& out);
         void restartStages(ForwardRun& run, TimePoint now, ForwardActions& out);
         Piece pieceOf(const ForwardRun& run, StageIndex stage, std::uint32_t index) const;
-        void carry(ServiceState& service, std::vector<BatchAction> actions, TimePoint now, ForwardActions& out);
+        void carry(BrokerActions actions, TimePoint now, ForwardActions& out);
+        TimePoint goalOf(const ForwardRun& run, StageIndex stage) const;
+        PieceGroup groupOf(const ForwardRun& run, StageIndex stage) const;
         void takePiece(const PieceDone& piece, TimePoint now, ForwardActions& out);
         void pieceFailed(ForwardRun& run, StageIndex stage, const PieceDone& piece, PieceFailure failure, TimePoint now,
             ForwardActions& out);
@@ -152,6 +164,8 @@
         ForwarderOptions m_options;
         std::shared_ptr<const config::RouteTable> m_table;
         ServerDirectory m_directory;
+        PieceBroker m_broker;
+        std::size_t m_instances = 1;
         Random m_random;
         std::unordered_map<ForwardId, std::unique_ptr<ForwardRun>> m_runs;
         std::unordered_map<CallId, ForwardId> m_calls;
@@ -173,13 +187,8 @@
             return false;
         m_table = std::move(table);
         m_directory.configure(*m_table);
-        for (auto& it : m_directory.services()) {
-            if (!it.second.batches)
-                continue;
-            std::vector<BatchAction> actions;
-            it.second.batches->pump(now, actions);
-            carry(it.second, std::move(actions), now, out);
-        }
+        shareQueues(now);
+        pumpAll(now, out);
         return true;
     }
 
@@ -187,15 +196,52 @@
         const std::vector<AnnouncedServer>& servers, TimePoint now, ForwardActions& out)
     {
         m_directory.setServers(servers);
+        pumpAll(now, out);
+    }
+
+    BatchQueue* RoutingForwarder::queueOf(const ServiceId& id)
+    {
+        auto* state = m_directory.find(id);
+        return state == nullptr ? nullptr : state->batches.get();
+    }
+
+    void RoutingForwarder::pumpAll(TimePoint now, ForwardActions& out)
+    {
+        BrokerActions actions;
+        for (const auto& it : m_directory.services())
+            m_broker.pump(it.first, now, actions);
+        carry(std::move(actions), now, out);
+    }
+
+    /// The owner of a service fills all of its servers; others, which only stand in for it, their part.
+    void RoutingForwarder::shareQueues(TimePoint now)
+    {
         for (auto& it : m_directory.services()) {
-            if (!it.second.batches)
-                continue;
-            std::vector<BatchAction> actions;
-            it.second.batches->pump(now, actions);
-            carry(it.second, std::move(actions), now, out);
+            const bool owns = m_broker.ownerOf(it.first, now) == m_options.pools.self;
+            if (it.second.batches)
+                it.second.batches->setShare(owns ? 1 : 1.0 / static_cast<double>(m_instances));
         }
     }
 
+    void RoutingForwarder::setMembers(const std::vector<InstanceId>& live, const std::set<InstanceId>& gone,
+        TimePoint now, ForwardActions& out)
+    {
+        m_instances = std::max<std::size_t>(1, live.size());
+        m_directory.setInstances(m_instances);
+        BrokerActions actions;
+        m_broker.setMembers(m_options.batchAcrossInstances ? live : std::vector<InstanceId>(), gone, now, actions);
+        shareQueues(now);
+        carry(std::move(actions), now, out);
+    }
+
+    void RoutingForwarder::onPeer(
+        const InstanceId& from, const PieceMessage& message, TimePoint now, ForwardActions& out)
+    {
+        BrokerActions actions;
+        m_broker.onMessage(from, message, now, actions);
+        carry(std::move(actions), now, out);
+    }
+
     ForwarderStatus RoutingForwarder::status(TimePoint now) const
     {
         ForwarderStatus status;
@@ -353,49 +399,67 @@
             sendRequest(run, now, out);
     }
 
+    /// When the results of a stage are wanted: the request's goal less the least time of what follows.
+    TimePoint RoutingForwarder::goalOf(const ForwardRun& run, StageIndex stage) const
+    {
+        Duration after = leastAnswerTime;
+        std::vector<bool> follows(run.stages.size(), false);
+        for (StageIndex i = stage + 1; i < run.stages.size(); ++i) {
+            const auto& needs = run.route->stages[i].needs;
+            follows[i] = std::any_of(needs.begin(), needs.end(),
+                [&](StageIndex it) { return it == stage || follows[it]; });
+            const auto* service = run.table->findService(run.route->stages[i].service);
+            if (follows[i] && service != nullptr && service->batch)
+                after += service->batch->callTime + service->batch->pieceTime * run.stages[i].results.size();
+        }
+        return run.acceptedAt + run.route->goal - after;
+    }
+
+    /// The pieces of a stage that have no result yet.
+    PieceGroup RoutingForwarder::groupOf(const ForwardRun& run, StageIndex stage) const
+    {
+        const auto& progress = run.stages[stage];
+        PieceGroup group { progress.group, {}, run.priority, goalOf(run, stage), run.deadline, {},
+            progress.tries > 0 };
+        for (std::uint32_t i = 0; i < progress.results.size(); ++i) {
+            if (!progress.results[i])
+                group.pieces.push_back(pieceOf(run, stage, i));
+        }
+        return group;
+    }
+
     void RoutingForwarder::requestPieces(ForwardRun& run, StageIndex stage, TimePoint now, ForwardActions& out)
     {
-        const auto service = run.route->stages[stage].service;
-        auto* state = m_directory.find(service);
-        if (state == nullptr || !state->batches) {
+        const auto& service = run.route->stages[stage].service;
+        if (queueOf(service) == nullptr) {
             fail(run, ForwardEnd::StageFailed, now, out);
             return;
         }
         auto& progress = run.stages[stage];
         progress.group = PieceGroupId(++m_lastGroup);
         m_groups[progress.group] = { run.id, stage };
-        PieceGroup group { progress.group, {}, run.priority, run.deadline, {}, progress.tries > 0 };
-        for (std::uint32_t i = 0; i < progress.results.size(); ++i) {
-            if (!progress.results[i])
-                group.pieces.push_back(pieceOf(run, stage, i));
-        }
-        std::vector<BatchAction> actions;
-        state->batches->add(std::move(group), now, actions);
-        carry(*state, std::move(actions), now, out);
+        BrokerActions actions;
+        m_broker.ask(service, groupOf(run, stage), now, actions);
+        carry(std::move(actions), now, out);
     }
 
-    /// Passes on what a batch queue decided.
-    void RoutingForwarder::carry(
-        ServiceState& service, std::vector<BatchAction> actions, TimePoint now, ForwardActions& out)
+    /// Passes on what the broker decided.
+    void RoutingForwarder::carry(BrokerActions actions, TimePoint now, ForwardActions& out)
     {
         for (auto& it : actions) {
             if (auto* send = std::get_if<SendBatch>(&it)) {
-                for (const auto& [id, state] : m_directory.services()) {
-                    if (&state == &service)
-                        m_batchCalls[send->call] = id;
-                }
+                m_batchCalls[send->call] = send->service;
                 out.emplace_back(std::move(*send));
+            } else if (auto* tell = std::get_if<TellInstance>(&it)) {
+                out.emplace_back(std::move(*tell));
             } else {
                 takePiece(std::get<PieceDone>(it), now, out);
             }
         }
-        if (!service.batches)
-            return;
-        if (const auto at = service.batches->nextPump()) {
-            for (const auto& [id, state] : m_directory.services()) {
-                if (&state == &service && *at > now)
-                    setTimer(*at, { TimerKind::Batches, {}, {}, id });
-            }
+        for (const auto& it : m_directory.services()) {
+            const auto at = it.second.batches ? it.second.batches->nextPump() : std::nullopt;
+            if (at && *at > now)
+                setTimer(*at, { TimerKind::Batches, {}, {}, it.first });
         }
     }
 
@@ -415,8 +479,11 @@
             pieceFailed(*run, stage, piece, std::get<PieceFailure>(piece.result), now, out);
             return;
         }
-        if (progress.results.at(piece.index))
+        if (piece.index >= progress.results.size() || progress.results[piece.index]) {
+            // Made twice, here and at the owner.
+            out.emplace_back(ReleaseResults { handle->maker, { handle->value } });
             return;
+        }
         progress.results[piece.index] = *handle;
         if (--progress.missing == 0) {
             m_groups.erase(piece.group);
@@ -447,10 +514,11 @@
             fail(run, ForwardEnd::StageFailed, now, out);
             return;
         }
-        PieceGroup group { piece.group, { pieceOf(run, stage, piece.index) }, run.priority, run.deadline, {}, true };
-        std::vector<BatchAction> actions;
-        state->batches->add(std::move(group), now, actions);
-        carry(*state, std::move(actions), now, out);
+        auto group = groupOf(run, stage);
+        std::erase_if(group.pieces, [&piece](const Piece& it) { return it.index != piece.index; });
+        BrokerActions actions;
+        m_broker.ask(run.route->stages[stage].service, std::move(group), now, actions);
+        carry(std::move(actions), now, out);
     }
 
     void RoutingForwarder::restartStages(ForwardRun& run, TimePoint now, ForwardActions& out)
@@ -511,9 +579,10 @@
             auto& stage = run.stages[i];
             if (stage.started && stage.missing > 0) {
                 m_groups.erase(stage.group);
-                auto* state = m_directory.find(run.route->stages[i].service);
-                if (state != nullptr && state->batches)
-                    state->batches->cancel(stage.group);
+                BrokerActions actions;
+                m_broker.cancel(stage.group, actions);
+                for (auto& it : actions)
+                    out.emplace_back(std::get<TellInstance>(std::move(it)));
             }
             releaseStage(run, i, out);
         }
@@ -801,11 +870,11 @@
         const auto it = m_batchCalls.find(call);
         if (it == m_batchCalls.end())
             return;
-        auto* state = m_directory.find(it->second);
+        const auto service = it->second;
         m_batchCalls.erase(it);
-        std::vector<BatchAction> actions;
-        state->batches->ended(call, end, results, now, actions);
-        carry(*state, std::move(actions), now, out);
+        BrokerActions actions;
+        m_broker.onBatchEnd(service, call, end, results, now, actions);
+        carry(std::move(actions), now, out);
     }
 
     void RoutingForwarder::onLoad(CallId call, const ToldLoad& load, TimePoint now)
@@ -825,15 +894,17 @@
             m_timers.erase(m_timers.begin());
             onTimer(timer, now, out);
         }
+        BrokerActions actions;
+        m_broker.onTime(now, actions);
+        carry(std::move(actions), now, out);
     }
 
     void RoutingForwarder::onTimer(const Timer& timer, TimePoint now, ForwardActions& out)
     {
         if (timer.kind == TimerKind::Batches) {
-            auto* state = m_directory.find(timer.service);
-            std::vector<BatchAction> actions;
-            state->batches->pump(now, actions);
-            carry(*state, std::move(actions), now, out);
+            BrokerActions actions;
+            m_broker.pump(timer.service, now, actions);
+            carry(std::move(actions), now, out);
             return;
         }
         auto* run = find(timer.run);
--- /dev/null
+++ b/src/foxtailwheel/serving/PieceBroker.cpp
@@ -0,0 +1,307 @@
+#include "foxtailwheel/serving/PieceBroker.h"
+
+#include "foxtailwheel/base/Hash.h"
+
+#include <algorithm>
+#include <map>
+#include <unordered_map>
+
+namespace foxtailwheel::serving {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    /// An owner confirms within this time, or counts as unreachable: many round trips between zones.
+    constexpr Duration confirmLimit = 250ms;
+    /// Results may take this multiple of the time that the owner expected, and this much more.
+    constexpr double resultPatience = 3;
+    constexpr Duration resultSlack = 1500ms;
+    /// Time for which an owner that did not answer is not asked again.
+    constexpr Duration avoidTime = 2s;
+
+    /// A group that this instance asked for.
+    struct Asked {
+        ServiceId service;
+        PieceGroup group; ///< Pieces that are not decided yet.
+        InstanceId owner;
+        TimePoint answerBy; ///< The group is made here if nothing is heard until then.
+        bool confirmed = false;
+    };
+
+    /// A group of this instance's own queue.
+    struct Queued {
+        InstanceId asker; ///< Empty for this instance.
+        PieceGroupId theirs; ///< The asker's number.
+        ServiceId service;
+        std::size_t missing = 0;
+    };
+
+} // namespace
+
+struct PieceBroker::Impl {
+    Impl(InstanceId s, FindQueue f)
+        : self(std::move(s))
+        , findQueue(std::move(f))
+    {
+    }
+
+    void makeHere(const ServiceId& service, PieceGroup group, TimePoint now, BrokerActions& out);
+    void askOwner(const InstanceId& owner, const ServiceId& service, PieceGroup group, TimePoint now,
+        BrokerActions& out);
+    void carry(const std::vector<BatchAction>& actions, BrokerActions& out);
+    void takeBack(PieceGroupId group, TimePoint now, BrokerActions& out);
+    void onAsked(const InstanceId& from, const PiecesAsked& asked, TimePoint now, BrokerActions& out);
+    void onTaken(const InstanceId& from, const PiecesTaken& taken, TimePoint now);
+    void onCancelled(const InstanceId& from, const PiecesCancelled& cancelled);
+    void onMade(const InstanceId& from, const PiecesMade& made, BrokerActions& out);
+
+    InstanceId self;
+    FindQueue findQueue;
+    std::vector<InstanceId> live;
+    std::map<InstanceId, TimePoint> avoided;
+    std::map<PieceGroupId, Asked> asked;
+    std::map<PieceGroupId, Queued> queued; ///< By the number in the local queues.
+    std::uint64_t lastQueued = 0;
+};
+
+/// Groups in the local queues have numbers of their own, since askers number theirs themselves.
+void PieceBroker::Impl::makeHere(const ServiceId& service, PieceGroup group, TimePoint now, BrokerActions& out)
+{
+    auto* queue = findQueue(service);
+    const auto theirs = group.id;
+    if (queue == nullptr) {
+        for (const auto& it : group.pieces)
+            out.emplace_back(PieceDone { theirs, it.index, PieceFailure::Failed });
+        return;
+    }
+    group.id = PieceGroupId(++lastQueued);
+    queued[group.id] = { {}, theirs, service, group.pieces.size() };
+    std::vector<BatchAction> actions;
+    queue->add(std::move(group), now, actions);
+    carry(actions, out);
+}
+
+void PieceBroker::Impl::askOwner(
+    const InstanceId& owner, const ServiceId& service, PieceGroup group, TimePoint now, BrokerActions& out)
+{
+    PiecesAsked message { group.id, service, group.pieces, group.priority, group.goal - now, group.deadline - now,
+        group.preferredZone.value_or(AvailabilityZoneId()), group.again };
+    asked[group.id] = { service, std::move(group), owner, now + confirmLimit, false };
+    out.emplace_back(TellInstance { owner, std::move(message) });
+}
+
+/// Passes calls on, and results to who asked for them; results of one asker's group go in one message.
+void PieceBroker::Impl::carry(const std::vector<BatchAction>& actions, BrokerActions& out)
+{
+    std::map<std::pair<InstanceId, PieceGroupId>, std::vector<MadePiece>> remote;
+    for (const auto& it : actions) {
+        if (const auto* send = std::get_if<SendBatch>(&it)) {
+            out.emplace_back(*send);
+            continue;
+        }
+        const auto& done = std::get<PieceDone>(it);
+        const auto entry = queued.find(done.group);
+        if (entry == queued.end()) {
+            // Cancelled meanwhile: the number tells its owner's asker nothing, but the result still has to be released.
+            out.emplace_back(PieceDone { PieceGroupId(), done.index, done.result });
+            continue;
+        }
+        auto& group = entry->second;
+        if (group.asker.empty())
+            out.emplace_back(PieceDone { group.theirs, done.index, done.result });
+        else
+            remote[{ group.asker, group.theirs }].push_back({ done.index, done.result });
+        if (--group.missing == 0)
+            queued.erase(entry);
+    }
+    for (auto& it : remote)
+        out.emplace_back(TellInstance { it.first.first, PiecesMade { it.first.second, std::move(it.second) } });
+}
+
+/// Makes a group here that its owner does not answer for.
+void PieceBroker::Impl::takeBack(PieceGroupId id, TimePoint now, BrokerActions& out)
+{
+    const auto it = asked.find(id);
+    auto entry = std::move(it->second);
+    asked.erase(it);
+    avoided[entry.owner] = now + avoidTime;
+    out.emplace_back(TellInstance { entry.owner, PiecesCancelled { id } });
+    makeHere(entry.service, std::move(entry.group), now, out);
+}
+
+void PieceBroker::Impl::onAsked(const InstanceId& from, const PiecesAsked& message, TimePoint now, BrokerActions& out)
+{
+    auto* queue = findQueue(message.service);
+    if (queue == nullptr)
+        return;
+    PieceGroup group { PieceGroupId(++lastQueued), message.pieces, message.priority, now + message.goalLeft,
+        now + message.timeLeft, std::nullopt, message.again };
+    if (!message.preferredZone.empty())
+        group.preferredZone = message.preferredZone;
+    const auto expected = queue->expectedWait(message.priority, message.pieces.size(), now);
+    queued[group.id] = { from, message.group, message.service, message.pieces.size() };
+    out.emplace_back(TellInstance { from, PiecesTaken { message.group, expected } });
+    std::vector<BatchAction> actions;
+    queue->add(std::move(group), now, actions);
+    carry(actions, out);
+}
+
+void PieceBroker::Impl::onTaken(const InstanceId& from, const PiecesTaken& taken, TimePoint now)
+{
+    const auto it = asked.find(taken.group);
+    if (it == asked.end() || it->second.owner != from)
+        return;
+    it->second.confirmed = true;
+    it->second.answerBy = now + fromSeconds(toSeconds(taken.expected) * resultPatience) + resultSlack;
+}
+
+void PieceBroker::Impl::onCancelled(const InstanceId& from, const PiecesCancelled& cancelled)
+{
+    const auto it = std::find_if(queued.begin(), queued.end(), [&](const auto& entry) {
+        return entry.second.asker == from && entry.second.theirs == cancelled.group;
+    });
+    if (it == queued.end())
+        return;
+    if (auto* queue = findQueue(it->second.service))
+        queue->cancel(it->first);
+    queued.erase(it);
+}
+
+void PieceBroker::Impl::onMade(const InstanceId& from, const PiecesMade& made, BrokerActions& out)
+{
+    const auto it = asked.find(made.group);
+    const bool current = it != asked.end() && it->second.owner == from;
+    for (const auto& piece : made.pieces) {
+        // Results of a group that was taken back are given out all the same: the first one counts.
+        out.emplace_back(PieceDone { made.group, piece.index, piece.result });
+        if (current)
+            std::erase_if(
+                it->second.group.pieces, [&piece](const Piece& waiting) { return waiting.index == piece.index; });
+    }
+    if (current && it->second.group.pieces.empty())
+        asked.erase(it);
+}
+
+PieceBroker::PieceBroker(InstanceId self, FindQueue findQueue)
+    : m_impl(std::make_unique<Impl>(std::move(self), std::move(findQueue)))
+{
+}
+
+PieceBroker::~PieceBroker() = default;
+
+void PieceBroker::setMembers(
+    const std::vector<InstanceId>& live, const std::set<InstanceId>& gone, TimePoint now, BrokerActions& out)
+{
+    m_impl->live = live;
+    std::vector<PieceGroupId> lost;
+    for (const auto& it : m_impl->asked) {
+        if (gone.contains(it.second.owner))
+            lost.push_back(it.first);
+    }
+    for (const auto id : lost)
+        m_impl->takeBack(id, now, out);
+}
+
+InstanceId PieceBroker::ownerOf(const ServiceId& service, TimePoint now) const
+{
+    InstanceId owner = m_impl->self;
+    std::uint64_t highest = 0;
+    for (const auto& it : m_impl->live) {
+        const auto avoided = m_impl->avoided.find(it);
+        if (avoided != m_impl->avoided.end() && avoided->second > now)
+            continue;
+        const auto weight = rendezvousWeight("pieces/" + service.value(), it.value());
+        if (weight > highest) {
+            owner = it;
+            highest = weight;
+        }
+    }
+    return owner;
+}
+
+void PieceBroker::ask(const ServiceId& service, PieceGroup group, TimePoint now, BrokerActions& out)
+{
+    const auto owner = ownerOf(service, now);
+    if (owner == m_impl->self)
+        m_impl->makeHere(service, std::move(group), now, out);
+    else
+        m_impl->askOwner(owner, service, std::move(group), now, out);
+}
+
+void PieceBroker::cancel(PieceGroupId group, BrokerActions& out)
+{
+    if (const auto it = m_impl->asked.find(group); it != m_impl->asked.end()) {
+        out.emplace_back(TellInstance { it->second.owner, PiecesCancelled { group } });
+        m_impl->asked.erase(it);
+    }
+    std::erase_if(m_impl->queued, [this, group](const auto& it) {
+        if (!it.second.asker.empty() || it.second.theirs != group)
+            return false;
+        if (auto* queue = m_impl->findQueue(it.second.service))
+            queue->cancel(it.first);
+        return true;
+    });
+}
+
+void PieceBroker::onMessage(const InstanceId& from, const PieceMessage& message, TimePoint now, BrokerActions& out)
+{
+    m_impl->avoided.erase(from);
+    if (const auto* asked = std::get_if<PiecesAsked>(&message))
+        m_impl->onAsked(from, *asked, now, out);
+    else if (const auto* taken = std::get_if<PiecesTaken>(&message))
+        m_impl->onTaken(from, *taken, now);
+    else if (const auto* cancelled = std::get_if<PiecesCancelled>(&message))
+        m_impl->onCancelled(from, *cancelled);
+    else
+        m_impl->onMade(from, std::get<PiecesMade>(message), out);
+}
+
+void PieceBroker::onBatchEnd(const ServiceId& service, CallId call, BatchEnd end,
+    const std::vector<PieceResult>& results, TimePoint now, BrokerActions& out)
+{
+    auto* queue = m_impl->findQueue(service);
+    if (queue == nullptr)
+        return;
+    std::vector<BatchAction> actions;
+    queue->ended(call, end, results, now, actions);
+    m_impl->carry(actions, out);
+}
+
+void PieceBroker::pump(const ServiceId& service, TimePoint now, BrokerActions& out)
+{
+    auto* queue = m_impl->findQueue(service);
+    if (queue == nullptr)
+        return;
+    std::vector<BatchAction> actions;
+    queue->pump(now, actions);
+    m_impl->carry(actions, out);
+}
+
+void PieceBroker::onTime(TimePoint now, BrokerActions& out)
+{
+    std::vector<PieceGroupId> late;
+    for (const auto& it : m_impl->asked) {
+        if (it.second.answerBy <= now)
+            late.push_back(it.first);
+    }
+    for (const auto id : late)
+        m_impl->takeBack(id, now, out);
+}
+
+TimePoint PieceBroker::nextTime() const
+{
+    auto next = TimePoint::max();
+    for (const auto& it : m_impl->asked)
+        next = std::min(next, it.second.answerBy);
+    return next;
+}
+
+Duration PieceBroker::expectedWait(
+    const ServiceId& service, std::uint32_t priority, std::size_t pieces, TimePoint now) const
+{
+    const auto* queue = m_impl->findQueue(service);
+    return queue == nullptr ? Duration {} : queue->expectedWait(priority, pieces, now);
+}
+
+} // namespace foxtailwheel::serving
--- a/src/foxtailwheel/serving/ServerDirectory.cpp
+++ b/src/foxtailwheel/serving/ServerDirectory.cpp
@@ -53,10 +53,8 @@
     limits::WindowBudget budget(m_options.retryShare, m_options.retryExtra, m_options.retryWindow);
     budget.setInstances(m_instances);
     std::unique_ptr<BatchQueue> batches;
-    if (service.batch) {
-        batches = std::make_unique<BatchQueue>(*service.batch, *pool, m_newCall);
-        batches->setShare(1.0 / static_cast<double>(m_instances));
-    }
+    if (service.batch)
+        batches = std::make_unique<BatchQueue>(service.id, *service.batch, *pool, m_newCall);
     return { std::move(pool), std::move(budget), std::move(batches), {} };
 }
 
@@ -102,11 +100,8 @@
 void ServerDirectory::setInstances(std::size_t n)
 {
     m_instances = std::max<std::size_t>(1, n);
-    for (auto& it : m_services) {
+    for (auto& it : m_services)
         it.second.budget.setInstances(m_instances);
-        if (it.second.batches)
-            it.second.batches->setShare(1.0 / static_cast<double>(m_instances));
-    }
 }
 
 ServiceState* ServerDirectory::find(const ServiceId& id)
