--- a/include/foxtailwheel/daemon/ForwardService.h
+++ b/include/foxtailwheel/daemon/ForwardService.h
@@ -41,6 +41,8 @@
     void onPeer(const InstanceId& from, const serving::PieceMessage& message);
     /// @brief Sets how messages to other instances are sent.
     void setTell(std::function<void(const InstanceId&, const serving::PieceMessage&)> tell);
+    /// @brief From now on every new request is refused; those in progress go on.
+    void stopAccepting();
     serving::ForwarderStatus status() const;
 
 private:
--- a/include/foxtailwheel/peer/Messages_generated.h
+++ b/include/foxtailwheel/peer/Messages_generated.h
@@ -68,6 +68,9 @@
 struct PiecesMade;
 struct PiecesMadeBuilder;
 
+struct ResultsReleased;
+struct ResultsReleasedBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -83,11 +86,12 @@
   PiecesTaken = 8,
   PiecesCancelled = 9,
   PiecesMade = 10,
+  ResultsReleased = 11,
   MIN = NONE,
-  MAX = PiecesMade
+  MAX = ResultsReleased
 };
 
-inline const Body (&EnumValuesBody())[11] {
+inline const Body (&EnumValuesBody())[12] {
   static const Body values[] = {
     Body::NONE,
     Body::Ping,
@@ -99,13 +103,14 @@
     Body::PiecesAsked,
     Body::PiecesTaken,
     Body::PiecesCancelled,
-    Body::PiecesMade
+    Body::PiecesMade,
+    Body::ResultsReleased
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[12] = {
+  static const char * const names[13] = {
     "NONE",
     "Ping",
     "Ack",
@@ -117,13 +122,14 @@
     "PiecesTaken",
     "PiecesCancelled",
     "PiecesMade",
+    "ResultsReleased",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::PiecesMade)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::ResultsReleased)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -172,6 +178,10 @@
   static const Body enum_value = Body::PiecesMade;
 };
 
+template<> struct BodyTraits<foxtailwheel::peer::wire::ResultsReleased> {
+  static const Body enum_value = Body::ResultsReleased;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -1171,7 +1181,9 @@
     VT_GOAL_US = 14,
     VT_LEFT_US = 16,
     VT_ZONE = 18,
-    VT_AGAIN = 20
+    VT_AGAIN = 20,
+    VT_ZONE_US = 22,
+    VT_RESULT_BYTES = 24
   };
   const foxtailwheel::peer::wire::Member *sender() const {
     return GetPointer<const foxtailwheel::peer::wire::Member *>(VT_SENDER);
@@ -1200,6 +1212,12 @@
   bool again() const {
     return GetField<uint8_t>(VT_AGAIN, 0) != 0;
   }
+  int64_t zone_us() const {
+    return GetField<int64_t>(VT_ZONE_US, 0);
+  }
+  uint64_t result_bytes() const {
+    return GetField<uint64_t>(VT_RESULT_BYTES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -1216,6 +1234,8 @@
            VerifyOffset(verifier, VT_ZONE) &&
            verifier.VerifyString(zone()) &&
            VerifyField<uint8_t>(verifier, VT_AGAIN, 1) &&
+           VerifyField<int64_t>(verifier, VT_ZONE_US, 8) &&
+           VerifyField<uint64_t>(verifier, VT_RESULT_BYTES, 8) &&
            verifier.EndTable();
   }
 };
@@ -1251,6 +1271,12 @@
   void add_again(bool again) {
     fbb_.AddElement<uint8_t>(PiecesAsked::VT_AGAIN, static_cast<uint8_t>(again), 0);
   }
+  void add_zone_us(int64_t zone_us) {
+    fbb_.AddElement<int64_t>(PiecesAsked::VT_ZONE_US, zone_us, 0);
+  }
+  void add_result_bytes(uint64_t result_bytes) {
+    fbb_.AddElement<uint64_t>(PiecesAsked::VT_RESULT_BYTES, result_bytes, 0);
+  }
   explicit PiecesAskedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1272,8 +1298,12 @@
     int64_t goal_us = 0,
     int64_t left_us = 0,
     flatbuffers::Offset<flatbuffers::String> zone = 0,
-    bool again = false) {
+    bool again = false,
+    int64_t zone_us = 0,
+    uint64_t result_bytes = 0) {
   PiecesAskedBuilder builder_(_fbb);
+  builder_.add_result_bytes(result_bytes);
+  builder_.add_zone_us(zone_us);
   builder_.add_left_us(left_us);
   builder_.add_goal_us(goal_us);
   builder_.add_group(group);
@@ -1296,7 +1326,9 @@
     int64_t goal_us = 0,
     int64_t left_us = 0,
     const char *zone = nullptr,
-    bool again = false) {
+    bool again = false,
+    int64_t zone_us = 0,
+    uint64_t result_bytes = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto pieces__ = pieces ? _fbb.CreateVector<flatbuffers::Offset<foxtailwheel::peer::wire::Piece>>(*pieces) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
@@ -1310,7 +1342,9 @@
       goal_us,
       left_us,
       zone__,
-      again);
+      again,
+      zone_us,
+      result_bytes);
 }
 
 struct PiecesTaken FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1561,7 +1595,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SENDER = 4,
     VT_GROUP = 6,
-    VT_PIECES = 8
+    VT_PIECES = 8,
+    VT_SERVICE = 10
   };
   const foxtailwheel::peer::wire::Member *sender() const {
     return GetPointer<const foxtailwheel::peer::wire::Member *>(VT_SENDER);
@@ -1572,6 +1607,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::PieceMade>> *pieces() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::PieceMade>> *>(VT_PIECES);
   }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -1580,6 +1618,8 @@
            VerifyOffset(verifier, VT_PIECES) &&
            verifier.VerifyVector(pieces()) &&
            verifier.VerifyVectorOfTables(pieces()) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
            verifier.EndTable();
   }
 };
@@ -1597,6 +1637,9 @@
   void add_pieces(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::PieceMade>>> pieces) {
     fbb_.AddOffset(PiecesMade::VT_PIECES, pieces);
   }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(PiecesMade::VT_SERVICE, service);
+  }
   explicit PiecesMadeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1612,9 +1655,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender = 0,
     uint64_t group = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::PieceMade>>> pieces = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::PieceMade>>> pieces = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0) {
   PiecesMadeBuilder builder_(_fbb);
   builder_.add_group(group);
+  builder_.add_service(service);
   builder_.add_pieces(pieces);
   builder_.add_sender(sender);
   return builder_.Finish();
@@ -1624,13 +1669,149 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender = 0,
     uint64_t group = 0,
-    const std::vector<flatbuffers::Offset<foxtailwheel::peer::wire::PieceMade>> *pieces = nullptr) {
+    const std::vector<flatbuffers::Offset<foxtailwheel::peer::wire::PieceMade>> *pieces = nullptr,
+    const char *service = nullptr) {
   auto pieces__ = pieces ? _fbb.CreateVector<flatbuffers::Offset<foxtailwheel::peer::wire::PieceMade>>(*pieces) : 0;
+  auto service__ = service ? _fbb.CreateString(service) : 0;
   return foxtailwheel::peer::wire::CreatePiecesMade(
       _fbb,
       sender,
       group,
-      pieces__);
+      pieces__,
+      service__);
+}
+
+struct ResultsReleased FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ResultsReleasedBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SENDER = 4,
+    VT_SERVICE = 6,
+    VT_SERVER = 8,
+    VT_HOST = 10,
+    VT_PORT = 12,
+    VT_ZONE = 14,
+    VT_HANDLES = 16
+  };
+  const foxtailwheel::peer::wire::Member *sender() const {
+    return GetPointer<const foxtailwheel::peer::wire::Member *>(VT_SENDER);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  const flatbuffers::String *host() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOST);
+  }
+  uint16_t port() const {
+    return GetField<uint16_t>(VT_PORT, 0);
+  }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *handles() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_HANDLES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SENDER) &&
+           verifier.VerifyTable(sender()) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyOffset(verifier, VT_HOST) &&
+           verifier.VerifyString(host()) &&
+           VerifyField<uint16_t>(verifier, VT_PORT, 2) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyOffset(verifier, VT_HANDLES) &&
+           verifier.VerifyVector(handles()) &&
+           verifier.VerifyVectorOfStrings(handles()) &&
+           verifier.EndTable();
+  }
+};
+
+struct ResultsReleasedBuilder {
+  typedef ResultsReleased Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sender(flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender) {
+    fbb_.AddOffset(ResultsReleased::VT_SENDER, sender);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(ResultsReleased::VT_SERVICE, service);
+  }
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(ResultsReleased::VT_SERVER, server);
+  }
+  void add_host(flatbuffers::Offset<flatbuffers::String> host) {
+    fbb_.AddOffset(ResultsReleased::VT_HOST, host);
+  }
+  void add_port(uint16_t port) {
+    fbb_.AddElement<uint16_t>(ResultsReleased::VT_PORT, port, 0);
+  }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(ResultsReleased::VT_ZONE, zone);
+  }
+  void add_handles(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> handles) {
+    fbb_.AddOffset(ResultsReleased::VT_HANDLES, handles);
+  }
+  explicit ResultsReleasedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ResultsReleased> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ResultsReleased>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ResultsReleased> CreateResultsReleased(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    flatbuffers::Offset<flatbuffers::String> host = 0,
+    uint16_t port = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> handles = 0) {
+  ResultsReleasedBuilder builder_(_fbb);
+  builder_.add_handles(handles);
+  builder_.add_zone(zone);
+  builder_.add_host(host);
+  builder_.add_server(server);
+  builder_.add_service(service);
+  builder_.add_sender(sender);
+  builder_.add_port(port);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ResultsReleased> CreateResultsReleasedDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender = 0,
+    const char *service = nullptr,
+    const char *server = nullptr,
+    const char *host = nullptr,
+    uint16_t port = 0,
+    const char *zone = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *handles = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  auto host__ = host ? _fbb.CreateString(host) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto handles__ = handles ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*handles) : 0;
+  return foxtailwheel::peer::wire::CreateResultsReleased(
+      _fbb,
+      sender,
+      service__,
+      server__,
+      host__,
+      port,
+      zone__,
+      handles__);
 }
 
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1676,6 +1857,9 @@
   const foxtailwheel::peer::wire::PiecesMade *body_as_PiecesMade() const {
     return body_type() == foxtailwheel::peer::wire::Body::PiecesMade ? static_cast<const foxtailwheel::peer::wire::PiecesMade *>(body()) : nullptr;
   }
+  const foxtailwheel::peer::wire::ResultsReleased *body_as_ResultsReleased() const {
+    return body_type() == foxtailwheel::peer::wire::Body::ResultsReleased ? static_cast<const foxtailwheel::peer::wire::ResultsReleased *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -1725,6 +1909,10 @@
   return body_as_PiecesMade();
 }
 
+template<> inline const foxtailwheel::peer::wire::ResultsReleased *Envelope::body_as<foxtailwheel::peer::wire::ResultsReleased>() const {
+  return body_as_ResultsReleased();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1801,6 +1989,10 @@
       auto ptr = reinterpret_cast<const foxtailwheel::peer::wire::PiecesMade *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::ResultsReleased: {
+      auto ptr = reinterpret_cast<const foxtailwheel::peer::wire::ResultsReleased *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/include/foxtailwheel/routing/ServerPool.h
+++ b/include/foxtailwheel/routing/ServerPool.h
@@ -7,6 +7,7 @@
 #include "foxtailwheel/routing/LoadEstimate.h"
 #include "foxtailwheel/routing/PrefixIndex.h"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -31,6 +32,7 @@
     bool careful = false; ///< True for calls that must not be used to try a suspected server.
     std::optional<std::uint32_t> mostOwnCalls = std::nullopt; ///< Servers with as many own calls in progress are left out.
     std::optional<std::uint64_t> affinity = std::nullopt; ///< Calls of the same value prefer the same server on all instances.
+    std::optional<Duration> longest = std::nullopt; ///< Servers that would take longer are left out.
     std::optional<AvailabilityZoneId> zone = std::nullopt; ///< Servers there are preferred where they are as idle as others.
 };
 
@@ -90,6 +92,10 @@
     void setLeaving(const std::set<BackendServerId>& leaving);
     /// @brief Expected time of a call sent now to a typical server of the subset, queueing included.
     Duration expectedTime() const;
+    /// @brief Usable servers with fewer own calls than `mostOwnCalls`.
+    std::vector<config::BackendServer> freeServers(std::uint32_t mostOwnCalls, TimePoint now) const;
+    /// @brief Servers that are not leaving, by zone.
+    std::map<AvailabilityZoneId, std::size_t> serversByZone() const;
     /// @brief Quantile of the time of answered calls, or `fallback` before enough were seen.
     Duration timeQuantile(double q, Duration fallback) const;
     /// @brief Calls that all usable servers of the pool work on at once.
--- a/include/foxtailwheel/serving/BatchQueue.h
+++ b/include/foxtailwheel/serving/BatchQueue.h
@@ -25,6 +25,7 @@
 struct ResultHandle {
     std::string value; ///< As the server named it; passed on unread.
     config::BackendServer maker;
+    ServiceId service = {}; ///< That the maker belongs to.
 
     friend bool operator==(const ResultHandle&, const ResultHandle&) = default;
 };
@@ -48,9 +49,20 @@
     TimePoint goal; ///< The results are wanted by then.
     TimePoint deadline; ///< The results are of no use after it.
     std::optional<AvailabilityZoneId> preferredZone; ///< Where the results will be used.
+    TimePoint leaveZoneAfter; ///< Pieces that would be made later than this there may be made elsewhere.
+    std::uint64_t resultBytes = 0; ///< Approximate size of the result of one piece.
     bool again = false; ///< The same pieces were asked for before.
 };
 
+/// @brief Tell the makers of results that they are not needed any more.
+struct ReleaseResults {
+    ServiceId service;
+    config::BackendServer maker;
+    std::vector<std::string> handles;
+
+    friend bool operator==(const ReleaseResults&, const ReleaseResults&) = default;
+};
+
 /// @brief Why a piece has no result.
 enum class PieceFailure {
     Late, ///< Its time was over before its turn came.
@@ -90,6 +102,12 @@
 /// @brief What a batch queue wants done.
 using BatchAction = std::variant<SendBatch, PieceDone>;
 
+/// @brief What a batch queue asks of its owner.
+struct BatchQueueEvents {
+    std::function<CallId()> newCall; ///< The number of the next call.
+    std::function<bool(std::size_t, TimePoint)> takeRepeat; ///< Whether so many pieces may be asked for once more.
+};
+
 /// @brief The pieces that wait for one service, over all requests, and when they leave in which call.
 ///
 /// A call costs a fixed time besides the time of its pieces, so pieces wait while all servers are busy and leave
@@ -99,8 +117,7 @@
 class BatchQueue {
 public:
     /// @param pool Chooses the server; outlives the queue.
-    /// @param newCall Gives the number of the next call.
-    BatchQueue(ServiceId service, config::BatchLimits limits, routing::ServerPool& pool, std::function<CallId()> newCall);
+    BatchQueue(ServiceId service, config::BatchLimits limits, routing::ServerPool& pool, BatchQueueEvents events);
     ~BatchQueue();
     BatchQueue(const BatchQueue&) = delete;
     BatchQueue& operator=(const BatchQueue&) = delete;
@@ -118,6 +135,9 @@
     /// @param results One for each piece where `end` is `Answered`, else ignored.
     void ended(CallId call, BatchEnd end, const std::vector<PieceResult>& results, TimePoint now,
         std::vector<BatchAction>& out);
+    /// @brief Results were released.
+    /// @return False where none of them was made by this queue.
+    bool released(const ReleaseResults& release, TimePoint now, std::vector<BatchAction>& out);
     /// @brief Sends what can leave now; called when a server has come or time has passed.
     void pump(TimePoint now, std::vector<BatchAction>& out);
     /// @brief When `pump` is next needed, if nothing else happens.
--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -72,12 +72,6 @@
     CallId call;
 };
 
-/// @brief Tell the makers of results that they are not needed any more.
-struct ReleaseResults {
-    config::BackendServer maker;
-    std::vector<std::string> handles;
-};
-
 /// @brief Why a request ended as it did; for answers, logs and metrics.
 enum class ForwardEnd {
     Answered, ///< The backend server's answer was passed on, whatever its status.
@@ -208,6 +202,8 @@
         const InstanceId& from, const PieceMessage& message, TimePoint now, ForwardActions& out)
         = 0;
 
+    /// @brief From now on every new request is refused; those in progress go on.
+    virtual void stopAccepting() = 0;
     virtual ForwardId newRequest() = 0;
     virtual void submit(ForwardId id, ForwardRequest request, TimePoint now, ForwardActions& out) = 0;
     virtual void onCallerLeft(ForwardId id, TimePoint now, ForwardActions& out) = 0;
--- a/include/foxtailwheel/serving/PieceBroker.h
+++ b/include/foxtailwheel/serving/PieceBroker.h
@@ -23,6 +23,8 @@
     Duration goalLeft {}; ///< Time within which the pieces are wanted; may be over.
     Duration timeLeft {}; ///< Time after which they are of no use.
     AvailabilityZoneId preferredZone; ///< Empty for none.
+    Duration zoneLeft {}; ///< Time after which the pieces may be made outside of that zone.
+    std::uint64_t resultBytes = 0; ///< Approximate size of one result.
     bool again = false;
 
     friend bool operator==(const PiecesAsked&, const PiecesAsked&) = default;
@@ -54,13 +56,15 @@
 /// @brief From the owner: these pieces are decided.
 struct PiecesMade {
     PieceGroupId group;
+    ServiceId service;
     std::vector<MadePiece> pieces;
 
     friend bool operator==(const PiecesMade&, const PiecesMade&) = default;
 };
 
-/// @brief Anything that instances tell each other about pieces.
-using PieceMessage = std::variant<PiecesAsked, PiecesTaken, PiecesCancelled, PiecesMade>;
+/// @brief Anything that instances tell each other about pieces. Results are released through the owner, which so knows
+/// the room that is left at their makers.
+using PieceMessage = std::variant<PiecesAsked, PiecesTaken, PiecesCancelled, PiecesMade, ReleaseResults>;
 
 /// @brief Send a message to another instance.
 struct TellInstance {
@@ -69,7 +73,7 @@
 };
 
 /// @brief What a broker wants done.
-using BrokerAction = std::variant<SendBatch, PieceDone, TellInstance>;
+using BrokerAction = std::variant<SendBatch, PieceDone, TellInstance, ReleaseResults>;
 using BrokerActions = std::vector<BrokerAction>;
 
 /// @brief The batch queue of a service; null where the service takes no pieces.
@@ -97,6 +101,8 @@
     void ask(const ServiceId& service, PieceGroup group, TimePoint now, BrokerActions& out);
     /// @brief The group is not wanted any more.
     void cancel(PieceGroupId group, BrokerActions& out);
+    /// @brief Results are not needed any more.
+    void release(ReleaseResults release, TimePoint now, BrokerActions& out);
     /// @brief Another instance has said something.
     void onMessage(const InstanceId& from, const PieceMessage& message, TimePoint now, BrokerActions& out);
     /// @brief A batch call of a service ended.
@@ -108,7 +114,8 @@
     void onTime(TimePoint now, BrokerActions& out);
     /// @brief When `onTime` is next needed.
     TimePoint nextTime() const;
-    /// @brief Expected time until more pieces of a service would be made, as far as it is known here.
+    /// @brief Expected time until more pieces of a service would be made: from this instance's own queue where it owns
+    /// the service, else as the owner said lately; 0 where nothing is known.
     Duration expectedWait(const ServiceId& service, std::uint32_t priority, std::size_t pieces, TimePoint now) const;
 
 private:
--- /dev/null
+++ b/include/foxtailwheel/serving/ResultRoom.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "foxtailwheel/base/Ids.h"
+#include "foxtailwheel/base/Units.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace foxtailwheel::serving {
+
+/// @brief Room for results at the servers of one service, as far as this instance had them made. Not thread-safe.
+///
+/// A result takes room from the start of its call until it is released or its life is over.
+class ResultRoom {
+public:
+    /// @brief Takes the room of one server and the life of a result after its call.
+    void setLimits(std::uint64_t bytes, Duration life);
+    /// @brief Room that is left at a server; without a limit, more than any call needs.
+    std::uint64_t left(const BackendServerId& server, TimePoint now);
+    /// @brief A call that will make so many bytes was sent.
+    void reserve(const BackendServerId& server, std::uint64_t bytes);
+    /// @brief The call has ended; its results are added one by one.
+    void unreserve(const BackendServerId& server, std::uint64_t bytes);
+    /// @brief A result lies at a server.
+    void made(const BackendServerId& server, const std::string& handle, std::uint64_t bytes, TimePoint now);
+    /// @brief A result was released.
+    /// @return False where it is not known here.
+    bool released(const BackendServerId& server, const std::string& handle);
+    /// @brief A server is gone, and its results with it.
+    void forget(const BackendServerId& server) { m_servers.erase(server); }
+
+private:
+    struct Result {
+        std::uint64_t bytes = 0;
+        TimePoint until;
+    };
+    struct Server {
+        std::uint64_t used = 0; ///< Reserved or made.
+        std::map<std::string, Result> results;
+    };
+
+    std::map<BackendServerId, Server> m_servers;
+    std::uint64_t m_bytes = 0;
+    Duration m_life {};
+};
+
+} // namespace foxtailwheel::serving
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -379,6 +379,11 @@
     m_impl->tell = std::move(tell);
 }
 
+void ForwardService::stopAccepting()
+{
+    m_impl->forwarder->stopAccepting();
+}
+
 serving::ForwarderStatus ForwardService::status() const
 {
     return m_impl->forwarder->status(m_impl->clock.now());
--- a/src/foxtailwheel/peer/Message.cpp
+++ b/src/foxtailwheel/peer/Message.cpp
@@ -94,7 +94,7 @@
             return wrap(wire::Body::PiecesAsked,
                 wire::CreatePiecesAskedDirect(fbb, pack(fbb, sender), it.group.value(), it.service.value().c_str(),
                     &pieces, it.priority, microseconds(it.goalLeft), microseconds(it.timeLeft),
-                    it.preferredZone.value().c_str(), it.again));
+                    it.preferredZone.value().c_str(), it.again, microseconds(it.zoneLeft), it.resultBytes));
         }
         flatbuffers::Offset<wire::Envelope> operator()(const serving::PiecesTaken& it) const
         {
@@ -112,7 +112,16 @@
             for (const auto& piece : it.pieces)
                 pieces.push_back(pack(fbb, piece));
             return wrap(wire::Body::PiecesMade,
-                wire::CreatePiecesMadeDirect(fbb, pack(fbb, sender), it.group.value(), &pieces));
+                wire::CreatePiecesMadeDirect(
+                    fbb, pack(fbb, sender), it.group.value(), &pieces, it.service.value().c_str()));
+        }
+        flatbuffers::Offset<wire::Envelope> operator()(const serving::ReleaseResults& it) const
+        {
+            const auto handles = fbb.CreateVectorOfStrings(it.handles);
+            return wrap(wire::Body::ResultsReleased,
+                wire::CreateResultsReleased(fbb, pack(fbb, sender), fbb.CreateString(it.service.value()),
+                    fbb.CreateString(it.maker.id.value()), fbb.CreateString(it.maker.host), it.maker.port,
+                    fbb.CreateString(it.maker.zone.value()), handles));
         }
 
         template <class T> flatbuffers::Offset<wire::Envelope> wrap(wire::Body type, flatbuffers::Offset<T> body) const
@@ -229,6 +238,8 @@
         out.timeLeft = std::chrono::microseconds(asked.left_us());
         out.preferredZone = AvailabilityZoneId(textOf(asked.zone()));
         out.again = asked.again();
+        out.zoneLeft = std::chrono::microseconds(asked.zone_us());
+        out.resultBytes = asked.result_bytes();
         if (asked.pieces() == nullptr)
             return out;
         for (const auto* it : *asked.pieces()) {
@@ -244,14 +255,14 @@
 
     serving::PiecesMade unpack(const wire::PiecesMade& made)
     {
-        serving::PiecesMade out { serving::PieceGroupId(made.group()), {} };
+        serving::PiecesMade out { serving::PieceGroupId(made.group()), ServiceId(textOf(made.service())), {} };
         if (made.pieces() == nullptr)
             return out;
         for (const auto* it : *made.pieces()) {
             if (const auto handle = textOf(it->handle()); !handle.empty()) {
                 const config::BackendServer maker { BackendServerId(textOf(it->server())), textOf(it->host()),
                     it->port(), AvailabilityZoneId(textOf(it->zone())) };
-                out.pieces.push_back({ it->index(), serving::ResultHandle { handle, maker } });
+                out.pieces.push_back({ it->index(), serving::ResultHandle { handle, maker, out.service } });
             } else {
                 const auto last = static_cast<std::uint8_t>(serving::PieceFailure::Failed);
                 out.pieces.push_back(
@@ -261,6 +272,19 @@
         return out;
     }
 
+    serving::ReleaseResults unpack(const wire::ResultsReleased& released)
+    {
+        serving::ReleaseResults out { ServiceId(textOf(released.service())),
+            { BackendServerId(textOf(released.server())), textOf(released.host()), released.port(),
+                AvailabilityZoneId(textOf(released.zone())) },
+            {} };
+        if (const auto* handles = released.handles()) {
+            for (const auto* it : *handles)
+                out.handles.push_back(it->str());
+        }
+        return out;
+    }
+
     std::optional<Message> unpackPieceNews(const wire::Envelope& envelope)
     {
         if (const auto* it = envelope.body_as_PiecesAsked())
@@ -273,6 +297,8 @@
             return PieceNews { unpack(it->sender()), serving::PiecesCancelled { serving::PieceGroupId(it->group()) } };
         if (const auto* it = envelope.body_as_PiecesMade())
             return PieceNews { unpack(it->sender()), unpack(*it) };
+        if (const auto* it = envelope.body_as_ResultsReleased())
+            return PieceNews { unpack(it->sender()), unpack(*it) };
         return std::nullopt;
     }
 
--- a/src/foxtailwheel/routing/ServerPool.cpp
+++ b/src/foxtailwheel/routing/ServerPool.cpp
@@ -172,8 +172,11 @@
         const bool avoided = avoiding
             && std::find(request.avoid.begin(), request.avoid.end(), server.declared.id) != request.avoid.end();
         const bool full = request.mostOwnCalls && server.load.own() >= *request.mostOwnCalls;
-        if (usable && !avoided && !full)
-            candidates.push_back(candidateOf(place, request, now));
+        if (!usable || avoided || full)
+            continue;
+        const auto candidate = candidateOf(place, request, now);
+        if (!request.longest || fromSeconds(candidate.expectedSeconds) <= *request.longest)
+            candidates.push_back(candidate);
     }
 }
 
@@ -203,8 +206,9 @@
     std::uint64_t bestWeight = 0;
     bool bestFits = false;
     for (const auto& it : candidates) {
-        const bool fits = loadAt(servers[it.server], now) <= bound;
-        const auto weight = hashOf(servers[it.server].declared.id.value(), affinity);
+        const auto& server = servers[it.server];
+        const bool fits = loadAt(server, now) <= bound;
+        const auto weight = hashOf(server.declared.id.value(), affinity);
         if (std::pair(fits, weight) > std::pair(bestFits, bestWeight)) {
             best = it.server;
             bestWeight = weight;
@@ -373,6 +377,29 @@
     return share * m_impl->stayingServers * m_impl->service.concurrency;
 }
 
+std::vector<config::BackendServer> ServerPool::freeServers(std::uint32_t mostOwnCalls, TimePoint now) const
+{
+    const std::lock_guard lock(m_impl->mutex);
+    std::vector<config::BackendServer> free;
+    for (const auto place : m_impl->subset) {
+        const auto& server = m_impl->servers[place];
+        if (server.health.usable(now, server.load.own()) && server.load.own() < mostOwnCalls)
+            free.push_back(server.declared);
+    }
+    return free;
+}
+
+std::map<AvailabilityZoneId, std::size_t> ServerPool::serversByZone() const
+{
+    const std::lock_guard lock(m_impl->mutex);
+    std::map<AvailabilityZoneId, std::size_t> zones;
+    for (const auto& it : m_impl->servers) {
+        if (!it.leaving)
+            ++zones[it.declared.zone];
+    }
+    return zones;
+}
+
 std::vector<ServerStatus> ServerPool::status() const
 {
     const std::lock_guard lock(m_impl->mutex);
--- a/src/foxtailwheel/serving/BatchQueue.cpp
+++ b/src/foxtailwheel/serving/BatchQueue.cpp
@@ -1,7 +1,11 @@
 #include "foxtailwheel/serving/BatchQueue.h"
 
+#include "foxtailwheel/serving/BatchForecast.h"
+#include "foxtailwheel/serving/ResultRoom.h"
+
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -16,10 +20,18 @@
     constexpr double patience = 6;
     /// Least time that a call is waited for, whatever its size.
     constexpr Duration leastPatience = 1500ms;
+    /// Pieces of a call that takes this multiple of its expected time are asked for at a second server.
+    constexpr double doublingShare = 2.2;
+    /// Servers whose calls take longer than this multiple of the expected time are left alone while pieces can wait.
+    constexpr double slowServer = 2.5;
     /// Times that a piece is put back after a server said that it did not start it or has no room.
     constexpr std::uint32_t mostReturns = 6;
     /// Pause before the queue sends again after a server had no room.
     constexpr Duration roomPause = 60ms;
+    /// Period in which waiting pieces are checked against their deadlines, and calls against their expected time.
+    constexpr Duration checkPeriod = 100ms;
+
+    using PieceId = std::pair<PieceGroupId, std::uint32_t>;
 
     struct Waiting {
         PieceGroupId group;
@@ -28,9 +40,12 @@
         TimePoint goal;
         TimePoint deadline;
         std::optional<AvailabilityZoneId> zone;
+        TimePoint leaveZoneAfter;
+        std::uint64_t resultBytes = 0;
         std::uint64_t order = 0; ///< Ties are taken in the order of arrival.
         std::uint32_t returns = 0;
 
+        PieceId id() const { return { group, piece.index }; }
         friend bool operator<(const Waiting& a, const Waiting& b)
         {
             return std::tie(a.priority, a.goal, a.order) < std::tie(b.priority, b.goal, b.order);
@@ -38,40 +53,57 @@
     };
 
     struct InProgress {
-        BackendServerId server;
+        config::BackendServer server;
         std::vector<Waiting> pieces;
         TimePoint sentAt;
         Duration expected {};
+        std::uint64_t resultBytes = 0; ///< Of all its pieces.
+        bool doubled = false; ///< Its pieces were put into the queue once more.
     };
 
 } // namespace
 
 struct BatchQueue::Impl {
-    Impl(ServiceId s, config::BatchLimits l, routing::ServerPool& p, std::function<CallId()> n)
+    Impl(ServiceId s, config::BatchLimits l, routing::ServerPool& p, BatchQueueEvents e)
         : service(std::move(s))
         , limits(l)
         , pool(p)
-        , newCall(std::move(n))
+        , events(std::move(e))
+        , forecast(l)
     {
+        room.setLimits(l.resultRoomBytes, l.resultLife);
     }
 
-    Duration expectedTime(std::size_t pieces) const { return limits.callTime + limits.pieceTime * pieces; }
     std::size_t mostCalls(TimePoint now) const;
+    double servers(TimePoint now) const { return static_cast<double>(mostCalls(now)); }
     bool sendOne(TimePoint now, std::vector<BatchAction>& out);
-    std::vector<Waiting> take(TimePoint now);
-    void dropLate(TimePoint now, std::vector<BatchAction>& out);
+    std::optional<AvailabilityZoneId> zoneToServe(
+        const std::map<AvailabilityZoneId, std::uint64_t>& free, TimePoint now) const;
+    bool mayLeaveZone(const Waiting& piece, TimePoint now) const;
+    std::vector<Waiting> take(const config::BackendServer& server, TimePoint now);
+    void send(const config::BackendServer& server, std::vector<Waiting> pieces, TimePoint now,
+        std::vector<BatchAction>& out);
+    void check(TimePoint now, std::vector<BatchAction>& out);
+    void dropHopeless(TimePoint now, std::vector<BatchAction>& out);
+    void doubleSlowCalls(TimePoint now);
+    void decide(const Waiting& piece, const PieceResult& result, std::vector<BatchAction>& out);
     void putBack(Waiting piece, PieceFailure failure, TimePoint now, std::vector<BatchAction>& out);
     routing::CallReport reportOf(const InProgress& call, BatchEnd end, TimePoint now) const;
 
     ServiceId service;
     config::BatchLimits limits;
     routing::ServerPool& pool;
-    std::function<CallId()> newCall;
+    BatchQueueEvents events;
+    BatchForecast forecast;
+    ResultRoom room;
     double share = 1;
     std::set<Waiting> waiting;
     std::unordered_map<CallId, InProgress> calls;
+    std::set<PieceId> twice; ///< Pieces that are in two calls, or in one and in the queue.
+    std::set<PieceId> settled; ///< Of these, the ones that one call has decided.
     std::uint64_t arrivals = 0;
     TimePoint pausedUntil {};
+    TimePoint checkedAt {};
 };
 
 /// Calls that this queue may have in progress at once.
@@ -80,14 +112,48 @@
     return static_cast<std::size_t>(std::max(1.0, std::ceil(share * pool.slots(now))));
 }
 
-std::vector<Waiting> BatchQueue::Impl::take(TimePoint now)
+/// A piece leaves its zone where the servers there would make it too late, or are gone: its result then crosses zones.
+bool BatchQueue::Impl::mayLeaveZone(const Waiting& piece, TimePoint now) const
+{
+    auto freeAt = TimePoint::max();
+    for (const auto& [id, call] : calls) {
+        if (call.server.zone == *piece.zone)
+            freeAt = std::min(freeAt, std::max(call.sentAt + call.expected, now));
+    }
+    return freeAt == TimePoint::max() || freeAt + forecast.callTime(limits.pieces) > piece.leaveZoneAfter;
+}
+
+/// The zone of a free server that some piece may go to now, in the order in which pieces leave.
+/// @param free Most room for results at a free server, by zone.
+std::optional<AvailabilityZoneId> BatchQueue::Impl::zoneToServe(
+    const std::map<AvailabilityZoneId, std::uint64_t>& free, TimePoint now) const
+{
+    const auto widest = std::max_element(
+        free.begin(), free.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+    for (const auto& it : waiting) {
+        const auto home = it.zone ? free.find(*it.zone) : free.end();
+        if (home != free.end() && home->second >= it.resultBytes)
+            return home->first;
+        if ((!it.zone || mayLeaveZone(it, now)) && widest->second >= it.resultBytes)
+            return widest->first;
+    }
+    return std::nullopt;
+}
+
+/// Fills a call for `server`: first with the pieces that can meet their goal, as far as there is room for results.
+std::vector<Waiting> BatchQueue::Impl::take(const config::BackendServer& server, TimePoint now)
 {
     std::vector<Waiting> pieces;
+    auto left = room.left(server.id, now);
     const auto takeAll = [&](bool lateToo) {
         for (auto it = waiting.begin(); it != waiting.end() && pieces.size() < limits.pieces;) {
             const auto next = std::next(it);
-            if (lateToo || it->goal >= now + expectedTime(pieces.size() + 1))
+            const bool here = !it->zone || *it->zone == server.zone || mayLeaveZone(*it, now);
+            const bool inTime = it->goal >= now + forecast.callTime(pieces.size() + 1);
+            if (here && (lateToo || inTime) && it->resultBytes <= left) {
+                left -= it->resultBytes;
                 pieces.push_back(std::move(waiting.extract(it).value()));
+            }
             it = next;
         }
     };
@@ -100,44 +166,125 @@
 {
     if (waiting.empty() || calls.size() >= mostCalls(now))
         return false;
+    std::map<AvailabilityZoneId, std::uint64_t> roomByZone;
+    for (const auto& it : pool.freeServers(limits.slots, now)) {
+        auto& most = roomByZone[it.zone];
+        most = std::max(most, room.left(it.id, now));
+    }
+    if (roomByZone.empty())
+        return false;
+    const auto zone = zoneToServe(roomByZone, now);
+    if (!zone)
+        return false;
     routing::PlacementRequest wanted;
     wanted.mostOwnCalls = limits.slots;
-    wanted.zone = waiting.begin()->zone;
+    wanted.zone = *zone;
+    for (const auto& it : pool.freeServers(limits.slots, now)) {
+        if (it.zone == *zone && room.left(it.id, now) < roomByZone[*zone])
+            wanted.avoid.push_back(it.id);
+    }
+    if (!calls.empty())
+        wanted.longest = fromSeconds(toSeconds(limits.callTime + limits.pieceTime) * slowServer);
     const auto placement = pool.place(wanted, now);
     if (!placement)
         return false;
-    InProgress call { placement->server.id, take(now), now, {} };
-    call.expected = expectedTime(call.pieces.size());
-    SendBatch send { newCall(), service, placement->server, {}, {}, {} };
+    auto pieces = take(placement->server, now);
+    if (pieces.empty()) {
+        pool.cancelled(placement->server.id, {}, now);
+        return false;
+    }
+    send(placement->server, std::move(pieces), now, out);
+    return true;
+}
+
+void BatchQueue::Impl::send(const config::BackendServer& server, std::vector<Waiting> pieces, TimePoint now,
+    std::vector<BatchAction>& out)
+{
+    InProgress call { server, std::move(pieces), now, {} };
+    call.expected = forecast.callTime(call.pieces.size());
+    SendBatch send { events.newCall(), service, server, {}, {}, {} };
     auto latest = now;
     for (const auto& it : call.pieces) {
         send.pieces.push_back(it.piece);
         send.timeLeft.push_back(it.deadline - now);
         latest = std::max(latest, it.deadline);
+        call.resultBytes += it.resultBytes;
     }
-    send.deadline
-        = std::min(latest, now + std::max(leastPatience, fromSeconds(toSeconds(call.expected) * patience)));
+    send.deadline = std::min(latest, now + std::max(leastPatience, fromSeconds(toSeconds(call.expected) * patience)));
+    room.reserve(server.id, call.resultBytes);
     calls.emplace(send.call, std::move(call));
     out.emplace_back(std::move(send));
-    return true;
 }
 
-void BatchQueue::Impl::dropLate(TimePoint now, std::vector<BatchAction>& out)
+/// Gives out a piece's result once, however many calls it is in.
+void BatchQueue::Impl::decide(const Waiting& piece, const PieceResult& result, std::vector<BatchAction>& out)
 {
+    const auto id = piece.id();
+    if (twice.erase(id) > 0) {
+        const auto copy = std::find_if(
+            waiting.begin(), waiting.end(), [&id](const Waiting& it) { return it.id() == id; });
+        if (copy != waiting.end()) {
+            // The other one has not left: a failure leaves it in the queue, a result makes it needless.
+            if (std::holds_alternative<PieceFailure>(result))
+                return;
+            waiting.erase(copy);
+        } else if (std::holds_alternative<PieceFailure>(result)) {
+            return;
+        } else {
+            settled.insert(id);
+        }
+        out.emplace_back(PieceDone { piece.group, piece.piece.index, result });
+        return;
+    }
+    const bool late = settled.erase(id) > 0;
+    out.emplace_back(PieceDone { late ? PieceGroupId() : piece.group, piece.piece.index, result });
+}
+
+void BatchQueue::Impl::check(TimePoint now, std::vector<BatchAction>& out)
+{
+    if (now - checkedAt < checkPeriod)
+        return;
+    checkedAt = now;
+    dropHopeless(now, out);
+    doubleSlowCalls(now);
+}
+
+/// Drops the pieces that will not be made before their deadline, as things stand: their callers learn it at once.
+void BatchQueue::Impl::dropHopeless(TimePoint now, std::vector<BatchAction>& out)
+{
+    std::size_t ahead = 0;
     for (auto it = waiting.begin(); it != waiting.end();) {
-        if (it->deadline > now) {
+        const auto made = now + forecast.wait(it->priority, ++ahead, servers(now), now);
+        if (made <= it->deadline || twice.contains(it->id())) {
             ++it;
             continue;
         }
+        --ahead;
         out.emplace_back(PieceDone { it->group, it->piece.index, PieceFailure::Late });
         it = waiting.erase(it);
     }
 }
 
+/// A piece may be made twice, so a call that takes far longer than expected is not waited for alone.
+void BatchQueue::Impl::doubleSlowCalls(TimePoint now)
+{
+    for (auto& [id, call] : calls) {
+        if (call.doubled || now - call.sentAt < fromSeconds(toSeconds(call.expected) * doublingShare))
+            continue;
+        if (!events.takeRepeat(call.pieces.size(), now))
+            continue;
+        call.doubled = true;
+        for (const auto& it : call.pieces) {
+            if (it.deadline > now && !settled.contains(it.id()) && twice.insert(it.id()).second)
+                waiting.insert(it);
+        }
+    }
+}
+
 void BatchQueue::Impl::putBack(Waiting piece, PieceFailure failure, TimePoint now, std::vector<BatchAction>& out)
 {
-    if (piece.deadline <= now || ++piece.returns > mostReturns) {
-        out.emplace_back(PieceDone { piece.group, piece.piece.index, failure });
+    if (piece.deadline <= now || ++piece.returns > mostReturns || twice.contains(piece.id())) {
+        decide(piece, failure, out);
         return;
     }
     waiting.insert(std::move(piece));
@@ -162,13 +309,15 @@
         report.sign = routing::CallSign::Broken;
         break;
     }
-    report.time = fromSeconds(toSeconds(now - call.sentAt) * toSeconds(expectedTime(1)) / toSeconds(call.expected));
+    const auto one = limits.callTime + limits.pieceTime;
+    const auto declared = limits.callTime + limits.pieceTime * call.pieces.size();
+    report.time = fromSeconds(toSeconds(now - call.sentAt) * toSeconds(one) / std::max(1e-3, toSeconds(declared)));
     return report;
 }
 
 BatchQueue::BatchQueue(
-    ServiceId service, config::BatchLimits limits, routing::ServerPool& pool, std::function<CallId()> newCall)
-    : m_impl(std::make_unique<Impl>(std::move(service), limits, pool, std::move(newCall)))
+    ServiceId service, config::BatchLimits limits, routing::ServerPool& pool, BatchQueueEvents events)
+    : m_impl(std::make_unique<Impl>(std::move(service), limits, pool, std::move(events)))
 {
 }
 
@@ -177,6 +326,8 @@
 void BatchQueue::setLimits(const config::BatchLimits& limits)
 {
     m_impl->limits = limits;
+    m_impl->forecast.setLimits(limits);
+    m_impl->room.setLimits(limits.resultRoomBytes, limits.resultLife);
 }
 
 void BatchQueue::setShare(double share)
@@ -186,9 +337,10 @@
 
 void BatchQueue::add(PieceGroup group, TimePoint now, std::vector<BatchAction>& out)
 {
+    m_impl->forecast.arrived(group.priority, group.pieces.size(), now);
     for (auto& it : group.pieces)
-        m_impl->waiting.insert({ group.id, std::move(it), group.priority, group.goal, group.deadline, group.preferredZone,
-            ++m_impl->arrivals, 0 });
+        m_impl->waiting.insert({ group.id, std::move(it), group.priority, group.goal, group.deadline,
+            group.preferredZone, group.leaveZoneAfter, group.resultBytes, ++m_impl->arrivals, 0 });
     pump(now, out);
 }
 
@@ -205,29 +357,43 @@
         return;
     auto call = std::move(it->second);
     m_impl->calls.erase(it);
-    const bool whole = end == BatchEnd::Answered && results.size() == call.pieces.size();
-    m_impl->pool.ended(call.server, m_impl->reportOf(call, whole || end != BatchEnd::Answered ? end : BatchEnd::Broken, now), now);
+    if (end == BatchEnd::Answered && results.size() != call.pieces.size())
+        end = BatchEnd::Broken;
+    m_impl->pool.ended(call.server.id, m_impl->reportOf(call, end, now), now);
+    if (end == BatchEnd::Answered)
+        m_impl->forecast.answered(call.pieces.size(), now - call.sentAt);
+    m_impl->room.unreserve(call.server.id, call.resultBytes);
     for (std::size_t i = 0; i < call.pieces.size(); ++i) {
         auto& piece = call.pieces[i];
-        if (!whole) {
-            if (end == BatchEnd::NotRun || end == BatchEnd::Unreachable)
-                m_impl->putBack(std::move(piece), PieceFailure::Failed, now, out);
-            else
-                out.emplace_back(PieceDone { piece.group, piece.piece.index, PieceFailure::Failed });
-            continue;
+        auto result = end == BatchEnd::Answered ? results[i] : PieceResult(PieceFailure::Failed);
+        if (auto* handle = std::get_if<ResultHandle>(&result)) {
+            handle->service = m_impl->service;
+            m_impl->room.made(call.server.id, handle->value, piece.resultBytes, now);
         }
-        const auto* failure = std::get_if<PieceFailure>(&results[i]);
-        if (failure != nullptr && *failure == PieceFailure::NoRoom)
+        const auto* failure = std::get_if<PieceFailure>(&result);
+        const bool notMade = end == BatchEnd::NotRun || end == BatchEnd::Unreachable
+            || (failure != nullptr && *failure == PieceFailure::NoRoom);
+        if (notMade)
             m_impl->putBack(std::move(piece), *failure, now, out);
         else
-            out.emplace_back(PieceDone { piece.group, piece.piece.index, results[i] });
+            m_impl->decide(piece, result, out);
     }
     pump(now, out);
 }
 
+bool BatchQueue::released(const ReleaseResults& release, TimePoint now, std::vector<BatchAction>& out)
+{
+    bool known = false;
+    for (const auto& it : release.handles)
+        known = m_impl->room.released(release.maker.id, it) || known;
+    if (known)
+        pump(now, out);
+    return known;
+}
+
 void BatchQueue::pump(TimePoint now, std::vector<BatchAction>& out)
 {
-    m_impl->dropLate(now, out);
+    m_impl->check(now, out);
     if (now < m_impl->pausedUntil)
         return;
     while (m_impl->sendOne(now, out)) { }
@@ -235,9 +401,9 @@
 
 std::optional<TimePoint> BatchQueue::nextPump() const
 {
-    if (m_impl->waiting.empty())
+    if (m_impl->waiting.empty() && m_impl->calls.empty())
         return std::nullopt;
-    return m_impl->pausedUntil;
+    return std::max(m_impl->pausedUntil, m_impl->checkedAt + checkPeriod);
 }
 
 std::size_t BatchQueue::waiting() const
@@ -252,15 +418,17 @@
 
 Duration BatchQueue::expectedWait(std::uint32_t priority, std::size_t pieces, TimePoint now) const
 {
-    const auto ahead = static_cast<double>(pieces)
-        + static_cast<double>(std::count_if(m_impl->waiting.begin(), m_impl->waiting.end(),
-            [priority](const Waiting& it) { return it.priority <= priority; }));
-    const double calls = std::ceil(ahead / std::max<double>(1, m_impl->limits.pieces));
-    const double servers = static_cast<double>(m_impl->mostCalls(now));
-    const double perCall = toSeconds(m_impl->expectedTime(m_impl->limits.pieces));
-    const double inLast = std::min<double>(ahead, m_impl->limits.pieces);
-    const double rounds = std::floor((calls - 1 + static_cast<double>(m_impl->calls.size())) / servers);
-    return fromSeconds(rounds * perCall + toSeconds(m_impl->expectedTime(static_cast<std::size_t>(inLast))));
+    const auto ahead = std::count_if(m_impl->waiting.begin(), m_impl->waiting.end(),
+        [priority](const Waiting& it) { return it.priority <= priority; });
+    const auto servers = m_impl->servers(now);
+    const bool busy = static_cast<double>(m_impl->calls.size()) >= servers;
+    // While all servers are busy, the next one comes free after part of a call.
+    const Duration untilFree = busy
+        ? fromSeconds(toSeconds(m_impl->forecast.callTime(m_impl->limits.pieces))
+            / static_cast<double>(1 + m_impl->calls.size()))
+        : Duration {};
+    return untilFree
+        + m_impl->forecast.wait(priority, pieces + static_cast<std::size_t>(ahead), servers, now);
 }
 
 } // namespace foxtailwheel::serving
--- a/src/foxtailwheel/serving/ForwardRun.h
+++ b/src/foxtailwheel/serving/ForwardRun.h
@@ -37,6 +37,7 @@
     ServiceId service; ///< Drawn from the route's targets.
     ClientAccountId account;
     std::uint32_t priority = 0;
+    std::optional<AvailabilityZoneId> homeZone; ///< Where the request will run and its results should be made.
     TimePoint acceptedAt;
     TimePoint deadline;
     std::vector<StageProgress> stages;
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -5,6 +5,7 @@
 #include "foxtailwheel/base/Hash.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <unordered_map>
 
@@ -26,6 +27,8 @@
     constexpr Duration serverRetryPause = 25ms;
     /// Hint for callers of an instance that has no configuration or no current credentials.
     constexpr Duration instanceRetryAfter = 300ms;
+    /// Least hint for callers that are refused under load: about the time of one batch call.
+    constexpr Duration leastRetryAfter = 300ms;
     /// Hint for callers that no server could take.
     constexpr Duration serverRetryAfter = 500ms;
     /// Share of a plain request's goal after which a second server is asked.
@@ -60,6 +63,23 @@
         return std::to_string(static_cast<long>(n));
     }
 
+    /// Weighted rendezvous hashing: a zone wins a share of all affinities in proportion to its weight.
+    std::optional<AvailabilityZoneId> drawZone(
+        const std::map<AvailabilityZoneId, double>& weights, std::uint64_t affinity)
+    {
+        std::optional<AvailabilityZoneId> best;
+        double highest = 0;
+        for (const auto& [zone, weight] : weights) {
+            const double uniform = (static_cast<double>(hashOf(zone.value(), affinity) >> 11U) + 0.5) * 0x1.0p-53;
+            const double score = weight / -std::log(uniform);
+            if (score > highest) {
+                best = zone;
+                highest = score;
+            }
+        }
+        return best;
+    }
+
     unsigned statusOf(ForwardEnd end)
     {
         switch (end) {
@@ -97,6 +117,7 @@
             ForwardActions& out) override;
         void onPeer(
             const InstanceId& from, const PieceMessage& message, TimePoint now, ForwardActions& out) override;
+        void stopAccepting() override { m_accepting = false; }
         ForwardId newRequest() override { return ForwardId(++m_lastRun); }
         void submit(ForwardId id, ForwardRequest request, TimePoint now, ForwardActions& out) override;
         void onCallerLeft(ForwardId id, TimePoint now, ForwardActions& out) override;
@@ -129,6 +150,8 @@
         std::optional<ForwardEnd> authorize(ForwardRun& run, TimePoint now) const;
         ServiceId drawService(const ForwardRun& run);
         void start(ForwardRun& run, TimePoint now, ForwardActions& out);
+        void chooseZone(ForwardRun& run);
+        Duration expectedTime(const ForwardRun& run, TimePoint now) const;
 
         void startStages(ForwardRun& run, TimePoint now, ForwardActions& out);
         void requestPieces(ForwardRun& run, StageIndex stage, TimePoint now, ForwardActions& out);
@@ -136,13 +159,15 @@
         Piece pieceOf(const ForwardRun& run, StageIndex stage, std::uint32_t index) const;
         void carry(BrokerActions actions, TimePoint now, ForwardActions& out);
         TimePoint goalOf(const ForwardRun& run, StageIndex stage) const;
-        PieceGroup groupOf(const ForwardRun& run, StageIndex stage) const;
+        PieceGroup groupOf(const ForwardRun& run, StageIndex stage, TimePoint now) const;
+        static long stagesFrom(const ForwardRun& run, StageIndex stage);
         void takePiece(const PieceDone& piece, TimePoint now, ForwardActions& out);
         void pieceFailed(ForwardRun& run, StageIndex stage, const PieceDone& piece, PieceFailure failure, TimePoint now,
             ForwardActions& out);
-        void releaseStage(ForwardRun& run, StageIndex stage, ForwardActions& out);
-        void releaseFollowed(ForwardRun& run, ForwardActions& out);
-        void forgetStages(ForwardRun& run, ForwardActions& out);
+        void release(ReleaseResults results, TimePoint now, ForwardActions& out);
+        void releaseStage(ForwardRun& run, StageIndex stage, TimePoint now, ForwardActions& out);
+        void releaseFollowed(ForwardRun& run, TimePoint now, ForwardActions& out);
+        void forgetStages(ForwardRun& run, TimePoint now, ForwardActions& out);
 
         void sendRequest(ForwardRun& run, TimePoint now, ForwardActions& out);
         std::optional<std::uint64_t> affinityOf(const ForwardRun& run) const;
@@ -166,12 +191,14 @@
         ServerDirectory m_directory;
         PieceBroker m_broker;
         std::size_t m_instances = 1;
+        bool m_accepting = true;
         Random m_random;
         std::unordered_map<ForwardId, std::unique_ptr<ForwardRun>> m_runs;
         std::unordered_map<CallId, ForwardId> m_calls;
         std::unordered_map<CallId, ServiceId> m_batchCalls;
         std::unordered_map<PieceGroupId, GroupOwner> m_groups;
         std::multimap<TimePoint, Timer> m_timers;
+        std::set<ServiceId> m_pumpTimers; ///< Services whose queue has a timer.
         TimePoint m_confirmedAt {};
         std::uint64_t m_lastRun = 0;
         std::uint64_t m_lastCall = 0;
@@ -312,6 +339,10 @@
         run.acceptedAt = now;
         run.table = m_table;
         m_runs.emplace(id, std::move(entry));
+        if (!m_accepting) {
+            refuse(run, ForwardEnd::ShuttingDown, {}, now, out);
+            return;
+        }
         if (!m_table) {
             refuse(run, ForwardEnd::NoConfiguration, instanceRetryAfter, now, out);
             return;
@@ -342,6 +373,13 @@
             run.stages[i].missing = n;
         }
         setTimer(run.deadline, { TimerKind::Deadline, run.id, {}, {} });
+        chooseZone(run);
+        if (const auto expected = expectedTime(run, now); m_options.earlyRefusal && expected > run.timeLeft(now)) {
+            const auto longest = run.timeLeft(now) / 3;
+            refuse(run, ForwardEnd::Overloaded, std::clamp(expected - run.timeLeft(now), leastRetryAfter, longest), now,
+                out);
+            return;
+        }
         note(run, "request_accepted",
             { { "route", route.name }, { "version", std::to_string(run.table->version) },
                 { "service", run.service.value() }, { "account", run.account.value() },
@@ -350,6 +388,34 @@
         startStages(run, now, out);
     }
 
+    /// Results are made where the request will run, since moving them between zones costs. The zones get requests in
+    /// proportion to the servers of the route's scarcest stage there.
+    void RoutingForwarder::chooseZone(ForwardRun& run)
+    {
+        const auto affinity = affinityOf(run);
+        if (!affinity || run.stages.empty())
+            return;
+        std::vector<ServiceId> stages;
+        for (const auto& it : run.route->stages)
+            stages.push_back(it.service);
+        run.homeZone = drawZone(m_directory.zoneShares(stages, run.service), *affinity);
+    }
+
+    /// Time until the answer begins, along the longest way through the stages, as the queues stand.
+    Duration RoutingForwarder::expectedTime(const ForwardRun& run, TimePoint now) const
+    {
+        std::vector<Duration> done(run.stages.size());
+        Duration longest {};
+        for (StageIndex i = 0; i < run.stages.size(); ++i) {
+            for (const auto needed : run.route->stages[i].needs)
+                done[i] = std::max(done[i], done[needed]);
+            if (const auto n = run.stages[i].missing; n > 0)
+                done[i] += m_broker.expectedWait(run.route->stages[i].service, run.priority, n, now);
+            longest = std::max(longest, done[i]);
+        }
+        return longest;
+    }
+
     void RoutingForwarder::onCallerLeft(ForwardId id, TimePoint now, ForwardActions& out)
     {
         auto* run = find(id);
@@ -394,7 +460,7 @@
                     return;
             }
         }
-        releaseFollowed(run, out);
+        releaseFollowed(run, now, out);
         if (run.prepared() && run.calls.empty())
             sendRequest(run, now, out);
     }
@@ -415,12 +481,20 @@
         return run.acceptedAt + run.route->goal - after;
     }
 
+    /// Stages with pieces that are still to come, this one included; each may wait for its part of the time to spare.
+    long RoutingForwarder::stagesFrom(const ForwardRun& run, StageIndex stage)
+    {
+        return 1 + std::count_if(run.stages.begin() + static_cast<std::ptrdiff_t>(stage) + 1, run.stages.end(),
+            [](const StageProgress& it) { return it.missing > 0; });
+    }
+
     /// The pieces of a stage that have no result yet.
-    PieceGroup RoutingForwarder::groupOf(const ForwardRun& run, StageIndex stage) const
+    PieceGroup RoutingForwarder::groupOf(const ForwardRun& run, StageIndex stage, TimePoint now) const
     {
         const auto& progress = run.stages[stage];
-        PieceGroup group { progress.group, {}, run.priority, goalOf(run, stage), run.deadline, {},
-            progress.tries > 0 };
+        const auto goal = goalOf(run, stage);
+        PieceGroup group { progress.group, {}, run.priority, goal, run.deadline, run.homeZone,
+            now + (goal - now) / stagesFrom(run, stage), run.route->stages[stage].resultBytes, progress.tries > 0 };
         for (std::uint32_t i = 0; i < progress.results.size(); ++i) {
             if (!progress.results[i])
                 group.pieces.push_back(pieceOf(run, stage, i));
@@ -439,7 +513,7 @@
         progress.group = PieceGroupId(++m_lastGroup);
         m_groups[progress.group] = { run.id, stage };
         BrokerActions actions;
-        m_broker.ask(service, groupOf(run, stage), now, actions);
+        m_broker.ask(service, groupOf(run, stage, now), now, actions);
         carry(std::move(actions), now, out);
     }
 
@@ -452,14 +526,18 @@
                 out.emplace_back(std::move(*send));
             } else if (auto* tell = std::get_if<TellInstance>(&it)) {
                 out.emplace_back(std::move(*tell));
+            } else if (auto* release = std::get_if<ReleaseResults>(&it)) {
+                out.emplace_back(std::move(*release));
             } else {
                 takePiece(std::get<PieceDone>(it), now, out);
             }
         }
         for (const auto& it : m_directory.services()) {
             const auto at = it.second.batches ? it.second.batches->nextPump() : std::nullopt;
-            if (at && *at > now)
-                setTimer(*at, { TimerKind::Batches, {}, {}, it.first });
+            if (!at || m_pumpTimers.contains(it.first))
+                continue;
+            m_pumpTimers.insert(it.first);
+            setTimer(std::max(*at, now), { TimerKind::Batches, {}, {}, it.first });
         }
     }
 
@@ -470,7 +548,7 @@
         auto* run = owner == m_groups.end() ? nullptr : find(owner->second.run);
         if (run == nullptr) {
             if (handle != nullptr)
-                out.emplace_back(ReleaseResults { handle->maker, { handle->value } });
+                release({ handle->service, handle->maker, { handle->value } }, now, out);
             return;
         }
         const auto stage = owner->second.stage;
@@ -481,7 +559,7 @@
         }
         if (piece.index >= progress.results.size() || progress.results[piece.index]) {
             // Made twice, here and at the owner.
-            out.emplace_back(ReleaseResults { handle->maker, { handle->value } });
+            release({ handle->service, handle->maker, { handle->value } }, now, out);
             return;
         }
         progress.results[piece.index] = *handle;
@@ -514,7 +592,7 @@
             fail(run, ForwardEnd::StageFailed, now, out);
             return;
         }
-        auto group = groupOf(run, stage);
+        auto group = groupOf(run, stage, now);
         std::erase_if(group.pieces, [&piece](const Piece& it) { return it.index != piece.index; });
         BrokerActions actions;
         m_broker.ask(run.route->stages[stage].service, std::move(group), now, actions);
@@ -528,7 +606,7 @@
             return;
         }
         note(run, "stages_restarted", { { "restarts", std::to_string(run.restarts) } });
-        forgetStages(run, out);
+        forgetStages(run, now, out);
         for (auto& it : run.stages) {
             it.started = false;
             it.released = false;
@@ -538,7 +616,14 @@
         startStages(run, now, out);
     }
 
-    void RoutingForwarder::releaseStage(ForwardRun& run, StageIndex stage, ForwardActions& out)
+    void RoutingForwarder::release(ReleaseResults results, TimePoint now, ForwardActions& out)
+    {
+        BrokerActions actions;
+        m_broker.release(std::move(results), now, actions);
+        carry(std::move(actions), now, out);
+    }
+
+    void RoutingForwarder::releaseStage(ForwardRun& run, StageIndex stage, TimePoint now, ForwardActions& out)
     {
         auto& progress = run.stages[stage];
         if (std::exchange(progress.released, true))
@@ -547,16 +632,17 @@
         for (const auto& it : progress.results) {
             if (!it)
                 continue;
-            auto& release = byMaker[it->maker.id.value()];
-            release.maker = it->maker;
-            release.handles.push_back(it->value);
+            auto& results = byMaker[it->maker.id.value()];
+            results.service = it->service;
+            results.maker = it->maker;
+            results.handles.push_back(it->value);
         }
         for (auto& it : byMaker)
-            out.emplace_back(std::move(it.second));
+            release(std::move(it.second), now, out);
     }
 
     /// Releases the results of stages whose followers are all done.
-    void RoutingForwarder::releaseFollowed(ForwardRun& run, ForwardActions& out)
+    void RoutingForwarder::releaseFollowed(ForwardRun& run, TimePoint now, ForwardActions& out)
     {
         for (StageIndex i = 0; i < run.stages.size(); ++i) {
             bool followed = false;
@@ -568,12 +654,12 @@
                 needed = needed || (takes && !run.stages[j].done());
             }
             if (followed && !needed && run.stages[i].done())
-                releaseStage(run, i, out);
+                releaseStage(run, i, now, out);
         }
     }
 
     /// Drops what still waits for the run and releases the results it has.
-    void RoutingForwarder::forgetStages(ForwardRun& run, ForwardActions& out)
+    void RoutingForwarder::forgetStages(ForwardRun& run, TimePoint now, ForwardActions& out)
     {
         for (StageIndex i = 0; i < run.stages.size(); ++i) {
             auto& stage = run.stages[i];
@@ -584,7 +670,7 @@
                 for (auto& it : actions)
                     out.emplace_back(std::get<TellInstance>(std::move(it)));
             }
-            releaseStage(run, i, out);
+            releaseStage(run, i, now, out);
         }
     }
 
@@ -594,9 +680,9 @@
     std::optional<std::uint64_t> RoutingForwarder::affinityOf(const ForwardRun& run) const
     {
         const auto& prompt = run.request.prompt;
-        if (!m_options.affinity || !run.route->prefixAffinity || prompt.empty())
-            return std::nullopt;
-        return prompt[prompt.size() > 1 ? prompt.size() - 2 : 0].id;
+        if (m_options.affinity && run.route->prefixAffinity && !prompt.empty())
+            return prompt[prompt.size() > 1 ? prompt.size() - 2 : 0].id;
+        return run.stages.empty() ? std::nullopt : std::optional(hashOf(run.request.name));
     }
 
     void RoutingForwarder::sendRequest(ForwardRun& run, TimePoint now, ForwardActions& out)
@@ -618,6 +704,7 @@
         wanted.avoid = run.tried;
         wanted.careful = !run.idempotent();
         wanted.affinity = affinityOf(run);
+        wanted.zone = run.homeZone;
         const auto placement = state->pool->place(wanted, now);
         if (!placement)
             return false;
@@ -672,7 +759,7 @@
         run->lastBytesAt = now;
         // The first event shows that the server has read its inputs.
         for (StageIndex i = 0; i < run->stages.size(); ++i)
-            releaseStage(*run, i, out);
+            releaseStage(*run, i, now, out);
         if (!run->route->streams)
             return;
         note(*run, "stream_began",
@@ -858,7 +945,7 @@
             closeCall(run, call.id, routing::CallSign::Busy, true, now, out);
         }
         if (run.route != nullptr)
-            forgetStages(run, out);
+            forgetStages(run, now, out);
         m_runs.erase(id);
     }
 
@@ -902,6 +989,7 @@
     void RoutingForwarder::onTimer(const Timer& timer, TimePoint now, ForwardActions& out)
     {
         if (timer.kind == TimerKind::Batches) {
+            m_pumpTimers.erase(timer.service);
             BrokerActions actions;
             m_broker.pump(timer.service, now, actions);
             carry(std::move(actions), now, out);
--- a/src/foxtailwheel/serving/PieceBroker.cpp
+++ b/src/foxtailwheel/serving/PieceBroker.cpp
@@ -19,6 +19,8 @@
     constexpr Duration resultSlack = 1500ms;
     /// Time for which an owner that did not answer is not asked again.
     constexpr Duration avoidTime = 2s;
+    /// Time for which an owner's word about its queue counts: about the time of one call.
+    constexpr Duration toldLife = 400ms;
 
     /// A group that this instance asked for.
     struct Asked {
@@ -29,6 +31,12 @@
         bool confirmed = false;
     };
 
+    /// What an owner said of its queue.
+    struct Told {
+        Duration expected {};
+        TimePoint at;
+    };
+
     /// A group of this instance's own queue.
     struct Queued {
         InstanceId asker; ///< Empty for this instance.
@@ -37,6 +45,13 @@
         std::size_t missing = 0;
     };
 
+    void addTo(PiecesMade& message, const Queued& group, const PieceDone& done)
+    {
+        message.group = group.theirs;
+        message.service = group.service;
+        message.pieces.push_back({ done.index, done.result });
+    }
+
 } // namespace
 
 struct PieceBroker::Impl {
@@ -55,6 +70,7 @@
     void onTaken(const InstanceId& from, const PiecesTaken& taken, TimePoint now);
     void onCancelled(const InstanceId& from, const PiecesCancelled& cancelled);
     void onMade(const InstanceId& from, const PiecesMade& made, BrokerActions& out);
+    bool releaseHere(const ReleaseResults& release, TimePoint now, BrokerActions& out);
 
     InstanceId self;
     FindQueue findQueue;
@@ -62,6 +78,7 @@
     std::map<InstanceId, TimePoint> avoided;
     std::map<PieceGroupId, Asked> asked;
     std::map<PieceGroupId, Queued> queued; ///< By the number in the local queues.
+    std::map<std::pair<ServiceId, std::uint32_t>, Told> told; ///< By service and priority.
     std::uint64_t lastQueued = 0;
 };
 
@@ -86,7 +103,7 @@
     const InstanceId& owner, const ServiceId& service, PieceGroup group, TimePoint now, BrokerActions& out)
 {
     PiecesAsked message { group.id, service, group.pieces, group.priority, group.goal - now, group.deadline - now,
-        group.preferredZone.value_or(AvailabilityZoneId()), group.again };
+        group.preferredZone.value_or(AvailabilityZoneId()), group.leaveZoneAfter - now, group.resultBytes, group.again };
     asked[group.id] = { service, std::move(group), owner, now + confirmLimit, false };
     out.emplace_back(TellInstance { owner, std::move(message) });
 }
@@ -94,7 +111,7 @@
 /// Passes calls on, and results to who asked for them; results of one asker's group go in one message.
 void PieceBroker::Impl::carry(const std::vector<BatchAction>& actions, BrokerActions& out)
 {
-    std::map<std::pair<InstanceId, PieceGroupId>, std::vector<MadePiece>> remote;
+    std::map<std::pair<InstanceId, PieceGroupId>, PiecesMade> remote;
     for (const auto& it : actions) {
         if (const auto* send = std::get_if<SendBatch>(&it)) {
             out.emplace_back(*send);
@@ -111,12 +128,12 @@
         if (group.asker.empty())
             out.emplace_back(PieceDone { group.theirs, done.index, done.result });
         else
-            remote[{ group.asker, group.theirs }].push_back({ done.index, done.result });
+            addTo(remote[{ group.asker, group.theirs }], group, done);
         if (--group.missing == 0)
             queued.erase(entry);
     }
     for (auto& it : remote)
-        out.emplace_back(TellInstance { it.first.first, PiecesMade { it.first.second, std::move(it.second) } });
+        out.emplace_back(TellInstance { it.first.first, std::move(it.second) });
 }
 
 /// Makes a group here that its owner does not answer for.
@@ -136,7 +153,7 @@
     if (queue == nullptr)
         return;
     PieceGroup group { PieceGroupId(++lastQueued), message.pieces, message.priority, now + message.goalLeft,
-        now + message.timeLeft, std::nullopt, message.again };
+        now + message.timeLeft, std::nullopt, now + message.zoneLeft, message.resultBytes, message.again };
     if (!message.preferredZone.empty())
         group.preferredZone = message.preferredZone;
     const auto expected = queue->expectedWait(message.priority, message.pieces.size(), now);
@@ -153,6 +170,7 @@
     if (it == asked.end() || it->second.owner != from)
         return;
     it->second.confirmed = true;
+    told[{ it->second.service, it->second.group.priority }] = { taken.expected, now };
     it->second.answerBy = now + fromSeconds(toSeconds(taken.expected) * resultPatience) + resultSlack;
 }
 
@@ -253,8 +271,33 @@
         m_impl->onTaken(from, *taken, now);
     else if (const auto* cancelled = std::get_if<PiecesCancelled>(&message))
         m_impl->onCancelled(from, *cancelled);
+    else if (const auto* made = std::get_if<PiecesMade>(&message))
+        m_impl->onMade(from, *made, out);
+    else if (const auto* release = std::get_if<ReleaseResults>(&message)) {
+        m_impl->releaseHere(*release, now, out);
+        out.emplace_back(*release);
+    }
+}
+
+/// Gives the room of results back to the queue that had them made.
+/// @return False where that is not this instance's queue.
+bool PieceBroker::Impl::releaseHere(const ReleaseResults& release, TimePoint now, BrokerActions& out)
+{
+    auto* queue = findQueue(release.service);
+    std::vector<BatchAction> actions;
+    const bool known = queue != nullptr && queue->released(release, now, actions);
+    carry(actions, out);
+    return known;
+}
+
+void PieceBroker::release(ReleaseResults release, TimePoint now, BrokerActions& out)
+{
+    const auto owner = ownerOf(release.service, now);
+    const bool known = m_impl->releaseHere(release, now, out);
+    if (known || owner == m_impl->self)
+        out.emplace_back(std::move(release));
     else
-        m_impl->onMade(from, std::get<PiecesMade>(message), out);
+        out.emplace_back(TellInstance { owner, std::move(release) });
 }
 
 void PieceBroker::onBatchEnd(const ServiceId& service, CallId call, BatchEnd end,
@@ -301,7 +344,12 @@
     const ServiceId& service, std::uint32_t priority, std::size_t pieces, TimePoint now) const
 {
     const auto* queue = m_impl->findQueue(service);
-    return queue == nullptr ? Duration {} : queue->expectedWait(priority, pieces, now);
+    if (queue != nullptr && ownerOf(service, now) == m_impl->self)
+        return queue->expectedWait(priority, pieces, now);
+    const auto told = m_impl->told.find({ service, priority });
+    if (told == m_impl->told.end() || now - told->second.at > toldLife)
+        return {};
+    return told->second.expected;
 }
 
 } // namespace foxtailwheel::serving
--- a/src/foxtailwheel/serving/ServerDirectory.cpp
+++ b/src/foxtailwheel/serving/ServerDirectory.cpp
@@ -11,6 +11,15 @@
     /// Time of a plain call until it is measured.
     constexpr Duration typicalCallTime = 20ms;
 
+    double shareOf(const std::map<AvailabilityZoneId, std::size_t>& servers, const AvailabilityZoneId& zone)
+    {
+        double all = 0;
+        for (const auto& it : servers)
+            all += static_cast<double>(it.second);
+        const auto there = servers.find(zone);
+        return there == servers.end() || all == 0 ? 0 : static_cast<double>(there->second) / all;
+    }
+
 } // namespace
 
 ServerDirectory::ServerDirectory(const ForwarderOptions& options, std::function<CallId()> newCall)
@@ -47,14 +56,17 @@
     return out;
 }
 
-ServiceState ServerDirectory::make(const config::RoutedService& service) const
+ServiceState ServerDirectory::make(const config::RoutedService& service)
 {
     auto pool = routing::ServerPool::create(declared(service, {}), {}, m_options.pools);
     limits::WindowBudget budget(m_options.retryShare, m_options.retryExtra, m_options.retryWindow);
     budget.setInstances(m_instances);
     std::unique_ptr<BatchQueue> batches;
     if (service.batch)
-        batches = std::make_unique<BatchQueue>(service.id, *service.batch, *pool, m_newCall);
+        batches = std::make_unique<BatchQueue>(
+            service.id, *service.batch, *pool, BatchQueueEvents { m_newCall, [this, id = service.id](std::size_t n, TimePoint now) {
+                return find(id)->budget.take(n, now);
+            } });
     return { std::move(pool), std::move(budget), std::move(batches), {} };
 }
 
@@ -85,6 +97,25 @@
     }
 }
 
+std::map<AvailabilityZoneId, double> ServerDirectory::zoneShares(
+    const std::vector<ServiceId>& stages, const ServiceId& target)
+{
+    std::map<AvailabilityZoneId, double> shares;
+    const auto* state = find(target);
+    if (state == nullptr)
+        return shares;
+    for (const auto& it : state->pool->serversByZone()) {
+        double share = 1;
+        for (const auto& stage : stages) {
+            if (const auto* before = find(stage))
+                share = std::min(share, shareOf(before->pool->serversByZone(), it.first));
+        }
+        if (share > 0)
+            shares[it.first] = share;
+    }
+    return shares;
+}
+
 void ServerDirectory::setServers(const std::vector<AnnouncedServer>& servers)
 {
     std::map<ServiceId, std::vector<AnnouncedServer>> byService;
--- a/src/foxtailwheel/serving/ServerDirectory.h
+++ b/src/foxtailwheel/serving/ServerDirectory.h
@@ -32,11 +32,13 @@
 
     /// @brief The service, or null where the configuration does not name it.
     ServiceState* find(const ServiceId& id);
+    /// @brief Share of each zone in the servers of the scarcest of `stages`, for zones that have servers of `target`.
+    std::map<AvailabilityZoneId, double> zoneShares(const std::vector<ServiceId>& stages, const ServiceId& target);
     /// @brief All services, in the order of their names.
     std::map<ServiceId, ServiceState>& services() { return m_services; }
 
 private:
-    ServiceState make(const config::RoutedService& service) const;
+    ServiceState make(const config::RoutedService& service);
     config::Service declared(const config::RoutedService& service, const std::vector<AnnouncedServer>& servers) const;
     config::Declarations links(const std::vector<AnnouncedServer>& servers) const;
     void refresh(const config::RoutedService& service, ServiceState& state);
