--- a/include/foxtailwheel/peer/Messages_generated.h
+++ b/include/foxtailwheel/peer/Messages_generated.h
@@ -1352,7 +1352,7 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SENDER = 4,
     VT_GROUP = 6,
-    VT_EXPECTED_US = 8
+    VT_WAITS_US = 8
   };
   const foxtailwheel::peer::wire::Member *sender() const {
     return GetPointer<const foxtailwheel::peer::wire::Member *>(VT_SENDER);
@@ -1360,15 +1360,16 @@
   uint64_t group() const {
     return GetField<uint64_t>(VT_GROUP, 0);
   }
-  int64_t expected_us() const {
-    return GetField<int64_t>(VT_EXPECTED_US, 0);
+  const flatbuffers::Vector<int64_t> *waits_us() const {
+    return GetPointer<const flatbuffers::Vector<int64_t> *>(VT_WAITS_US);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
            verifier.VerifyTable(sender()) &&
            VerifyField<uint64_t>(verifier, VT_GROUP, 8) &&
-           VerifyField<int64_t>(verifier, VT_EXPECTED_US, 8) &&
+           VerifyOffset(verifier, VT_WAITS_US) &&
+           verifier.VerifyVector(waits_us()) &&
            verifier.EndTable();
   }
 };
@@ -1383,8 +1384,8 @@
   void add_group(uint64_t group) {
     fbb_.AddElement<uint64_t>(PiecesTaken::VT_GROUP, group, 0);
   }
-  void add_expected_us(int64_t expected_us) {
-    fbb_.AddElement<int64_t>(PiecesTaken::VT_EXPECTED_US, expected_us, 0);
+  void add_waits_us(flatbuffers::Offset<flatbuffers::Vector<int64_t>> waits_us) {
+    fbb_.AddOffset(PiecesTaken::VT_WAITS_US, waits_us);
   }
   explicit PiecesTakenBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -1401,14 +1402,27 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender = 0,
     uint64_t group = 0,
-    int64_t expected_us = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<int64_t>> waits_us = 0) {
   PiecesTakenBuilder builder_(_fbb);
-  builder_.add_expected_us(expected_us);
   builder_.add_group(group);
+  builder_.add_waits_us(waits_us);
   builder_.add_sender(sender);
   return builder_.Finish();
 }
 
+inline flatbuffers::Offset<PiecesTaken> CreatePiecesTakenDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender = 0,
+    uint64_t group = 0,
+    const std::vector<int64_t> *waits_us = nullptr) {
+  auto waits_us__ = waits_us ? _fbb.CreateVector<int64_t>(*waits_us) : 0;
+  return foxtailwheel::peer::wire::CreatePiecesTaken(
+      _fbb,
+      sender,
+      group,
+      waits_us__);
+}
+
 struct PiecesCancelled FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PiecesCancelledBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
--- a/include/foxtailwheel/serving/BatchQueue.h
+++ b/include/foxtailwheel/serving/BatchQueue.h
@@ -68,6 +68,7 @@
     Late, ///< Its time was over before its turn came.
     InputGone, ///< A result that it needs is no longer there.
     NoRoom, ///< The server has no room for the result.
+    Moved, ///< It did not leave the queue of an instance that no longer owns the service.
     Failed, ///< The server failed at it, or the call broke.
 };
 
@@ -131,6 +132,8 @@
     void add(PieceGroup group, TimePoint now, std::vector<BatchAction>& out);
     /// @brief Nobody wants the group any more: its waiting pieces are dropped, results to come are still given out.
     void cancel(PieceGroupId group);
+    /// @brief Gives up the pieces that have not left, for another queue; each is reported as `Moved`.
+    void handOver(std::vector<BatchAction>& out);
     /// @brief A call ended.
     /// @param results One for each piece where `end` is `Answered`, else ignored.
     void ended(CallId call, BatchEnd end, const std::vector<PieceResult>& results, TimePoint now,
--- a/include/foxtailwheel/serving/PieceBroker.h
+++ b/include/foxtailwheel/serving/PieceBroker.h
@@ -4,6 +4,7 @@
 #include "foxtailwheel/base/Units.h"
 #include "foxtailwheel/serving/BatchQueue.h"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -30,10 +31,13 @@
     friend bool operator==(const PiecesAsked&, const PiecesAsked&) = default;
 };
 
+/// @brief Priorities that owners tell their waits for; less urgent ones count as the last.
+constexpr std::size_t toldPriorities = 4;
+
 /// @brief From the owner: the pieces are in its queue.
 struct PiecesTaken {
     PieceGroupId group;
-    Duration expected {}; ///< Time until they are made, as the queue stands.
+    std::array<Duration, toldPriorities> waits {}; ///< Time until pieces are made, as the queue stands, by priority.
 
     friend bool operator==(const PiecesTaken&, const PiecesTaken&) = default;
 };
--- a/src/foxtailwheel/peer/Message.cpp
+++ b/src/foxtailwheel/peer/Message.cpp
@@ -98,8 +98,11 @@
         }
         flatbuffers::Offset<wire::Envelope> operator()(const serving::PiecesTaken& it) const
         {
+            std::vector<std::int64_t> waits;
+            for (const auto wait : it.waits)
+                waits.push_back(microseconds(wait));
             return wrap(wire::Body::PiecesTaken,
-                wire::CreatePiecesTaken(fbb, pack(fbb, sender), it.group.value(), microseconds(it.expected)));
+                wire::CreatePiecesTakenDirect(fbb, pack(fbb, sender), it.group.value(), &waits));
         }
         flatbuffers::Offset<wire::Envelope> operator()(const serving::PiecesCancelled& it) const
         {
@@ -253,6 +256,15 @@
         return out;
     }
 
+    serving::PiecesTaken unpack(const wire::PiecesTaken& taken)
+    {
+        serving::PiecesTaken out { serving::PieceGroupId(taken.group()), {} };
+        const auto n = taken.waits_us() == nullptr ? 0 : taken.waits_us()->size();
+        for (flatbuffers::uoffset_t i = 0; i < std::min<std::size_t>(n, out.waits.size()); ++i)
+            out.waits.at(i) = std::chrono::microseconds(taken.waits_us()->Get(i));
+        return out;
+    }
+
     serving::PiecesMade unpack(const wire::PiecesMade& made)
     {
         serving::PiecesMade out { serving::PieceGroupId(made.group()), ServiceId(textOf(made.service())), {} };
@@ -290,9 +302,7 @@
         if (const auto* it = envelope.body_as_PiecesAsked())
             return PieceNews { unpack(it->sender()), unpack(*it) };
         if (const auto* it = envelope.body_as_PiecesTaken())
-            return PieceNews { unpack(it->sender()),
-                serving::PiecesTaken {
-                    serving::PieceGroupId(it->group()), std::chrono::microseconds(it->expected_us()) } };
+            return PieceNews { unpack(it->sender()), unpack(*it) };
         if (const auto* it = envelope.body_as_PiecesCancelled())
             return PieceNews { unpack(it->sender()), serving::PiecesCancelled { serving::PieceGroupId(it->group()) } };
         if (const auto* it = envelope.body_as_PiecesMade())
--- a/src/foxtailwheel/serving/BatchQueue.cpp
+++ b/src/foxtailwheel/serving/BatchQueue.cpp
@@ -24,6 +24,8 @@
     constexpr double doublingShare = 2.2;
     /// Servers whose calls take longer than this multiple of the expected time are left alone while pieces can wait.
     constexpr double slowServer = 2.5;
+    /// From this part of a full round of calls on, waiting pieces fill calls in any zone.
+    constexpr double heavyLoad = 0.5;
     /// Times that a piece is put back after a server said that it did not start it or has no room.
     constexpr std::uint32_t mostReturns = 6;
     /// Pause before the queue sends again after a server had no room.
@@ -112,9 +114,12 @@
     return static_cast<std::size_t>(std::max(1.0, std::ceil(share * pool.slots(now))));
 }
 
-/// A piece leaves its zone where the servers there would make it too late, or are gone: its result then crosses zones.
+/// A piece leaves its zone, so that its result crosses zones, where the servers there are gone or would make it too late,
+/// and where so much waits that full calls are worth more.
 bool BatchQueue::Impl::mayLeaveZone(const Waiting& piece, TimePoint now) const
 {
+    if (static_cast<double>(waiting.size()) > heavyLoad * servers(now) * limits.pieces)
+        return true;
     auto freeAt = TimePoint::max();
     for (const auto& [id, call] : calls) {
         if (call.server.zone == *piece.zone)
@@ -145,20 +150,28 @@
 {
     std::vector<Waiting> pieces;
     auto left = room.left(server.id, now);
-    const auto takeAll = [&](bool lateToo) {
+    std::set<std::uint64_t> leaving; ///< Judged before any is taken.
+    for (const auto& it : waiting) {
+        if (it.zone && *it.zone != server.zone && mayLeaveZone(it, now))
+            leaving.insert(it.order);
+    }
+    const auto takeAll = [&](bool ofOtherZones, bool late) {
         for (auto it = waiting.begin(); it != waiting.end() && pieces.size() < limits.pieces;) {
             const auto next = std::next(it);
-            const bool here = !it->zone || *it->zone == server.zone || mayLeaveZone(*it, now);
+            const bool home = !it->zone || *it->zone == server.zone;
             const bool inTime = it->goal >= now + forecast.callTime(pieces.size() + 1);
-            if (here && (lateToo || inTime) && it->resultBytes <= left) {
+            const bool wanted = late || inTime;
+            if (wanted && it->resultBytes <= left && (home || (ofOtherZones && leaving.contains(it->order)))) {
                 left -= it->resultBytes;
                 pieces.push_back(std::move(waiting.extract(it).value()));
             }
             it = next;
         }
     };
-    takeAll(false);
-    takeAll(true);
+    takeAll(false, false);
+    takeAll(true, false);
+    takeAll(false, true);
+    takeAll(true, true);
     return pieces;
 }
 
@@ -349,6 +362,16 @@
     std::erase_if(m_impl->waiting, [group](const Waiting& it) { return it.group == group; });
 }
 
+void BatchQueue::handOver(std::vector<BatchAction>& out)
+{
+    // A piece that is in a call as well stays: its call decides it.
+    for (auto it = m_impl->waiting.begin(); it != m_impl->waiting.end();) {
+        if (m_impl->twice.erase(it->id()) == 0)
+            out.emplace_back(PieceDone { it->group, it->piece.index, PieceFailure::Moved });
+        it = m_impl->waiting.erase(it);
+    }
+}
+
 void BatchQueue::ended(CallId id, BatchEnd end, const std::vector<PieceResult>& results, TimePoint now,
     std::vector<BatchAction>& out)
 {
--- a/src/foxtailwheel/serving/ForwardRun.h
+++ b/src/foxtailwheel/serving/ForwardRun.h
@@ -39,6 +39,7 @@
     std::uint32_t priority = 0;
     std::optional<AvailabilityZoneId> homeZone; ///< Where the request will run and its results should be made.
     TimePoint acceptedAt;
+    TimePoint begunAt; ///< When its caller first asked, as far as its time left tells.
     TimePoint deadline;
     std::vector<StageProgress> stages;
     std::vector<OpenCall> calls;
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -20,7 +20,7 @@
     /// Groups of pieces that are asked for again after a failure, for each stage.
     constexpr std::uint32_t mostGroupTries = 3;
     /// Times that all stages of a request are made again because a result was gone.
-    constexpr std::uint32_t mostRestarts = 2;
+    constexpr std::uint32_t mostRestarts = 1;
     /// Longest wait for a usable server before the request is refused.
     constexpr Duration serverWait = 300ms;
     /// Pause between looks for a usable server.
@@ -39,6 +39,10 @@
     constexpr Duration leastMoveDelay = 900ms;
     /// Pause within a resumable stream after which it is moved; callers leave after two seconds.
     constexpr Duration streamSilence = 1100ms;
+    /// Callers differ in their patience by less than this; one that has less of the longest time has asked before.
+    constexpr double firstAttemptShare = 0.8;
+    /// The longest time of a route's callers is measured anew after this while.
+    constexpr Duration callerTimeMemory = 10s;
     /// Least time from the last stage's results to the first event of an answer.
     constexpr Duration leastAnswerTime = 100ms;
     /// Part of its time that a request must have left to be worth sending.
@@ -53,6 +57,12 @@
         ServiceId service;
     };
 
+    /// Longest time that callers of a route came with lately.
+    struct CallerTime {
+        Duration time {};
+        TimePoint until;
+    };
+
     struct GroupOwner {
         ForwardId run;
         StageIndex stage = 0;
@@ -150,6 +160,7 @@
         std::optional<ForwardEnd> authorize(ForwardRun& run, TimePoint now) const;
         ServiceId drawService(const ForwardRun& run);
         void start(ForwardRun& run, TimePoint now, ForwardActions& out);
+        Duration spentBefore(const ForwardRun& run, TimePoint now);
         void chooseZone(ForwardRun& run);
         Duration expectedTime(const ForwardRun& run, TimePoint now) const;
 
@@ -198,6 +209,7 @@
         std::unordered_map<CallId, ServiceId> m_batchCalls;
         std::unordered_map<PieceGroupId, GroupOwner> m_groups;
         std::multimap<TimePoint, Timer> m_timers;
+        std::unordered_map<std::string, CallerTime> m_callerTimes; ///< By route.
         std::set<ServiceId> m_pumpTimers; ///< Services whose queue has a timer.
         TimePoint m_confirmedAt {};
         std::uint64_t m_lastRun = 0;
@@ -365,6 +377,7 @@
         const auto& route = *run.route;
         run.deadline = now + std::min(route.timeLimit, run.request.timeLeft.value_or(route.timeLimit));
         run.service = drawService(run);
+        run.begunAt = now - spentBefore(run, now);
         run.lastEvent = run.request.lastEventId;
         run.stages.resize(route.stages.size());
         for (StageIndex i = 0; i < run.stages.size(); ++i) {
@@ -388,6 +401,19 @@
         startStages(run, now, out);
     }
 
+    /// Time that the caller has spent on earlier attempts: callers of a route begin with the same time, so one that has
+    /// less of it has asked before.
+    Duration RoutingForwarder::spentBefore(const ForwardRun& run, TimePoint now)
+    {
+        if (!run.request.timeLeft)
+            return {};
+        auto& longest = m_callerTimes[run.route->name];
+        const auto left = *run.request.timeLeft;
+        if (left >= longest.time || now > longest.until)
+            longest = { left, now + callerTimeMemory };
+        return toSeconds(left) > toSeconds(longest.time) * firstAttemptShare ? Duration {} : longest.time - left;
+    }
+
     /// Results are made where the request will run, since moving them between zones costs. The zones get requests in
     /// proportion to the servers of the route's scarcest stage there.
     void RoutingForwarder::chooseZone(ForwardRun& run)
@@ -478,7 +504,7 @@
             if (follows[i] && service != nullptr && service->batch)
                 after += service->batch->callTime + service->batch->pieceTime * run.stages[i].results.size();
         }
-        return run.acceptedAt + run.route->goal - after;
+        return run.begunAt + run.route->goal - after;
     }
 
     /// Stages with pieces that are still to come, this one included; each may wait for its part of the time to spare.
--- a/src/foxtailwheel/serving/PieceBroker.cpp
+++ b/src/foxtailwheel/serving/PieceBroker.cpp
@@ -19,8 +19,10 @@
     constexpr Duration resultSlack = 1500ms;
     /// Time for which an owner that did not answer is not asked again.
     constexpr Duration avoidTime = 2s;
-    /// Time for which an owner's word about its queue counts: about the time of one call.
-    constexpr Duration toldLife = 400ms;
+    /// Time for which an instance that gave up a queue is not asked again, until its leaving is known here too.
+    constexpr Duration movedAvoidTime = 500ms;
+    /// Time for which an owner's word about its queue counts: about the time of two calls.
+    constexpr Duration toldLife = 800ms;
 
     /// A group that this instance asked for.
     struct Asked {
@@ -33,10 +35,15 @@
 
     /// What an owner said of its queue.
     struct Told {
-        Duration expected {};
+        std::array<Duration, toldPriorities> waits {};
         TimePoint at;
     };
 
+    std::size_t toldIndex(std::uint32_t priority)
+    {
+        return std::min<std::size_t>(priority, toldPriorities - 1);
+    }
+
     /// A group of this instance's own queue.
     struct Queued {
         InstanceId asker; ///< Empty for this instance.
@@ -64,12 +71,17 @@
     void makeHere(const ServiceId& service, PieceGroup group, TimePoint now, BrokerActions& out);
     void askOwner(const InstanceId& owner, const ServiceId& service, PieceGroup group, TimePoint now,
         BrokerActions& out);
+    std::vector<PieceGroupId> carryOn(const std::vector<BatchAction>& actions, BrokerActions& out);
     void carry(const std::vector<BatchAction>& actions, BrokerActions& out);
     void takeBack(PieceGroupId group, TimePoint now, BrokerActions& out);
     void onAsked(const InstanceId& from, const PiecesAsked& asked, TimePoint now, BrokerActions& out);
     void onTaken(const InstanceId& from, const PiecesTaken& taken, TimePoint now);
     void onCancelled(const InstanceId& from, const PiecesCancelled& cancelled);
-    void onMade(const InstanceId& from, const PiecesMade& made, BrokerActions& out);
+    void onMade(const InstanceId& from, const PiecesMade& made, TimePoint now, BrokerActions& out);
+    void askAgain(const ServiceId& service, PieceGroup group, TimePoint now, BrokerActions& out);
+    void handOver(TimePoint now, BrokerActions& out);
+    void takeOwn(const ServiceId& service, BrokerActions given, TimePoint now, BrokerActions& out);
+    InstanceId ownerOf(const ServiceId& service, TimePoint now) const;
     bool releaseHere(const ReleaseResults& release, TimePoint now, BrokerActions& out);
 
     InstanceId self;
@@ -78,7 +90,8 @@
     std::map<InstanceId, TimePoint> avoided;
     std::map<PieceGroupId, Asked> asked;
     std::map<PieceGroupId, Queued> queued; ///< By the number in the local queues.
-    std::map<std::pair<ServiceId, std::uint32_t>, Told> told; ///< By service and priority.
+    std::map<PieceGroupId, PieceGroup> ownGroups; ///< This instance's own groups in its queues, by the asker's number.
+    std::map<ServiceId, Told> told;
     std::uint64_t lastQueued = 0;
 };
 
@@ -94,6 +107,8 @@
     }
     group.id = PieceGroupId(++lastQueued);
     queued[group.id] = { {}, theirs, service, group.pieces.size() };
+    ownGroups[theirs] = group;
+    ownGroups[theirs].id = theirs;
     std::vector<BatchAction> actions;
     queue->add(std::move(group), now, actions);
     carry(actions, out);
@@ -109,8 +124,10 @@
 }
 
 /// Passes calls on, and results to who asked for them; results of one asker's group go in one message.
-void PieceBroker::Impl::carry(const std::vector<BatchAction>& actions, BrokerActions& out)
+/// @return This instance's own groups that are done.
+std::vector<PieceGroupId> PieceBroker::Impl::carryOn(const std::vector<BatchAction>& actions, BrokerActions& out)
 {
+    std::vector<PieceGroupId> finished;
     std::map<std::pair<InstanceId, PieceGroupId>, PiecesMade> remote;
     for (const auto& it : actions) {
         if (const auto* send = std::get_if<SendBatch>(&it)) {
@@ -129,11 +146,21 @@
             out.emplace_back(PieceDone { group.theirs, done.index, done.result });
         else
             addTo(remote[{ group.asker, group.theirs }], group, done);
-        if (--group.missing == 0)
-            queued.erase(entry);
+        if (--group.missing > 0)
+            continue;
+        if (group.asker.empty())
+            finished.push_back(group.theirs);
+        queued.erase(entry);
     }
     for (auto& it : remote)
         out.emplace_back(TellInstance { it.first.first, std::move(it.second) });
+    return finished;
+}
+
+void PieceBroker::Impl::carry(const std::vector<BatchAction>& actions, BrokerActions& out)
+{
+    for (const auto id : carryOn(actions, out))
+        ownGroups.erase(id);
 }
 
 /// Makes a group here that its owner does not answer for.
@@ -156,9 +183,11 @@
         now + message.timeLeft, std::nullopt, now + message.zoneLeft, message.resultBytes, message.again };
     if (!message.preferredZone.empty())
         group.preferredZone = message.preferredZone;
-    const auto expected = queue->expectedWait(message.priority, message.pieces.size(), now);
+    PiecesTaken taken { message.group, {} };
+    for (std::size_t i = 0; i < toldPriorities; ++i)
+        taken.waits.at(i) = queue->expectedWait(static_cast<std::uint32_t>(i), message.pieces.size(), now);
     queued[group.id] = { from, message.group, message.service, message.pieces.size() };
-    out.emplace_back(TellInstance { from, PiecesTaken { message.group, expected } });
+    out.emplace_back(TellInstance { from, taken });
     std::vector<BatchAction> actions;
     queue->add(std::move(group), now, actions);
     carry(actions, out);
@@ -170,8 +199,10 @@
     if (it == asked.end() || it->second.owner != from)
         return;
     it->second.confirmed = true;
-    told[{ it->second.service, it->second.group.priority }] = { taken.expected, now };
-    it->second.answerBy = now + fromSeconds(toSeconds(taken.expected) * resultPatience) + resultSlack;
+    const auto expected = taken.waits.at(toldIndex(it->second.group.priority));
+    const auto patience = fromSeconds(toSeconds(expected) * resultPatience) + resultSlack;
+    it->second.answerBy = std::min(now + patience, it->second.group.deadline + resultSlack);
+    told[it->second.service] = { taken.waits, now };
 }
 
 void PieceBroker::Impl::onCancelled(const InstanceId& from, const PiecesCancelled& cancelled)
@@ -186,19 +217,111 @@
     queued.erase(it);
 }
 
-void PieceBroker::Impl::onMade(const InstanceId& from, const PiecesMade& made, BrokerActions& out)
+void PieceBroker::Impl::onMade(const InstanceId& from, const PiecesMade& made, TimePoint now, BrokerActions& out)
 {
     const auto it = asked.find(made.group);
-    const bool current = it != asked.end() && it->second.owner == from;
+    PieceGroup moved;
     for (const auto& piece : made.pieces) {
+        const auto* failure = std::get_if<PieceFailure>(&piece.result);
+        const bool hasMoved = failure != nullptr && *failure == PieceFailure::Moved;
         // Results of a group that was taken back are given out all the same: the first one counts.
-        out.emplace_back(PieceDone { made.group, piece.index, piece.result });
-        if (current)
-            std::erase_if(
-                it->second.group.pieces, [&piece](const Piece& waiting) { return waiting.index == piece.index; });
+        if (!hasMoved)
+            out.emplace_back(PieceDone { made.group, piece.index, piece.result });
+        if (it == asked.end())
+            continue;
+        auto& pieces = it->second.group.pieces;
+        const auto waiting = std::find_if(
+            pieces.begin(), pieces.end(), [&piece](const Piece& p) { return p.index == piece.index; });
+        if (waiting == pieces.end())
+            continue;
+        if (hasMoved)
+            moved.pieces.push_back(std::move(*waiting));
+        pieces.erase(waiting);
     }
-    if (current && it->second.group.pieces.empty())
+    if (it == asked.end())
+        return;
+    auto rest = std::move(moved.pieces);
+    moved = it->second.group;
+    moved.pieces = std::move(rest);
+    const auto service = it->second.service;
+    if (it->second.group.pieces.empty())
         asked.erase(it);
+    if (moved.pieces.empty())
+        return;
+    avoided[from] = now + movedAvoidTime;
+    askAgain(service, std::move(moved), now, out);
+}
+
+/// Asks the present owner for pieces that did not leave the queue of the one before.
+void PieceBroker::Impl::askAgain(const ServiceId& service, PieceGroup group, TimePoint now, BrokerActions& out)
+{
+    const auto owner = ownerOf(service, now);
+    const bool stillAsked = asked.contains(group.id);
+    if (owner == self || stillAsked)
+        makeHere(service, std::move(group), now, out);
+    else
+        askOwner(owner, service, std::move(group), now, out);
+}
+
+InstanceId PieceBroker::Impl::ownerOf(const ServiceId& service, TimePoint now) const
+{
+    InstanceId owner = self;
+    std::uint64_t highest = 0;
+    for (const auto& it : live) {
+        const auto until = avoided.find(it);
+        if (until != avoided.end() && until->second > now)
+            continue;
+        const auto weight = rendezvousWeight("pieces/" + service.value(), it.value());
+        if (weight > highest) {
+            owner = it;
+            highest = weight;
+        }
+    }
+    return owner;
+}
+
+/// Gives pieces that wait here back to their askers where another instance owns the service now.
+void PieceBroker::Impl::handOver(TimePoint now, BrokerActions& out)
+{
+    std::set<ServiceId> services;
+    for (const auto& it : queued)
+        services.insert(it.second.service);
+    for (const auto& service : services) {
+        auto* queue = findQueue(service);
+        if (queue == nullptr || ownerOf(service, now) == self)
+            continue;
+        std::vector<BatchAction> actions;
+        queue->handOver(actions);
+        BrokerActions given;
+        const auto finished = carryOn(actions, given);
+        takeOwn(service, std::move(given), now, out);
+        for (const auto id : finished)
+            ownGroups.erase(id);
+    }
+}
+
+/// This instance's own pieces among those given up are asked for again; the rest is passed on.
+void PieceBroker::Impl::takeOwn(const ServiceId& service, BrokerActions given, TimePoint now, BrokerActions& out)
+{
+    std::map<PieceGroupId, std::vector<std::uint32_t>> own;
+    for (auto& it : given) {
+        const auto* done = std::get_if<PieceDone>(&it);
+        const auto* failure = done == nullptr ? nullptr : std::get_if<PieceFailure>(&done->result);
+        if (failure != nullptr && *failure == PieceFailure::Moved)
+            own[done->group].push_back(done->index);
+        else
+            out.push_back(std::move(it));
+    }
+    for (auto& [id, indexes] : own) {
+        const auto it = ownGroups.find(id);
+        if (it == ownGroups.end())
+            continue;
+        auto group = it->second;
+        std::erase_if(group.pieces, [&indexes = indexes](const Piece& piece) {
+            return std::find(indexes.begin(), indexes.end(), piece.index) == indexes.end();
+        });
+        askAgain(service, std::move(group), now, out);
+    }
 }
 
 PieceBroker::PieceBroker(InstanceId self, FindQueue findQueue)
@@ -219,23 +342,12 @@
     }
     for (const auto id : lost)
         m_impl->takeBack(id, now, out);
+    m_impl->handOver(now, out);
 }
 
 InstanceId PieceBroker::ownerOf(const ServiceId& service, TimePoint now) const
 {
-    InstanceId owner = m_impl->self;
-    std::uint64_t highest = 0;
-    for (const auto& it : m_impl->live) {
-        const auto avoided = m_impl->avoided.find(it);
-        if (avoided != m_impl->avoided.end() && avoided->second > now)
-            continue;
-        const auto weight = rendezvousWeight("pieces/" + service.value(), it.value());
-        if (weight > highest) {
-            owner = it;
-            highest = weight;
-        }
-    }
-    return owner;
+    return m_impl->ownerOf(service, now);
 }
 
 void PieceBroker::ask(const ServiceId& service, PieceGroup group, TimePoint now, BrokerActions& out)
@@ -260,6 +372,7 @@
             queue->cancel(it.first);
         return true;
     });
+    m_impl->ownGroups.erase(group);
 }
 
 void PieceBroker::onMessage(const InstanceId& from, const PieceMessage& message, TimePoint now, BrokerActions& out)
@@ -272,7 +385,7 @@
     else if (const auto* cancelled = std::get_if<PiecesCancelled>(&message))
         m_impl->onCancelled(from, *cancelled);
     else if (const auto* made = std::get_if<PiecesMade>(&message))
-        m_impl->onMade(from, *made, out);
+        m_impl->onMade(from, *made, now, out);
     else if (const auto* release = std::get_if<ReleaseResults>(&message)) {
         m_impl->releaseHere(*release, now, out);
         out.emplace_back(*release);
@@ -346,10 +459,10 @@
     const auto* queue = m_impl->findQueue(service);
     if (queue != nullptr && ownerOf(service, now) == m_impl->self)
         return queue->expectedWait(priority, pieces, now);
-    const auto told = m_impl->told.find({ service, priority });
+    const auto told = m_impl->told.find(service);
     if (told == m_impl->told.end() || now - told->second.at > toldLife)
         return {};
-    return told->second.expected;
+    return told->second.waits.at(toldIndex(priority));
 }
 
 } // namespace foxtailwheel::serving
