One instance of each zone asks the store and tells the others; the strongest instances own services

Processor shares travel with gossip. Goals of a stage leave room for half a call at each later stage; late pieces wait behind all others and are forecast so.

--- a/include/foxtailwheel/daemon/ForwardService.h
+++ b/include/foxtailwheel/daemon/ForwardService.h
@@ -35,8 +35,10 @@
     void setServers(const std::vector<serving::AnnouncedServer>& servers);
     /// @brief The credentials in force were current at `asOf`.
     void confirmCredentials(TimePoint asOf);
-    /// @brief Takes the live instances, this one included, and those that are gone.
-    void setMembers(const std::vector<InstanceId>& live, const std::set<InstanceId>& gone);
+    /// @brief Takes the live instances, this one included, those among them that may own services, and those that are
+    /// gone.
+    void setMembers(const std::vector<InstanceId>& live, const std::vector<InstanceId>& owners,
+        const std::set<InstanceId>& gone);
     /// @brief Another instance has said something about pieces.
     void onPeer(const InstanceId& from, const serving::PieceMessage& message);
     /// @brief Sets how messages to other instances are sent.
--- a/include/foxtailwheel/membership/Member.h
+++ b/include/foxtailwheel/membership/Member.h
@@ -24,6 +24,7 @@
     Incarnation incarnation; ///< Grows with each life and with each refuted suspicion.
     MemberState state = MemberState::Alive;
     ConfigVersion config; ///< Version in force there, as last heard.
+    float cores = 0; ///< Processor time that it may use; 0 where it is not told.
 
     friend bool operator==(const Member&, const Member&) = default;
 };
--- a/include/foxtailwheel/peer/Message.h
+++ b/include/foxtailwheel/peer/Message.h
@@ -4,6 +4,7 @@
 #include "foxtailwheel/config/Patch.h"
 #include "foxtailwheel/membership/Member.h"
 #include "foxtailwheel/serving/PieceBroker.h"
+#include "foxtailwheel/store/Feed.h"
 
 #include <cstdint>
 #include <span>
@@ -63,9 +64,19 @@
     friend bool operator==(const PieceNews&, const PieceNews&) = default;
 };
 
+/// @brief Changes of a table of the store, passed on by the instance that asked for them.
+struct TableNews {
+    membership::Member sender;
+    std::string table;
+    std::uint64_t after = 0; ///< The changes follow on this version.
+    store::FeedAnswer answer;
+
+    friend bool operator==(const TableNews&, const TableNews&) = default;
+};
+
 /// @brief Any message between instances.
-using Message
-    = std::variant<membership::Ping, membership::Ack, ConfigRequest, ConfigReply, Demand, Allowance, PieceNews>;
+using Message = std::variant<membership::Ping, membership::Ack, ConfigRequest, ConfigReply, Demand, Allowance,
+    PieceNews, TableNews>;
 
 /// @brief Most bytes of one encoded message.
 constexpr std::size_t largestMessageBytes = 20U << 20U;
--- a/include/foxtailwheel/peer/Messages_generated.h
+++ b/include/foxtailwheel/peer/Messages_generated.h
@@ -71,6 +71,12 @@
 struct ResultsReleased;
 struct ResultsReleasedBuilder;
 
+struct Row;
+struct RowBuilder;
+
+struct TableNews;
+struct TableNewsBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -87,11 +93,12 @@
   PiecesCancelled = 9,
   PiecesMade = 10,
   ResultsReleased = 11,
+  TableNews = 12,
   MIN = NONE,
-  MAX = ResultsReleased
+  MAX = TableNews
 };
 
-inline const Body (&EnumValuesBody())[12] {
+inline const Body (&EnumValuesBody())[13] {
   static const Body values[] = {
     Body::NONE,
     Body::Ping,
@@ -104,13 +111,14 @@
     Body::PiecesTaken,
     Body::PiecesCancelled,
     Body::PiecesMade,
-    Body::ResultsReleased
+    Body::ResultsReleased,
+    Body::TableNews
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[13] = {
+  static const char * const names[14] = {
     "NONE",
     "Ping",
     "Ack",
@@ -123,13 +131,14 @@
     "PiecesCancelled",
     "PiecesMade",
     "ResultsReleased",
+    "TableNews",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::ResultsReleased)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::TableNews)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -182,6 +191,10 @@
   static const Body enum_value = Body::ResultsReleased;
 };
 
+template<> struct BodyTraits<foxtailwheel::peer::wire::TableNews> {
+  static const Body enum_value = Body::TableNews;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -194,7 +207,8 @@
     VT_ZONE = 10,
     VT_INCARNATION = 12,
     VT_STATE = 14,
-    VT_CONFIG = 16
+    VT_CONFIG = 16,
+    VT_CORES = 18
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -217,6 +231,9 @@
   uint64_t config() const {
     return GetField<uint64_t>(VT_CONFIG, 0);
   }
+  float cores() const {
+    return GetField<float>(VT_CORES, 0.0f);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -229,6 +246,7 @@
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG, 8) &&
+           VerifyField<float>(verifier, VT_CORES, 4) &&
            verifier.EndTable();
   }
 };
@@ -258,6 +276,9 @@
   void add_config(uint64_t config) {
     fbb_.AddElement<uint64_t>(Member::VT_CONFIG, config, 0);
   }
+  void add_cores(float cores) {
+    fbb_.AddElement<float>(Member::VT_CORES, cores, 0.0f);
+  }
   explicit MemberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -277,10 +298,12 @@
     flatbuffers::Offset<flatbuffers::String> zone = 0,
     uint64_t incarnation = 0,
     uint8_t state = 0,
-    uint64_t config = 0) {
+    uint64_t config = 0,
+    float cores = 0.0f) {
   MemberBuilder builder_(_fbb);
   builder_.add_config(config);
   builder_.add_incarnation(incarnation);
+  builder_.add_cores(cores);
   builder_.add_zone(zone);
   builder_.add_host(host);
   builder_.add_id(id);
@@ -297,7 +320,8 @@
     const char *zone = nullptr,
     uint64_t incarnation = 0,
     uint8_t state = 0,
-    uint64_t config = 0) {
+    uint64_t config = 0,
+    float cores = 0.0f) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
@@ -309,7 +333,8 @@
       zone__,
       incarnation,
       state,
-      config);
+      config,
+      cores);
 }
 
 struct ServerNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1828,6 +1853,198 @@
       handles__);
 }
 
+struct Row FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RowBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_VALUE = 6,
+    VT_DELETED = 8
+  };
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  const flatbuffers::Vector<uint8_t> *value() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_VALUE);
+  }
+  bool deleted() const {
+    return GetField<uint8_t>(VT_DELETED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyVector(value()) &&
+           VerifyField<uint8_t>(verifier, VT_DELETED, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct RowBuilder {
+  typedef Row Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(Row::VT_KEY, key);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value) {
+    fbb_.AddOffset(Row::VT_VALUE, value);
+  }
+  void add_deleted(bool deleted) {
+    fbb_.AddElement<uint8_t>(Row::VT_DELETED, static_cast<uint8_t>(deleted), 0);
+  }
+  explicit RowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Row> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Row>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Row> CreateRow(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0,
+    bool deleted = false) {
+  RowBuilder builder_(_fbb);
+  builder_.add_value(value);
+  builder_.add_key(key);
+  builder_.add_deleted(deleted);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Row> CreateRowDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *key = nullptr,
+    const std::vector<uint8_t> *value = nullptr,
+    bool deleted = false) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
+  return foxtailwheel::peer::wire::CreateRow(
+      _fbb,
+      key__,
+      value__,
+      deleted);
+}
+
+struct TableNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TableNewsBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SENDER = 4,
+    VT_TABLE = 6,
+    VT_AFTER = 8,
+    VT_VERSION = 10,
+    VT_STORE_US = 12,
+    VT_ROWS = 14
+  };
+  const foxtailwheel::peer::wire::Member *sender() const {
+    return GetPointer<const foxtailwheel::peer::wire::Member *>(VT_SENDER);
+  }
+  const flatbuffers::String *table() const {
+    return GetPointer<const flatbuffers::String *>(VT_TABLE);
+  }
+  uint64_t after() const {
+    return GetField<uint64_t>(VT_AFTER, 0);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  int64_t store_us() const {
+    return GetField<int64_t>(VT_STORE_US, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::Row>> *rows() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::Row>> *>(VT_ROWS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SENDER) &&
+           verifier.VerifyTable(sender()) &&
+           VerifyOffset(verifier, VT_TABLE) &&
+           verifier.VerifyString(table()) &&
+           VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<int64_t>(verifier, VT_STORE_US, 8) &&
+           VerifyOffset(verifier, VT_ROWS) &&
+           verifier.VerifyVector(rows()) &&
+           verifier.VerifyVectorOfTables(rows()) &&
+           verifier.EndTable();
+  }
+};
+
+struct TableNewsBuilder {
+  typedef TableNews Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sender(flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender) {
+    fbb_.AddOffset(TableNews::VT_SENDER, sender);
+  }
+  void add_table(flatbuffers::Offset<flatbuffers::String> table) {
+    fbb_.AddOffset(TableNews::VT_TABLE, table);
+  }
+  void add_after(uint64_t after) {
+    fbb_.AddElement<uint64_t>(TableNews::VT_AFTER, after, 0);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(TableNews::VT_VERSION, version, 0);
+  }
+  void add_store_us(int64_t store_us) {
+    fbb_.AddElement<int64_t>(TableNews::VT_STORE_US, store_us, 0);
+  }
+  void add_rows(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::Row>>> rows) {
+    fbb_.AddOffset(TableNews::VT_ROWS, rows);
+  }
+  explicit TableNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TableNews> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TableNews>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TableNews> CreateTableNews(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender = 0,
+    flatbuffers::Offset<flatbuffers::String> table = 0,
+    uint64_t after = 0,
+    uint64_t version = 0,
+    int64_t store_us = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::Row>>> rows = 0) {
+  TableNewsBuilder builder_(_fbb);
+  builder_.add_store_us(store_us);
+  builder_.add_version(version);
+  builder_.add_after(after);
+  builder_.add_rows(rows);
+  builder_.add_table(table);
+  builder_.add_sender(sender);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<TableNews> CreateTableNewsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender = 0,
+    const char *table = nullptr,
+    uint64_t after = 0,
+    uint64_t version = 0,
+    int64_t store_us = 0,
+    const std::vector<flatbuffers::Offset<foxtailwheel::peer::wire::Row>> *rows = nullptr) {
+  auto table__ = table ? _fbb.CreateString(table) : 0;
+  auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<foxtailwheel::peer::wire::Row>>(*rows) : 0;
+  return foxtailwheel::peer::wire::CreateTableNews(
+      _fbb,
+      sender,
+      table__,
+      after,
+      version,
+      store_us,
+      rows__);
+}
+
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EnvelopeBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1874,6 +2091,9 @@
   const foxtailwheel::peer::wire::ResultsReleased *body_as_ResultsReleased() const {
     return body_type() == foxtailwheel::peer::wire::Body::ResultsReleased ? static_cast<const foxtailwheel::peer::wire::ResultsReleased *>(body()) : nullptr;
   }
+  const foxtailwheel::peer::wire::TableNews *body_as_TableNews() const {
+    return body_type() == foxtailwheel::peer::wire::Body::TableNews ? static_cast<const foxtailwheel::peer::wire::TableNews *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -1927,6 +2147,10 @@
   return body_as_ResultsReleased();
 }
 
+template<> inline const foxtailwheel::peer::wire::TableNews *Envelope::body_as<foxtailwheel::peer::wire::TableNews>() const {
+  return body_as_TableNews();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2007,6 +2231,10 @@
       auto ptr = reinterpret_cast<const foxtailwheel::peer::wire::ResultsReleased *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::TableNews: {
+      auto ptr = reinterpret_cast<const foxtailwheel::peer::wire::TableNews *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/include/foxtailwheel/serving/BatchForecast.h
+++ b/include/foxtailwheel/serving/BatchForecast.h
@@ -18,7 +18,7 @@
     explicit BatchForecast(const config::BatchLimits& limits);
 
     void setLimits(const config::BatchLimits& limits) { m_limits = limits; }
-    /// @brief Pieces of one priority came in.
+    /// @brief Pieces of one priority came in that can meet their goal.
     void arrived(std::uint32_t priority, std::size_t pieces, TimePoint now);
     /// @brief A call was answered.
     void answered(std::size_t pieces, Duration time);
@@ -27,9 +27,10 @@
     /// @brief Pieces that so many busy servers make in a second, with full calls.
     double capacity(double servers) const;
     /// @brief Time until pieces are made that have `ahead` others before them.
+    /// @param late Their goal cannot be met any more, so that all others go first.
     /// @param ahead Pieces that wait and go first, the asked ones included.
     /// @param servers Calls in progress at once.
-    Duration wait(std::uint32_t priority, std::size_t ahead, double servers, TimePoint now) const;
+    Duration wait(std::uint32_t priority, bool late, std::size_t ahead, double servers, TimePoint now) const;
 
 private:
     config::BatchLimits m_limits;
--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -193,8 +193,10 @@
     virtual void setServers(const std::vector<AnnouncedServer>& servers, TimePoint now, ForwardActions& out) = 0;
     /// @brief The credentials in force are known to have been current at `asOf`.
     virtual void confirmCredentials(TimePoint asOf) = 0;
-    /// @brief Takes the live instances, this one included, and those that are gone.
-    virtual void setMembers(const std::vector<InstanceId>& live, const std::set<InstanceId>& gone, TimePoint now,
+    /// @brief Takes the live instances, this one included, those among them that may own services, and those that are
+    /// gone.
+    virtual void setMembers(const std::vector<InstanceId>& live, const std::vector<InstanceId>& owners,
+        const std::set<InstanceId>& gone, TimePoint now,
         ForwardActions& out)
         = 0;
     /// @brief Another instance has said something about pieces.
--- a/include/foxtailwheel/store/Feed.h
+++ b/include/foxtailwheel/store/Feed.h
@@ -14,6 +14,8 @@
 struct FeedRow {
     std::string key;
     std::optional<std::string> value; ///< Empty where the row was deleted.
+
+    friend bool operator==(const FeedRow&, const FeedRow&) = default;
 };
 
 /// @brief How a call of a feed ended.
@@ -29,6 +31,8 @@
     std::vector<FeedRow> rows;
     std::uint64_t version = 0; ///< Changes after it are still to be asked for.
     Duration storeTime {}; ///< The store's steady clock when it answered.
+
+    friend bool operator==(const FeedAnswer&, const FeedAnswer&) = default;
 };
 
 /// @brief Follows the rows of tables.
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -360,10 +360,11 @@
     m_impl->forwarder->confirmCredentials(asOf);
 }
 
-void ForwardService::setMembers(const std::vector<InstanceId>& live, const std::set<InstanceId>& gone)
+void ForwardService::setMembers(const std::vector<InstanceId>& live, const std::vector<InstanceId>& owners,
+        const std::set<InstanceId>& gone)
 {
     serving::ForwardActions actions;
-    m_impl->forwarder->setMembers(live, gone, m_impl->clock.now(), actions);
+    m_impl->forwarder->setMembers(live, owners, gone, m_impl->clock.now(), actions);
     m_impl->perform(std::move(actions));
 }
 
--- a/src/foxtailwheel/daemon/PeerLink.cpp
+++ b/src/foxtailwheel/daemon/PeerLink.cpp
@@ -4,6 +4,8 @@
 #include "foxtailwheel/peer/Network.h"
 #include "foxtailwheel/telemetry/Log.h"
 
+#include <algorithm>
+
 namespace foxtailwheel::daemon {
 
 namespace {
@@ -12,6 +14,24 @@
 
     /// Membership lets time pass in steps of this length; its own shortest limit is 200 ms.
     constexpr Duration tickPeriod = 100ms;
+    /// Instances of a zone that ask the store; the others are told by them.
+    constexpr std::size_t pollersPerZone = 1;
+    /// Instances with this share of the strongest one's processor may own services.
+    constexpr float strongShare = 0.75F;
+
+    /// Owners gather the pieces of all instances, so only the strongest ones are drawn.
+    std::vector<InstanceId> strongest(const std::vector<membership::Member>& alive)
+    {
+        float most = 0;
+        for (const auto& it : alive)
+            most = std::max(most, it.cores);
+        std::vector<InstanceId> strong;
+        for (const auto& it : alive) {
+            if (it.cores >= most * strongShare)
+                strong.push_back(it.id);
+        }
+        return strong;
+    }
 
 } // namespace
 
@@ -28,6 +48,7 @@
     void perform(const membership::MembershipActions& actions);
     void receive(const peer::Message& message);
     void tellMembers();
+    void choosePoller();
 
     http::IoPool& pool;
     const Clock& clock;
@@ -35,7 +56,9 @@
     PeerLinkEvents events;
     std::unique_ptr<peer::Network> network;
     std::vector<InstanceId> live;
+    std::vector<InstanceId> owners;
     std::set<InstanceId> gone;
+    bool poller = true;
 };
 
 void PeerLink::Impl::tick()
@@ -65,21 +88,43 @@
 
 void PeerLink::Impl::tellMembers()
 {
+    std::vector<membership::Member> alive;
     std::vector<InstanceId> nowLive;
     std::set<InstanceId> nowGone;
     for (const auto& it : membership.members()) {
-        if (it.state == membership::MemberState::Alive)
+        if (it.state == membership::MemberState::Alive) {
+            alive.push_back(it);
             nowLive.push_back(it.id);
-        else if (it.state != membership::MemberState::Leaving)
+        } else if (it.state != membership::MemberState::Leaving) {
             nowGone.insert(it.id);
+        }
     }
-    if (nowLive == live && nowGone == gone)
+    const auto nowOwners = strongest(alive);
+    if (nowLive == live && nowOwners == owners && nowGone == gone)
         return;
     live = nowLive;
+    owners = nowOwners;
     gone = nowGone;
     telemetry::logInfo(
         "members_changed", { { "live", std::to_string(live.size()) }, { "gone", std::to_string(gone.size()) } });
-    events.members(live, gone);
+    events.members(live, owners, gone);
+    choosePoller();
+}
+
+void PeerLink::Impl::choosePoller()
+{
+    const auto& self = membership.self();
+    std::vector<membership::Member> here;
+    for (const auto& it : membership.members()) {
+        if (it.state == membership::MemberState::Alive && it.zone == self.zone)
+            here.push_back(it);
+    }
+    const auto pollers = membership::owners("poller/" + self.zone.value(), here, pollersPerZone);
+    const bool now = pollers.empty() || std::find(pollers.begin(), pollers.end(), self.id) != pollers.end();
+    if (std::exchange(poller, now) == now)
+        return;
+    telemetry::logInfo("poller_changed", { { "asking", now ? "1" : "0" } });
+    events.pollerChanged(now);
 }
 
 void PeerLink::Impl::receive(const peer::Message& message)
@@ -91,6 +136,8 @@
         membership.onAck(*ack, clock.now(), actions);
     else if (const auto* news = std::get_if<peer::PieceNews>(&message))
         events.pieces(news->sender.id, news->news);
+    else if (const auto* table = std::get_if<peer::TableNews>(&message))
+        events.tableNews({ table->table, table->after, table->answer });
     perform(actions);
 }
 
@@ -135,6 +182,17 @@
     }
 }
 
+void PeerLink::tellZone(const control::TableNews& news)
+{
+    const auto& self = m_impl->membership.self();
+    const peer::TableNews message { self, news.table, news.after, news.answer };
+    for (const auto& it : m_impl->membership.members()) {
+        const bool live = it.state == membership::MemberState::Alive || it.state == membership::MemberState::Suspect;
+        if (live && it.zone == self.zone && it.id != self.id)
+            m_impl->network->send(it.peers, message);
+    }
+}
+
 void PeerLink::leave()
 {
     membership::MembershipActions actions;
--- a/src/foxtailwheel/peer/Message.cpp
+++ b/src/foxtailwheel/peer/Message.cpp
@@ -24,7 +24,7 @@
     {
         return wire::CreateMemberDirect(fbb, member.id.value().c_str(), member.peers.host.c_str(), member.peers.port,
             member.zone.value().c_str(), member.incarnation.value(), static_cast<std::uint8_t>(member.state),
-            member.config.value());
+            member.config.value(), member.cores);
     }
 
     auto pack(FlatBufferBuilder& fbb, const Digest& digest)
@@ -136,6 +136,19 @@
     struct Packer {
         FlatBufferBuilder& fbb;
 
+        auto operator()(const TableNews& it) const
+        {
+            std::vector<flatbuffers::Offset<wire::Row>> rows;
+            for (const auto& row : it.answer.rows) {
+                const auto& value = row.value.value_or(std::string());
+                const auto bytes
+                    = fbb.CreateVector(reinterpret_cast<const std::uint8_t*>(value.data()), value.size());
+                rows.push_back(wire::CreateRow(fbb, fbb.CreateString(row.key), bytes, !row.value));
+            }
+            return wrap(wire::Body::TableNews,
+                wire::CreateTableNewsDirect(fbb, pack(fbb, it.sender), it.table.c_str(), it.after, it.answer.version,
+                    microseconds(it.answer.storeTime), &rows));
+        }
         auto operator()(const PieceNews& it) const { return std::visit(PieceNewsPacker { fbb, it.sender }, it.news); }
         auto operator()(const Ping& it) const
         {
@@ -190,6 +203,7 @@
         out.state = static_cast<MemberState>(
             std::min<std::uint8_t>(member->state(), static_cast<std::uint8_t>(MemberState::Dead)));
         out.config = ConfigVersion(member->config());
+        out.cores = member->cores();
         return out;
     }
 
@@ -297,6 +311,24 @@
         return out;
     }
 
+    TableNews unpack(const wire::TableNews& news)
+    {
+        TableNews out { unpack(news.sender()), textOf(news.table()), news.after(), {} };
+        out.answer.end = store::FeedEnd::Answered;
+        out.answer.version = news.version();
+        out.answer.storeTime = std::chrono::microseconds(news.store_us());
+        if (news.rows() == nullptr)
+            return out;
+        for (const auto* it : *news.rows()) {
+            store::FeedRow row { textOf(it->key()), std::nullopt };
+            if (!it->deleted())
+                row.value = it->value() == nullptr ? std::string()
+                                                   : std::string(it->value()->begin(), it->value()->end());
+            out.answer.rows.push_back(std::move(row));
+        }
+        return out;
+    }
+
     std::optional<Message> unpackPieceNews(const wire::Envelope& envelope)
     {
         if (const auto* it = envelope.body_as_PiecesAsked())
@@ -353,6 +385,8 @@
         return Message(Demand { unpack(demand->sender()), unpack(demand->rates()) });
     } else if (const auto* allowance = envelope->body_as_Allowance()) {
         return Message(Allowance { unpack(allowance->rates()) });
+    } else if (const auto* table = envelope->body_as_TableNews()) {
+        return Message(unpack(*table));
     } else if (auto news = unpackPieceNews(*envelope)) {
         return std::move(*news);
     }
--- a/src/foxtailwheel/serving/BatchForecast.cpp
+++ b/src/foxtailwheel/serving/BatchForecast.cpp
@@ -43,11 +43,12 @@
     return full <= 0 ? 1e9 : servers * m_limits.pieces / full;
 }
 
-Duration BatchForecast::wait(std::uint32_t priority, std::size_t ahead, double servers, TimePoint now) const
+Duration BatchForecast::wait(
+    std::uint32_t priority, bool late, std::size_t ahead, double servers, TimePoint now) const
 {
     double urgent = 0;
     for (const auto& it : m_arrivals) {
-        if (it.first < priority)
+        if (late || it.first < priority)
             urgent += it.second.perSecond(now);
     }
     const double whole = capacity(servers);
--- a/src/foxtailwheel/serving/BatchQueue.cpp
+++ b/src/foxtailwheel/serving/BatchQueue.cpp
@@ -86,6 +86,7 @@
     void send(const config::BackendServer& server, std::vector<Waiting> pieces, TimePoint now,
         std::vector<BatchAction>& out);
     void check(TimePoint now, std::vector<BatchAction>& out);
+    bool isLate(const Waiting& piece, TimePoint now) const { return piece.goal < now + forecast.callTime(1); }
     void dropHopeless(TimePoint now, std::vector<BatchAction>& out);
     void doubleSlowCalls(TimePoint now);
     void decide(const Waiting& piece, const PieceResult& result, std::vector<BatchAction>& out);
@@ -266,15 +267,18 @@
 void BatchQueue::Impl::dropHopeless(TimePoint now, std::vector<BatchAction>& out)
 {
     std::size_t ahead = 0;
-    for (auto it = waiting.begin(); it != waiting.end();) {
-        const auto made = now + forecast.wait(it->priority, ++ahead, servers(now), now);
-        if (made <= it->deadline || twice.contains(it->id())) {
-            ++it;
-            continue;
+    for (const bool late : { false, true }) {
+        for (auto it = waiting.begin(); it != waiting.end();) {
+            const auto piece = it++;
+            if (isLate(*piece, now) != late)
+                continue;
+            const auto made = now + forecast.wait(piece->priority, late, ++ahead, servers(now), now);
+            if (made <= piece->deadline || twice.contains(piece->id()))
+                continue;
+            --ahead;
+            out.emplace_back(PieceDone { piece->group, piece->piece.index, PieceFailure::Late });
+            waiting.erase(piece);
         }
-        --ahead;
-        out.emplace_back(PieceDone { it->group, it->piece.index, PieceFailure::Late });
-        it = waiting.erase(it);
     }
 }
 
@@ -350,7 +354,8 @@
 
 void BatchQueue::add(PieceGroup group, TimePoint now, std::vector<BatchAction>& out)
 {
-    m_impl->forecast.arrived(group.priority, group.pieces.size(), now);
+    if (group.goal >= now + m_impl->forecast.callTime(1))
+        m_impl->forecast.arrived(group.priority, group.pieces.size(), now);
     for (auto& it : group.pieces)
         m_impl->waiting.insert({ group.id, std::move(it), group.priority, group.goal, group.deadline,
             group.preferredZone, group.leaveZoneAfter, group.resultBytes, ++m_impl->arrivals, 0 });
@@ -442,7 +447,7 @@
 Duration BatchQueue::expectedWait(std::uint32_t priority, std::size_t pieces, TimePoint now) const
 {
     const auto ahead = std::count_if(m_impl->waiting.begin(), m_impl->waiting.end(),
-        [priority](const Waiting& it) { return it.priority <= priority; });
+        [&](const Waiting& it) { return it.priority <= priority && !m_impl->isLate(it, now); });
     const auto servers = m_impl->servers(now);
     const bool busy = static_cast<double>(m_impl->calls.size()) >= servers;
     // While all servers are busy, the next one comes free after part of a call.
@@ -451,7 +456,7 @@
             / static_cast<double>(1 + m_impl->calls.size()))
         : Duration {};
     return untilFree
-        + m_impl->forecast.wait(priority, pieces + static_cast<std::size_t>(ahead), servers, now);
+        + m_impl->forecast.wait(priority, false, pieces + static_cast<std::size_t>(ahead), servers, now);
 }
 
 } // namespace foxtailwheel::serving
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -43,8 +43,10 @@
     constexpr double firstAttemptShare = 0.8;
     /// The longest time of a route's callers is measured anew after this while.
     constexpr Duration callerTimeMemory = 10s;
-    /// Least time from the last stage's results to the first event of an answer.
-    constexpr Duration leastAnswerTime = 100ms;
+    /// Time from the last stage's results to the first event of an answer.
+    constexpr Duration leastAnswerTime = 150ms;
+    /// Part of a full call that pieces of a busy stage wait before they leave: the mean, since calls end at any time.
+    constexpr double waitShare = 0.5;
     /// Part of its time that a request must have left to be worth sending.
     constexpr Duration leastTimeToSend = 5ms;
 
@@ -68,6 +70,11 @@
         StageIndex stage = 0;
     };
 
+    Duration fullCall(const config::BatchLimits& limits)
+    {
+        return limits.callTime + limits.pieceTime * limits.pieces;
+    }
+
     std::string number(double n)
     {
         return std::to_string(static_cast<long>(n));
@@ -123,7 +130,8 @@
         std::shared_ptr<const config::RouteTable> table() const override { return m_table; }
         void setServers(const std::vector<AnnouncedServer>& servers, TimePoint now, ForwardActions& out) override;
         void confirmCredentials(TimePoint asOf) override { m_confirmedAt = std::max(m_confirmedAt, asOf); }
-        void setMembers(const std::vector<InstanceId>& live, const std::set<InstanceId>& gone, TimePoint now,
+        void setMembers(const std::vector<InstanceId>& live, const std::vector<InstanceId>& owners,
+        const std::set<InstanceId>& gone, TimePoint now,
             ForwardActions& out) override;
         void onPeer(
             const InstanceId& from, const PieceMessage& message, TimePoint now, ForwardActions& out) override;
@@ -262,13 +270,14 @@
         }
     }
 
-    void RoutingForwarder::setMembers(const std::vector<InstanceId>& live, const std::set<InstanceId>& gone,
+    void RoutingForwarder::setMembers(const std::vector<InstanceId>& live, const std::vector<InstanceId>& owners,
+        const std::set<InstanceId>& gone,
         TimePoint now, ForwardActions& out)
     {
         m_instances = std::max<std::size_t>(1, live.size());
         m_directory.setInstances(m_instances);
         BrokerActions actions;
-        m_broker.setMembers(m_options.batchAcrossInstances ? live : std::vector<InstanceId>(), gone, now, actions);
+        m_broker.setMembers(m_options.batchAcrossInstances ? owners : std::vector<InstanceId>(), gone, now, actions);
         shareQueues(now);
         carry(std::move(actions), now, out);
     }
@@ -491,7 +500,7 @@
             sendRequest(run, now, out);
     }
 
-    /// When the results of a stage are wanted: the request's goal less the least time of what follows.
+    /// When the results of a stage are wanted: the request's goal less the usual time of what follows.
     TimePoint RoutingForwarder::goalOf(const ForwardRun& run, StageIndex stage) const
     {
         Duration after = leastAnswerTime;
@@ -502,7 +511,7 @@
                 [&](StageIndex it) { return it == stage || follows[it]; });
             const auto* service = run.table->findService(run.route->stages[i].service);
             if (follows[i] && service != nullptr && service->batch)
-                after += service->batch->callTime + service->batch->pieceTime * run.stages[i].results.size();
+                after += fromSeconds(toSeconds(fullCall(*service->batch)) * (1 + waitShare));
         }
         return run.begunAt + run.route->goal - after;
     }
