--- a/include/foxtailwheel/control/Claim.h
+++ b/include/foxtailwheel/control/Claim.h
@@ -3,8 +3,8 @@
 #include "foxtailwheel/base/Ids.h"
 #include "foxtailwheel/base/Units.h"
 #include "foxtailwheel/pipeline/Actions.h"
-#include "foxtailwheel/store/Table.h"
 #include "foxtailwheel/serving/Dispatcher.h"
+#include "foxtailwheel/store/Table.h"
 
 #include <optional>
 #include <string>
--- a/include/foxtailwheel/control/TableFollower.h
+++ b/include/foxtailwheel/control/TableFollower.h
@@ -54,8 +54,8 @@
     using Tell = std::function<void(const TableNews&)>;
 
     /// @param tell May be empty.
-    TableFollower(store::Feed& feed, const Clock& clock, FollowerOptions options, After after, Changed changed,
-        Tell tell = {});
+    TableFollower(
+        store::Feed& feed, const Clock& clock, FollowerOptions options, After after, Changed changed, Tell tell = {});
     ~TableFollower();
     TableFollower(const TableFollower&) = delete;
     TableFollower& operator=(const TableFollower&) = delete;
--- a/include/foxtailwheel/daemon/ForwardService.h
+++ b/include/foxtailwheel/daemon/ForwardService.h
@@ -37,8 +37,8 @@
     void confirmCredentials(TimePoint asOf);
     /// @brief Takes the live instances, this one included, those among them that may own services, and those that are
     /// gone.
-    void setMembers(const std::vector<InstanceId>& live, const std::vector<InstanceId>& owners,
-        const std::set<InstanceId>& gone);
+    void setMembers(
+        const std::vector<InstanceId>& live, const std::vector<InstanceId>& owners, const std::set<InstanceId>& gone);
     /// @brief Another instance has said something about pieces.
     void onPeer(const InstanceId& from, const serving::PieceMessage& message);
     /// @brief Sets how messages to other instances are sent.
--- a/include/foxtailwheel/routing/ServerPool.h
+++ b/include/foxtailwheel/routing/ServerPool.h
@@ -30,10 +30,13 @@
     std::optional<PrefixHash> prefix; ///< Leading part of the prompt, for model engines.
     std::vector<BackendServerId> avoid = {}; ///< Servers that this stage was sent to already.
     bool careful = false; ///< True for calls that must not be used to try a suspected server.
-    std::optional<std::uint32_t> mostOwnCalls = std::nullopt; ///< Servers with as many own calls in progress are left out.
-    std::optional<std::uint64_t> affinity = std::nullopt; ///< Calls of the same value prefer the same server on all instances.
+    std::optional<std::uint32_t> mostOwnCalls
+        = std::nullopt; ///< Servers with as many own calls in progress are left out.
+    std::optional<std::uint64_t> affinity
+        = std::nullopt; ///< Calls of the same value prefer the same server on all instances.
     std::optional<Duration> longest = std::nullopt; ///< Servers that would take longer are left out.
-    std::optional<AvailabilityZoneId> zone = std::nullopt; ///< Servers there are preferred where they are as idle as others.
+    std::optional<AvailabilityZoneId> zone
+        = std::nullopt; ///< Servers there are preferred where they are as idle as others.
 };
 
 /// @brief Where a call goes.
--- a/include/foxtailwheel/serving/BatchQueue.h
+++ b/include/foxtailwheel/serving/BatchQueue.h
@@ -112,8 +112,8 @@
 /// @brief The pieces that wait for one service, over all requests, and when they leave in which call.
 ///
 /// A call costs a fixed time besides the time of its pieces, so pieces wait while all servers are busy and leave
-/// together: under load calls fill up, while an idle server takes a piece at once. Pieces that can still meet their goal
-/// leave before those that cannot; within both the more urgent leave first, then those of the earlier goal. Not
+/// together: under load calls fill up, while an idle server takes a piece at once. Pieces that can still meet their
+/// goal leave before those that cannot; within both the more urgent leave first, then those of the earlier goal. Not
 /// thread-safe.
 class BatchQueue {
 public:
--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -122,9 +122,8 @@
 };
 
 /// @brief What the forwarder wants done.
-using ForwardAction
-    = std::variant<SendForward, StopForward, SendBatch, TellInstance, ReleaseResults, ReplyWhole, ReplyHead, ReplyBytes,
-        ReplyEnd>;
+using ForwardAction = std::variant<SendForward, StopForward, SendBatch, TellInstance, ReleaseResults, ReplyWhole,
+    ReplyHead, ReplyBytes, ReplyEnd>;
 using ForwardActions = std::vector<ForwardAction>;
 
 /// @brief How a call of a caller's request ended.
@@ -196,13 +195,10 @@
     /// @brief Takes the live instances, this one included, those among them that may own services, and those that are
     /// gone.
     virtual void setMembers(const std::vector<InstanceId>& live, const std::vector<InstanceId>& owners,
-        const std::set<InstanceId>& gone, TimePoint now,
-        ForwardActions& out)
+        const std::set<InstanceId>& gone, TimePoint now, ForwardActions& out)
         = 0;
     /// @brief Another instance has said something about pieces.
-    virtual void onPeer(
-        const InstanceId& from, const PieceMessage& message, TimePoint now, ForwardActions& out)
-        = 0;
+    virtual void onPeer(const InstanceId& from, const PieceMessage& message, TimePoint now, ForwardActions& out) = 0;
 
     /// @brief From now on every new request is refused; those in progress go on.
     virtual void stopAccepting() = 0;
@@ -215,8 +211,7 @@
     /// @brief Bytes of a streamed answer came.
     virtual void onData(CallId call, std::string_view bytes, TimePoint now, ForwardActions& out) = 0;
     /// @brief A call ended; `response` holds the whole answer where `end` is `Complete` and it was not streamed.
-    virtual void onEnd(
-        CallId call, ForwardCallEnd end, http::Response response, TimePoint now, ForwardActions& out)
+    virtual void onEnd(CallId call, ForwardCallEnd end, http::Response response, TimePoint now, ForwardActions& out)
         = 0;
     virtual void onBatchEnd(
         CallId call, BatchEnd end, const std::vector<PieceResult>& results, TimePoint now, ForwardActions& out)
--- a/include/foxtailwheel/serving/PieceBroker.h
+++ b/include/foxtailwheel/serving/PieceBroker.h
@@ -97,8 +97,8 @@
 
     /// @brief Takes the instances that may own services and those that are gone.
     /// @param live This one included; empty means this one alone.
-    void setMembers(const std::vector<InstanceId>& live, const std::set<InstanceId>& gone, TimePoint now,
-        BrokerActions& out);
+    void setMembers(
+        const std::vector<InstanceId>& live, const std::set<InstanceId>& gone, TimePoint now, BrokerActions& out);
     /// @brief The instance that owns a service now.
     InstanceId ownerOf(const ServiceId& service, TimePoint now) const;
     /// @brief Has the pieces of a group made, here or at the owner.
--- a/src/foxtailwheel/control/ClaimKeeper.cpp
+++ b/src/foxtailwheel/control/ClaimKeeper.cpp
@@ -161,20 +161,18 @@
 
     void TableClaimKeeper::record(const std::shared_ptr<Recording>& recording)
     {
-        m_table.read(
-            recording->key, m_clock.now() + tableTimeout, [this, recording](const store::ReadResult& result) {
-                if (!result.answered) {
-                    retryRecord(recording);
-                    return;
-                }
-                const auto held = result.rows.empty() ? std::nullopt : decodeClaimRow(result.rows.front().value);
-                const bool own
-                    = held && held->token == recording->held.token && held->progress == ClaimProgress::Claimed;
-                if (own)
-                    write(recording, result.rows.front());
-                else
-                    recorded();
-            });
+        m_table.read(recording->key, m_clock.now() + tableTimeout, [this, recording](const store::ReadResult& result) {
+            if (!result.answered) {
+                retryRecord(recording);
+                return;
+            }
+            const auto held = result.rows.empty() ? std::nullopt : decodeClaimRow(result.rows.front().value);
+            const bool own = held && held->token == recording->held.token && held->progress == ClaimProgress::Claimed;
+            if (own)
+                write(recording, result.rows.front());
+            else
+                recorded();
+        });
     }
 
     void TableClaimKeeper::write(const std::shared_ptr<Recording>& recording, const store::Row& row)
--- a/src/foxtailwheel/control/TableFollower.cpp
+++ b/src/foxtailwheel/control/TableFollower.cpp
@@ -193,8 +193,8 @@
 
 TableFollower::TableFollower(
     store::Feed& feed, const Clock& clock, FollowerOptions options, After after, Changed changed, Tell tell)
-    : m_impl(std::make_shared<Impl>(
-        feed, clock, std::move(options), std::move(after), std::move(changed), std::move(tell)))
+    : m_impl(
+        std::make_shared<Impl>(feed, clock, std::move(options), std::move(after), std::move(changed), std::move(tell)))
 {
 }
 
--- a/src/foxtailwheel/daemon/Cluster.h
+++ b/src/foxtailwheel/daemon/Cluster.h
@@ -7,8 +7,8 @@
 #include "foxtailwheel/limits/RateLedger.h"
 #include "foxtailwheel/membership/Membership.h"
 #include "foxtailwheel/peer/Network.h"
-#include "foxtailwheel/store/InstanceList.h"
 #include "foxtailwheel/serving/Dispatcher.h"
+#include "foxtailwheel/store/InstanceList.h"
 
 #include <functional>
 #include <map>
--- a/src/foxtailwheel/daemon/ConfigService.h
+++ b/src/foxtailwheel/daemon/ConfigService.h
@@ -4,8 +4,8 @@
 #include "foxtailwheel/config/Difference.h"
 #include "foxtailwheel/control/ConfigFollower.h"
 #include "foxtailwheel/peer/Message.h"
-#include "foxtailwheel/store/Table.h"
 #include "foxtailwheel/serving/Dispatcher.h"
+#include "foxtailwheel/store/Table.h"
 
 #include <deque>
 #include <functional>
@@ -30,8 +30,8 @@
 /// @brief Keeps the dispatcher on the highest accepted configuration, and applies operators' changes.
 class ConfigService {
 public:
-    ConfigService(store::Table& table, const Clock& clock, serving::Dispatcher& dispatcher,
-        FetchFromPeer fetchFromPeer, std::uint64_t seed);
+    ConfigService(store::Table& table, const Clock& clock, serving::Dispatcher& dispatcher, FetchFromPeer fetchFromPeer,
+        std::uint64_t seed);
 
     /// @brief Lets time pass; called some times a second.
     void tick();
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -212,8 +212,8 @@
         answer = protocol.decodeBatch(batch, result.response);
     telemetry::logInfo("batch_ended",
         { { "call", std::to_string(batch.call.value()) }, { "server", batch.server.id.value() },
-            { "pieces", std::to_string(batch.pieces.size()) },
-            { "end", std::to_string(static_cast<int>(answer.end)) }, { "detail", result.detail } });
+            { "pieces", std::to_string(batch.pieces.size()) }, { "end", std::to_string(static_cast<int>(answer.end)) },
+            { "detail", result.detail } });
     serving::ForwardActions actions;
     forwarder->onBatchEnd(batch.call, answer.end, answer.results, clock.now(), actions);
     perform(std::move(actions));
@@ -246,7 +246,8 @@
             if (result.end != http::CallEnd::Complete || result.response.status != 200)
                 telemetry::logDebug("release_failed", { { "server", server.toString() }, { "detail", result.detail } });
         };
-        client.start({ server, protocol.encodeRelease(handles), now + connectLimit, now + releaseLimit }, std::move(events));
+        client.start(
+            { server, protocol.encodeRelease(handles), now + connectLimit, now + releaseLimit }, std::move(events));
     }
 }
 
@@ -256,8 +257,8 @@
     if (it == sessions.end())
         return;
     metrics.count("foxtailwheel_forwarded_total", { { "end", std::string(toString(end)) } });
-    metrics.time("foxtailwheel_forward_seconds", { { "end", std::string(toString(end)) } },
-        clock.now() - it->second.since);
+    metrics.time(
+        "foxtailwheel_forward_seconds", { { "end", std::string(toString(end)) } }, clock.now() - it->second.since);
     sessions.erase(it);
 }
 
@@ -360,8 +361,8 @@
     m_impl->forwarder->confirmCredentials(asOf);
 }
 
-void ForwardService::setMembers(const std::vector<InstanceId>& live, const std::vector<InstanceId>& owners,
-        const std::set<InstanceId>& gone)
+void ForwardService::setMembers(
+    const std::vector<InstanceId>& live, const std::vector<InstanceId>& owners, const std::set<InstanceId>& gone)
 {
     serving::ForwardActions actions;
     m_impl->forwarder->setMembers(live, owners, gone, m_impl->clock.now(), actions);
--- a/src/foxtailwheel/daemon/OperatorApi.h
+++ b/src/foxtailwheel/daemon/OperatorApi.h
@@ -4,8 +4,8 @@
 #include "foxtailwheel/base/Clock.h"
 #include "foxtailwheel/config/Settings.h"
 #include "foxtailwheel/http/Server.h"
-#include "foxtailwheel/store/Table.h"
 #include "foxtailwheel/serving/Dispatcher.h"
+#include "foxtailwheel/store/Table.h"
 
 #include <functional>
 #include <memory>
--- a/src/foxtailwheel/daemon/OrderService.h
+++ b/src/foxtailwheel/daemon/OrderService.h
@@ -3,8 +3,8 @@
 #include "foxtailwheel/base/Clock.h"
 #include "foxtailwheel/control/Lease.h"
 #include "foxtailwheel/http/Client.h"
-#include "foxtailwheel/store/Table.h"
 #include "foxtailwheel/serving/Dispatcher.h"
+#include "foxtailwheel/store/Table.h"
 #include "foxtailwheel/telemetry/Metrics.h"
 
 #include <map>
--- a/src/foxtailwheel/daemon/PeerLink.cpp
+++ b/src/foxtailwheel/daemon/PeerLink.cpp
@@ -77,8 +77,8 @@
     bool changed = false;
     for (const auto& it : actions) {
         if (const auto* send = std::get_if<membership::SendMessage>(&it))
-            std::visit([this, send](const auto& message) { network->send(send->to, peer::Message(message)); },
-                send->message);
+            std::visit(
+                [this, send](const auto& message) { network->send(send->to, peer::Message(message)); }, send->message);
         else
             changed = true;
     }
@@ -158,8 +158,8 @@
     const auto address = self.peers;
     auto impl = std::make_shared<Impl>(pool, clock, std::move(self), seed, std::move(events));
     // Frames come in on strands of the pool's one thread.
-    auto network = peer::Network::listen(pool, address, std::move(key),
-        [impl = impl.get()](const peer::Message& message) { impl->receive(message); });
+    auto network = peer::Network::listen(
+        pool, address, std::move(key), [impl = impl.get()](const peer::Message& message) { impl->receive(message); });
     if (!network)
         return network.error();
     impl->network = std::move(network.value());
--- a/src/foxtailwheel/limits/WindowBudget.cpp
+++ b/src/foxtailwheel/limits/WindowBudget.cpp
@@ -37,8 +37,7 @@
 double WindowBudget::left(TimePoint now)
 {
     expire(now);
-    const double allowed
-        = m_share * static_cast<double>(m_first.size()) + m_extra / static_cast<double>(m_instances);
+    const double allowed = m_share * static_cast<double>(m_first.size()) + m_extra / static_cast<double>(m_instances);
     return usedShare * allowed - static_cast<double>(m_repeated.size());
 }
 
--- a/src/foxtailwheel/peer/Message.cpp
+++ b/src/foxtailwheel/peer/Message.cpp
@@ -56,13 +56,14 @@
         return packed;
     }
 
-    std::vector<flatbuffers::Offset<wire::Piece>> pack(FlatBufferBuilder& fbb, const std::vector<serving::Piece>& pieces)
+    std::vector<flatbuffers::Offset<wire::Piece>> pack(
+        FlatBufferBuilder& fbb, const std::vector<serving::Piece>& pieces)
     {
         std::vector<flatbuffers::Offset<wire::Piece>> packed;
         for (const auto& it : pieces) {
             const auto inputs = fbb.CreateVectorOfStrings(it.inputs);
-            packed.push_back(wire::CreatePiece(fbb, fbb.CreateString(it.request),
-                static_cast<std::uint32_t>(it.stage), it.index, fbb.CreateString(it.key), inputs));
+            packed.push_back(wire::CreatePiece(fbb, fbb.CreateString(it.request), static_cast<std::uint32_t>(it.stage),
+                it.index, fbb.CreateString(it.key), inputs));
         }
         return packed;
     }
@@ -71,8 +72,8 @@
     {
         const auto* made = std::get_if<serving::ResultHandle>(&piece.result);
         if (made == nullptr)
-            return wire::CreatePieceMadeDirect(fbb, piece.index, nullptr,
-                static_cast<std::uint8_t>(std::get<serving::PieceFailure>(piece.result)));
+            return wire::CreatePieceMadeDirect(
+                fbb, piece.index, nullptr, static_cast<std::uint8_t>(std::get<serving::PieceFailure>(piece.result)));
         const auto& maker = made->maker;
         return wire::CreatePieceMadeDirect(fbb, piece.index, made->value.c_str(), 0, maker.id.value().c_str(),
             maker.host.c_str(), maker.port, maker.zone.value().c_str());
@@ -106,8 +107,8 @@
         }
         flatbuffers::Offset<wire::Envelope> operator()(const serving::PiecesCancelled& it) const
         {
-            return wrap(wire::Body::PiecesCancelled,
-                wire::CreatePiecesCancelled(fbb, pack(fbb, sender), it.group.value()));
+            return wrap(
+                wire::Body::PiecesCancelled, wire::CreatePiecesCancelled(fbb, pack(fbb, sender), it.group.value()));
         }
         flatbuffers::Offset<wire::Envelope> operator()(const serving::PiecesMade& it) const
         {
@@ -141,8 +142,7 @@
             std::vector<flatbuffers::Offset<wire::Row>> rows;
             for (const auto& row : it.answer.rows) {
                 const auto& value = row.value.value_or(std::string());
-                const auto bytes
-                    = fbb.CreateVector(reinterpret_cast<const std::uint8_t*>(value.data()), value.size());
+                const auto bytes = fbb.CreateVector(reinterpret_cast<const std::uint8_t*>(value.data()), value.size());
                 rows.push_back(wire::CreateRow(fbb, fbb.CreateString(row.key), bytes, !row.value));
             }
             return wrap(wire::Body::TableNews,
@@ -322,8 +322,8 @@
         for (const auto* it : *news.rows()) {
             store::FeedRow row { textOf(it->key()), std::nullopt };
             if (!it->deleted())
-                row.value = it->value() == nullptr ? std::string()
-                                                   : std::string(it->value()->begin(), it->value()->end());
+                row.value
+                    = it->value() == nullptr ? std::string() : std::string(it->value()->begin(), it->value()->end());
             out.answer.rows.push_back(std::move(row));
         }
         return out;
--- a/src/foxtailwheel/serving/BatchForecast.cpp
+++ b/src/foxtailwheel/serving/BatchForecast.cpp
@@ -43,8 +43,7 @@
     return full <= 0 ? 1e9 : servers * m_limits.pieces / full;
 }
 
-Duration BatchForecast::wait(
-    std::uint32_t priority, bool late, std::size_t ahead, double servers, TimePoint now) const
+Duration BatchForecast::wait(std::uint32_t priority, bool late, std::size_t ahead, double servers, TimePoint now) const
 {
     double urgent = 0;
     for (const auto& it : m_arrivals) {
--- a/src/foxtailwheel/serving/BatchQueue.cpp
+++ b/src/foxtailwheel/serving/BatchQueue.cpp
@@ -83,8 +83,8 @@
         const std::map<AvailabilityZoneId, std::uint64_t>& free, TimePoint now) const;
     bool mayLeaveZone(const Waiting& piece, TimePoint now) const;
     std::vector<Waiting> take(const config::BackendServer& server, TimePoint now);
-    void send(const config::BackendServer& server, std::vector<Waiting> pieces, TimePoint now,
-        std::vector<BatchAction>& out);
+    void send(
+        const config::BackendServer& server, std::vector<Waiting> pieces, TimePoint now, std::vector<BatchAction>& out);
     void check(TimePoint now, std::vector<BatchAction>& out);
     bool isLate(const Waiting& piece, TimePoint now) const { return piece.goal < now + forecast.callTime(1); }
     void dropHopeless(TimePoint now, std::vector<BatchAction>& out);
@@ -115,8 +115,8 @@
     return static_cast<std::size_t>(std::max(1.0, std::ceil(share * pool.slots(now))));
 }
 
-/// A piece leaves its zone, so that its result crosses zones, where the servers there are gone or would make it too late,
-/// and where so much waits that full calls are worth more.
+/// A piece leaves its zone, so that its result crosses zones, where the servers there are gone or would make it too
+/// late, and where so much waits that full calls are worth more.
 bool BatchQueue::Impl::mayLeaveZone(const Waiting& piece, TimePoint now) const
 {
     if (static_cast<double>(waiting.size()) > heavyLoad * servers(now) * limits.pieces)
@@ -134,8 +134,8 @@
 std::optional<AvailabilityZoneId> BatchQueue::Impl::zoneToServe(
     const std::map<AvailabilityZoneId, std::uint64_t>& free, TimePoint now) const
 {
-    const auto widest = std::max_element(
-        free.begin(), free.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+    const auto widest
+        = std::max_element(free.begin(), free.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
     for (const auto& it : waiting) {
         const auto home = it.zone ? free.find(*it.zone) : free.end();
         if (home != free.end() && home->second >= it.resultBytes)
@@ -211,8 +211,8 @@
     return true;
 }
 
-void BatchQueue::Impl::send(const config::BackendServer& server, std::vector<Waiting> pieces, TimePoint now,
-    std::vector<BatchAction>& out)
+void BatchQueue::Impl::send(
+    const config::BackendServer& server, std::vector<Waiting> pieces, TimePoint now, std::vector<BatchAction>& out)
 {
     InProgress call { server, std::move(pieces), now, {} };
     call.expected = forecast.callTime(call.pieces.size());
@@ -235,8 +235,8 @@
 {
     const auto id = piece.id();
     if (twice.erase(id) > 0) {
-        const auto copy = std::find_if(
-            waiting.begin(), waiting.end(), [&id](const Waiting& it) { return it.id() == id; });
+        const auto copy
+            = std::find_if(waiting.begin(), waiting.end(), [&id](const Waiting& it) { return it.id() == id; });
         if (copy != waiting.end()) {
             // The other one has not left: a failure leaves it in the queue, a result makes it needless.
             if (std::holds_alternative<PieceFailure>(result))
@@ -377,8 +377,8 @@
     }
 }
 
-void BatchQueue::ended(CallId id, BatchEnd end, const std::vector<PieceResult>& results, TimePoint now,
-    std::vector<BatchAction>& out)
+void BatchQueue::ended(
+    CallId id, BatchEnd end, const std::vector<PieceResult>& results, TimePoint now, std::vector<BatchAction>& out)
 {
     const auto it = m_impl->calls.find(id);
     if (it == m_impl->calls.end())
@@ -451,12 +451,10 @@
     const auto servers = m_impl->servers(now);
     const bool busy = static_cast<double>(m_impl->calls.size()) >= servers;
     // While all servers are busy, the next one comes free after part of a call.
-    const Duration untilFree = busy
-        ? fromSeconds(toSeconds(m_impl->forecast.callTime(m_impl->limits.pieces))
-            / static_cast<double>(1 + m_impl->calls.size()))
-        : Duration {};
-    return untilFree
-        + m_impl->forecast.wait(priority, false, pieces + static_cast<std::size_t>(ahead), servers, now);
+    const Duration untilFree = busy ? fromSeconds(toSeconds(m_impl->forecast.callTime(m_impl->limits.pieces))
+                                   / static_cast<double>(1 + m_impl->calls.size()))
+                                    : Duration {};
+    return untilFree + m_impl->forecast.wait(priority, false, pieces + static_cast<std::size_t>(ahead), servers, now);
 }
 
 } // namespace foxtailwheel::serving
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -125,16 +125,13 @@
         {
         }
 
-        bool configure(
-            std::shared_ptr<const config::RouteTable> table, TimePoint now, ForwardActions& out) override;
+        bool configure(std::shared_ptr<const config::RouteTable> table, TimePoint now, ForwardActions& out) override;
         std::shared_ptr<const config::RouteTable> table() const override { return m_table; }
         void setServers(const std::vector<AnnouncedServer>& servers, TimePoint now, ForwardActions& out) override;
         void confirmCredentials(TimePoint asOf) override { m_confirmedAt = std::max(m_confirmedAt, asOf); }
         void setMembers(const std::vector<InstanceId>& live, const std::vector<InstanceId>& owners,
-        const std::set<InstanceId>& gone, TimePoint now,
-            ForwardActions& out) override;
-        void onPeer(
-            const InstanceId& from, const PieceMessage& message, TimePoint now, ForwardActions& out) override;
+            const std::set<InstanceId>& gone, TimePoint now, ForwardActions& out) override;
+        void onPeer(const InstanceId& from, const PieceMessage& message, TimePoint now, ForwardActions& out) override;
         void stopAccepting() override { m_accepting = false; }
         ForwardId newRequest() override { return ForwardId(++m_lastRun); }
         void submit(ForwardId id, ForwardRequest request, TimePoint now, ForwardActions& out) override;
@@ -191,8 +188,8 @@
         void sendRequest(ForwardRun& run, TimePoint now, ForwardActions& out);
         std::optional<std::uint64_t> affinityOf(const ForwardRun& run) const;
         bool sendTo(ForwardRun& run, bool again, TimePoint now, ForwardActions& out);
-        void closeCall(ForwardRun& run, CallId call, routing::CallSign sign, bool stop, TimePoint now,
-            ForwardActions& out);
+        void closeCall(
+            ForwardRun& run, CallId call, routing::CallSign sign, bool stop, TimePoint now, ForwardActions& out);
         void callNotRun(ForwardRun& run, ForwardCallEnd end, TimePoint now, ForwardActions& out);
         void callBroken(ForwardRun& run, ForwardCallEnd end, TimePoint now, ForwardActions& out);
         void complete(ForwardRun& run, http::Response response, TimePoint now, ForwardActions& out);
@@ -239,8 +236,7 @@
         return true;
     }
 
-    void RoutingForwarder::setServers(
-        const std::vector<AnnouncedServer>& servers, TimePoint now, ForwardActions& out)
+    void RoutingForwarder::setServers(const std::vector<AnnouncedServer>& servers, TimePoint now, ForwardActions& out)
     {
         m_directory.setServers(servers);
         pumpAll(now, out);
@@ -271,8 +267,7 @@
     }
 
     void RoutingForwarder::setMembers(const std::vector<InstanceId>& live, const std::vector<InstanceId>& owners,
-        const std::set<InstanceId>& gone,
-        TimePoint now, ForwardActions& out)
+        const std::set<InstanceId>& gone, TimePoint now, ForwardActions& out)
     {
         m_instances = std::max<std::size_t>(1, live.size());
         m_directory.setInstances(m_instances);
@@ -483,8 +478,8 @@
             for (StageIndex i = 0; i < run.stages.size(); ++i) {
                 auto& stage = run.stages[i];
                 const auto& needs = run.route->stages[i].needs;
-                const bool ready = std::all_of(
-                    needs.begin(), needs.end(), [&run](StageIndex it) { return run.stages[it].done(); });
+                const bool ready
+                    = std::all_of(needs.begin(), needs.end(), [&run](StageIndex it) { return run.stages[it].done(); });
                 if (stage.started || !ready)
                     continue;
                 stage.started = true;
@@ -507,8 +502,8 @@
         std::vector<bool> follows(run.stages.size(), false);
         for (StageIndex i = stage + 1; i < run.stages.size(); ++i) {
             const auto& needs = run.route->stages[i].needs;
-            follows[i] = std::any_of(needs.begin(), needs.end(),
-                [&](StageIndex it) { return it == stage || follows[it]; });
+            follows[i]
+                = std::any_of(needs.begin(), needs.end(), [&](StageIndex it) { return it == stage || follows[it]; });
             const auto* service = run.table->findService(run.route->stages[i].service);
             if (follows[i] && service != nullptr && service->batch)
                 after += fromSeconds(toSeconds(fullCall(*service->batch)) * (1 + waitShare));
@@ -519,8 +514,9 @@
     /// Stages with pieces that are still to come, this one included; each may wait for its part of the time to spare.
     long RoutingForwarder::stagesFrom(const ForwardRun& run, StageIndex stage)
     {
-        return 1 + std::count_if(run.stages.begin() + static_cast<std::ptrdiff_t>(stage) + 1, run.stages.end(),
-            [](const StageProgress& it) { return it.missing > 0; });
+        return 1
+            + std::count_if(run.stages.begin() + static_cast<std::ptrdiff_t>(stage) + 1, run.stages.end(),
+                [](const StageProgress& it) { return it.missing > 0; });
     }
 
     /// The pieces of a stage that have no result yet.
@@ -752,9 +748,8 @@
         ++run.started;
         run.mayHaveRun = true;
         m_calls[call] = run.id;
-        SendForward send { call, run.id, server, run.request.message, run.request.name, run.account,
-            run.timeLeft(now), run.priority, run.inputs(), run.lastEvent, run.route->streams, run.idempotent(),
-            run.deadline };
+        SendForward send { call, run.id, server, run.request.message, run.request.name, run.account, run.timeLeft(now),
+            run.priority, run.inputs(), run.lastEvent, run.route->streams, run.idempotent(), run.deadline };
         note(run, "request_sent",
             { { "call", std::to_string(call.value()) }, { "server", server.id.value() }, { "again", again ? "1" : "0" },
                 { "after_ms", number(toMilliseconds(now - run.acceptedAt)) },
@@ -770,10 +765,11 @@
     }
 
     /// Ends a call in the run's and the pool's books.
-    void RoutingForwarder::closeCall(ForwardRun& run, CallId call, routing::CallSign sign, bool stop, TimePoint now,
-        ForwardActions& out)
+    void RoutingForwarder::closeCall(
+        ForwardRun& run, CallId call, routing::CallSign sign, bool stop, TimePoint now, ForwardActions& out)
     {
-        const auto it = std::find_if(run.calls.begin(), run.calls.end(), [call](const OpenCall& c) { return c.id == call; });
+        const auto it
+            = std::find_if(run.calls.begin(), run.calls.end(), [call](const OpenCall& c) { return c.id == call; });
         if (it == run.calls.end())
             return;
         if (auto* state = m_directory.find(run.service))
@@ -798,7 +794,8 @@
         if (!run->route->streams)
             return;
         note(*run, "stream_began",
-            { { "call", std::to_string(call.value()) }, { "after_ms", number(toMilliseconds(now - run->acceptedAt)) } });
+            { { "call", std::to_string(call.value()) },
+                { "after_ms", number(toMilliseconds(now - run->acceptedAt)) } });
         if (!std::exchange(run->headSent, true))
             out.emplace_back(ReplyHead { run->id, std::move(head) });
         if (run->idempotent() && m_options.secondAttempts)
@@ -900,8 +897,8 @@
             return;
         }
         run.events = {};
-        const bool released = std::any_of(
-            run.stages.begin(), run.stages.end(), [](const StageProgress& it) { return it.released; });
+        const bool released
+            = std::any_of(run.stages.begin(), run.stages.end(), [](const StageProgress& it) { return it.released; });
         if (released)
             restartStages(run, now, out);
         else
--- a/src/foxtailwheel/serving/PieceBroker.cpp
+++ b/src/foxtailwheel/serving/PieceBroker.cpp
@@ -69,8 +69,8 @@
     }
 
     void makeHere(const ServiceId& service, PieceGroup group, TimePoint now, BrokerActions& out);
-    void askOwner(const InstanceId& owner, const ServiceId& service, PieceGroup group, TimePoint now,
-        BrokerActions& out);
+    void askOwner(
+        const InstanceId& owner, const ServiceId& service, PieceGroup group, TimePoint now, BrokerActions& out);
     std::vector<PieceGroupId> carryOn(const std::vector<BatchAction>& actions, BrokerActions& out);
     void carry(const std::vector<BatchAction>& actions, BrokerActions& out);
     void takeBack(PieceGroupId group, TimePoint now, BrokerActions& out);
@@ -118,7 +118,8 @@
     const InstanceId& owner, const ServiceId& service, PieceGroup group, TimePoint now, BrokerActions& out)
 {
     PiecesAsked message { group.id, service, group.pieces, group.priority, group.goal - now, group.deadline - now,
-        group.preferredZone.value_or(AvailabilityZoneId()), group.leaveZoneAfter - now, group.resultBytes, group.again };
+        group.preferredZone.value_or(AvailabilityZoneId()), group.leaveZoneAfter - now, group.resultBytes,
+        group.again };
     asked[group.id] = { service, std::move(group), owner, now + confirmLimit, false };
     out.emplace_back(TellInstance { owner, std::move(message) });
 }
@@ -207,9 +208,8 @@
 
 void PieceBroker::Impl::onCancelled(const InstanceId& from, const PiecesCancelled& cancelled)
 {
-    const auto it = std::find_if(queued.begin(), queued.end(), [&](const auto& entry) {
-        return entry.second.asker == from && entry.second.theirs == cancelled.group;
-    });
+    const auto it = std::find_if(queued.begin(), queued.end(),
+        [&](const auto& entry) { return entry.second.asker == from && entry.second.theirs == cancelled.group; });
     if (it == queued.end())
         return;
     if (auto* queue = findQueue(it->second.service))
@@ -230,8 +230,8 @@
         if (it == asked.end())
             continue;
         auto& pieces = it->second.group.pieces;
-        const auto waiting = std::find_if(
-            pieces.begin(), pieces.end(), [&piece](const Piece& p) { return p.index == piece.index; });
+        const auto waiting
+            = std::find_if(pieces.begin(), pieces.end(), [&piece](const Piece& p) { return p.index == piece.index; });
         if (waiting == pieces.end())
             continue;
         if (hasMoved)
--- a/src/foxtailwheel/serving/ServerDirectory.cpp
+++ b/src/foxtailwheel/serving/ServerDirectory.cpp
@@ -63,10 +63,9 @@
     budget.setInstances(m_instances);
     std::unique_ptr<BatchQueue> batches;
     if (service.batch)
-        batches = std::make_unique<BatchQueue>(
-            service.id, *service.batch, *pool, BatchQueueEvents { m_newCall, [this, id = service.id](std::size_t n, TimePoint now) {
-                return find(id)->budget.take(n, now);
-            } });
+        batches = std::make_unique<BatchQueue>(service.id, *service.batch, *pool,
+            BatchQueueEvents { m_newCall,
+                [this, id = service.id](std::size_t n, TimePoint now) { return find(id)->budget.take(n, now); } });
     return { std::move(pool), std::move(budget), std::move(batches), {} };
 }
 
--- a/src/foxtailwheel/testing/FaultWorld.cpp
+++ b/src/foxtailwheel/testing/FaultWorld.cpp
@@ -71,8 +71,8 @@
     {
     }
 
-    void transact(store::Transaction transaction, TimePoint deadline,
-        std::function<void(store::TransactResult)> done) override;
+    void transact(
+        store::Transaction transaction, TimePoint deadline, std::function<void(store::TransactResult)> done) override;
     void read(std::string key, TimePoint deadline, std::function<void(store::ReadResult)> done) override;
     void scan(std::string, std::string, std::size_t, TimePoint, std::function<void(store::ReadResult)> done) override
     {
--- a/src/foxtailwheel/testing/FaultWorld.h
+++ b/src/foxtailwheel/testing/FaultWorld.h
@@ -3,8 +3,8 @@
 #include "foxtailwheel/base/Clock.h"
 #include "foxtailwheel/base/Random.h"
 #include "foxtailwheel/control/ClaimKeeper.h"
-#include "foxtailwheel/store/Table.h"
 #include "foxtailwheel/serving/Dispatcher.h"
+#include "foxtailwheel/store/Table.h"
 
 #include <functional>
 #include <map>
