--- a/src/foxtailwheel/serving/PieceBroker.cpp
+++ b/src/foxtailwheel/serving/PieceBroker.cpp
@@ -120,7 +120,8 @@
     PiecesAsked message { group.id, service, group.pieces, group.priority, group.goal - now, group.deadline - now,
         group.preferredZone.value_or(AvailabilityZoneId()), group.leaveZoneAfter - now, group.resultBytes,
         group.again };
-    asked[group.id] = { service, std::move(group), owner, now + confirmLimit, false };
+    const auto id = group.id;
+    asked[id] = { service, std::move(group), owner, now + confirmLimit, false };
     out.emplace_back(TellInstance { owner, std::move(message) });
 }
 
@@ -301,10 +302,10 @@
 }
 
 /// This instance's own pieces among those given up are asked for again; the rest is passed on.
-void PieceBroker::Impl::takeOwn(const ServiceId& service, BrokerActions given, TimePoint now, BrokerActions& out)
+void PieceBroker::Impl::takeOwn(const ServiceId& service, BrokerActions results, TimePoint now, BrokerActions& out)
 {
     std::map<PieceGroupId, std::vector<std::uint32_t>> own;
-    for (auto& it : given) {
+    for (auto& it : results) {
         const auto* done = std::get_if<PieceDone>(&it);
         const auto* failure = done == nullptr ? nullptr : std::get_if<PieceFailure>(&done->result);
         if (failure != nullptr && *failure == PieceFailure::Moved)
@@ -317,9 +318,9 @@
         if (it == ownGroups.end())
             continue;
         auto group = it->second;
-        std::erase_if(group.pieces, [&indexes = indexes](const Piece& piece) {
-            return std::find(indexes.begin(), indexes.end(), piece.index) == indexes.end();
-        });
+        const auto& given = indexes;
+        std::erase_if(group.pieces,
+            [&given](const Piece& p) { return std::find(given.begin(), given.end(), p.index) == given.end(); });
         askAgain(service, std::move(group), now, out);
     }
 }
