--- a/include/foxtailwheel/daemon/ForwardService.h
+++ b/include/foxtailwheel/daemon/ForwardService.h
@@ -41,6 +41,8 @@
         const std::vector<InstanceId>& live, const std::vector<InstanceId>& owners, const std::set<InstanceId>& gone);
     /// @brief Another instance has said something about pieces.
     void onPeer(const InstanceId& from, const serving::PieceMessage& message);
+    /// @brief What was asked of another instance may be lost.
+    void onPeerLost(const InstanceId& instance);
     /// @brief Sets how messages to other instances are sent.
     void setTell(std::function<void(const InstanceId&, const serving::PieceMessage&)> tell);
     /// @brief From now on every new request is refused; those in progress go on.
--- a/include/foxtailwheel/daemon/PeerLink.h
+++ b/include/foxtailwheel/daemon/PeerLink.h
@@ -23,6 +23,7 @@
         const std::vector<InstanceId>& live, const std::vector<InstanceId>& owners, const std::set<InstanceId>& gone)>
         members;
     std::function<void(const InstanceId& from, const serving::PieceMessage& message)> pieces;
+    std::function<void(const InstanceId& instance)> connectionLost; ///< What it was asked for may be lost with it.
     std::function<void(const control::TableNews& news)> tableNews;
     std::function<void(bool)> pollerChanged; ///< Whether this instance asks the store for its zone.
 };
--- a/include/foxtailwheel/peer/Network.h
+++ b/include/foxtailwheel/peer/Network.h
@@ -29,11 +29,15 @@
 class Network {
 public:
     using Receive = std::function<void(Message)>;
+    /// @brief Told that the connection to an address has ended at the other side: what was sent may be lost.
+    using Closed = std::function<void(const config::Endpoint&)>;
 
     /// @brief Listens and receives on the pool's threads.
     /// @param key Shared secret of all instances.
+    /// @param closed May be empty.
     static Result<std::unique_ptr<Network>> listen(
-        http::IoPool& pool, const config::Endpoint& address, std::string key, Receive receive);
+        http::IoPool& pool, const config::Endpoint& address, std::string key, Receive receive,
+        Closed closed = {});
     virtual ~Network() = default;
 
     /// @brief Sends a message, or drops it where the peer cannot be reached; never blocks.
--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -200,6 +200,8 @@
     /// @brief Another instance has said something about pieces.
     virtual void onPeer(const InstanceId& from, const PieceMessage& message, TimePoint now, ForwardActions& out) = 0;
 
+    /// @brief What was asked of another instance may be lost.
+    virtual void onPeerLost(const InstanceId& instance, TimePoint now, ForwardActions& out) = 0;
     /// @brief From now on every new request is refused; those in progress go on.
     virtual void stopAccepting() = 0;
     virtual ForwardId newRequest() = 0;
--- a/include/foxtailwheel/serving/PieceBroker.h
+++ b/include/foxtailwheel/serving/PieceBroker.h
@@ -101,6 +101,8 @@
         const std::vector<InstanceId>& live, const std::set<InstanceId>& gone, TimePoint now, BrokerActions& out);
     /// @brief The instance that owns a service now.
     InstanceId ownerOf(const ServiceId& service, TimePoint now) const;
+    /// @brief True where this instance gathers the pieces of a service: it owns it, or others take it for the owner.
+    bool gathers(const ServiceId& service, TimePoint now) const;
     /// @brief Has the pieces of a group made, here or at the owner.
     void ask(const ServiceId& service, PieceGroup group, TimePoint now, BrokerActions& out);
     /// @brief The group is not wanted any more.
@@ -109,6 +111,8 @@
     void release(ReleaseResults release, TimePoint now, BrokerActions& out);
     /// @brief Another instance has said something.
     void onMessage(const InstanceId& from, const PieceMessage& message, TimePoint now, BrokerActions& out);
+    /// @brief What was asked of an instance may be lost: it is asked for again, there or at another.
+    void onLost(const InstanceId& instance, TimePoint now, BrokerActions& out);
     /// @brief A batch call of a service ended.
     void onBatchEnd(const ServiceId& service, CallId call, BatchEnd end, const std::vector<PieceResult>& results,
         TimePoint now, BrokerActions& out);
--- a/include/foxtailwheel/serving/ResultRoom.h
+++ b/include/foxtailwheel/serving/ResultRoom.h
@@ -27,8 +27,8 @@
     /// @brief A result was released.
     /// @return False where it is not known here.
     bool released(const BackendServerId& server, const std::string& handle);
-    /// @brief A server is gone, and its results with it.
-    void forget(const BackendServerId& server) { m_servers.erase(server); }
+    /// @brief The server said that it has no room: results of others lie there, so it gets none for a while.
+    void refused(const BackendServerId& server, TimePoint now);
 
 private:
     struct Result {
@@ -37,6 +37,7 @@
     };
     struct Server {
         std::uint64_t used = 0; ///< Reserved or made.
+        TimePoint fullUntil {};
         std::map<std::string, Result> results;
     };
 
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -376,6 +376,13 @@
     m_impl->perform(std::move(actions));
 }
 
+void ForwardService::onPeerLost(const InstanceId& instance)
+{
+    serving::ForwardActions actions;
+    m_impl->forwarder->onPeerLost(instance, m_impl->clock.now(), actions);
+    m_impl->perform(std::move(actions));
+}
+
 void ForwardService::setTell(std::function<void(const InstanceId&, const serving::PieceMessage&)> tell)
 {
     m_impl->tell = std::move(tell);
--- a/src/foxtailwheel/daemon/PeerLink.cpp
+++ b/src/foxtailwheel/daemon/PeerLink.cpp
@@ -49,6 +49,7 @@
     void receive(const peer::Message& message);
     void tellMembers();
     void choosePoller();
+    void connectionClosed(const config::Endpoint& address);
 
     http::IoPool& pool;
     const Clock& clock;
@@ -127,6 +128,14 @@
     events.pollerChanged(now);
 }
 
+void PeerLink::Impl::connectionClosed(const config::Endpoint& address)
+{
+    for (const auto& it : membership.members()) {
+        if (it.peers == address)
+            events.connectionLost(it.id);
+    }
+}
+
 void PeerLink::Impl::receive(const peer::Message& message)
 {
     membership::MembershipActions actions;
--- a/src/foxtailwheel/peer/Network.cpp
+++ b/src/foxtailwheel/peer/Network.cpp
@@ -84,8 +84,10 @@
     /// Frames on their way to one peer, over one connection that is made anew when it breaks.
     class Outgoing : public std::enable_shared_from_this<Outgoing> {
     public:
-        Outgoing(net::io_context& context, config::Endpoint to, std::string key, std::shared_ptr<Counters> counters)
-            : m_strand(net::make_strand(context))
+        Outgoing(net::io_context& context, config::Endpoint to, std::string key, std::shared_ptr<Counters> counters,
+            Network::Closed closed)
+            : m_closed(std::move(closed))
+            , m_strand(net::make_strand(context))
             , m_to(std::move(to))
             , m_key(std::move(key))
             , m_counters(std::move(counters))
@@ -99,7 +101,9 @@
         net::awaitable<void> drain();
         net::awaitable<bool> connect();
         net::awaitable<bool> shakeHands();
+        void watch();
 
+        Network::Closed m_closed;
         net::strand<net::io_context::executor_type> m_strand;
         config::Endpoint m_to;
         std::string m_key;
@@ -150,9 +154,26 @@
         setsockopt(m_stream->socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMilliseconds,
             sizeof unacknowledgedMilliseconds);
         const bool proven = co_await shakeHands();
+        if (proven)
+            watch();
         co_return proven;
     }
 
+    /// Tells when the other end closes the connection.
+    void Outgoing::watch()
+    {
+        if (!m_closed)
+            return;
+        m_stream->socket().async_wait(tcp::socket::wait_read,
+            [weak = weak_from_this(), stream = m_stream.get()](const boost::system::error_code& ec) {
+                const auto self = weak.lock();
+                if (!self || self->m_counters->closing || ec == net::error::operation_aborted
+                    || self->m_stream.get() != stream)
+                    return;
+                self->m_closed(self->m_to);
+            });
+    }
+
     net::awaitable<bool> Outgoing::shakeHands()
     {
         const auto mine = freshNonce();
@@ -311,11 +332,12 @@
 
     class TcpNetwork final : public Network {
     public:
-        TcpNetwork(net::io_context& context, std::string key, Receive receive)
+        TcpNetwork(net::io_context& context, std::string key, Receive receive, Closed closed)
             : m_context(context)
             , m_acceptor(net::make_strand(context))
             , m_key(std::move(key))
             , m_receive(std::move(receive))
+            , m_closed(std::move(closed))
         {
         }
 
@@ -332,6 +354,7 @@
         tcp::acceptor m_acceptor;
         std::string m_key;
         Receive m_receive;
+        Closed m_closed;
         std::shared_ptr<Counters> m_counters = std::make_shared<Counters>();
         std::mutex m_mutex;
         std::map<config::Endpoint, std::shared_ptr<Outgoing>> m_outgoing;
@@ -377,7 +400,7 @@
             const std::lock_guard lock(m_mutex);
             auto& known = m_outgoing[to];
             if (!known)
-                known = std::make_shared<Outgoing>(m_context, to, m_key, m_counters);
+                known = std::make_shared<Outgoing>(m_context, to, m_key, m_counters, m_closed);
             outgoing = known;
         }
         outgoing->send(frameOf(encodeMessage(message)));
@@ -416,9 +439,10 @@
 } // namespace
 
 Result<std::unique_ptr<Network>> Network::listen(
-    http::IoPool& pool, const config::Endpoint& address, std::string key, Receive receive)
+    http::IoPool& pool, const config::Endpoint& address, std::string key, Receive receive, Closed closed)
 {
-    auto network = std::make_unique<TcpNetwork>(pool.context(), std::move(key), std::move(receive));
+    auto network
+        = std::make_unique<TcpNetwork>(pool.context(), std::move(key), std::move(receive), std::move(closed));
     if (const auto ec = network->open(address))
         return fail(Errc::Unreachable, "cannot listen on " + address.toString() + ": " + ec.message());
     return std::unique_ptr<Network>(std::move(network));
--- a/src/foxtailwheel/serving/BatchQueue.cpp
+++ b/src/foxtailwheel/serving/BatchQueue.cpp
@@ -401,6 +401,8 @@
         const auto* failure = std::get_if<PieceFailure>(&result);
         const bool notMade = end == BatchEnd::NotRun || end == BatchEnd::Unreachable
             || (failure != nullptr && *failure == PieceFailure::NoRoom);
+        if (failure != nullptr && *failure == PieceFailure::NoRoom)
+            m_impl->room.refused(call.server.id, now);
         if (notMade)
             m_impl->putBack(std::move(piece), *failure, now, out);
         else
--- a/src/foxtailwheel/serving/BatchQueueTest.cpp
+++ b/src/foxtailwheel/serving/BatchQueueTest.cpp
@@ -270,3 +270,13 @@
     cr_assert_eq(room.left(server, start), 70);
     cr_assert_eq(room.left(server, start + 4s), 100);
 }
+
+Test(ResultRoom, aServerThatRefusedAResultCountsAsFullForAWhile)
+{
+    const BackendServerId server("s");
+    ResultRoom room;
+    room.setLimits(100, 4s);
+    room.refused(server, start);
+    cr_assert_eq(room.left(server, start + 200ms), 0);
+    cr_assert_eq(room.left(server, start + 400ms), 100);
+}
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -132,6 +132,7 @@
         void setMembers(const std::vector<InstanceId>& live, const std::vector<InstanceId>& owners,
             const std::set<InstanceId>& gone, TimePoint now, ForwardActions& out) override;
         void onPeer(const InstanceId& from, const PieceMessage& message, TimePoint now, ForwardActions& out) override;
+        void onPeerLost(const InstanceId& instance, TimePoint now, ForwardActions& out) override;
         void stopAccepting() override { m_accepting = false; }
         ForwardId newRequest() override { return ForwardId(++m_lastRun); }
         void submit(ForwardId id, ForwardRequest request, TimePoint now, ForwardActions& out) override;
@@ -260,9 +261,9 @@
     void RoutingForwarder::shareQueues(TimePoint now)
     {
         for (auto& it : m_directory.services()) {
-            const bool owns = m_broker.ownerOf(it.first, now) == m_options.pools.self;
             if (it.second.batches)
-                it.second.batches->setShare(owns ? 1 : 1.0 / static_cast<double>(m_instances));
+                it.second.batches->setShare(
+                    m_broker.gathers(it.first, now) ? 1 : 1.0 / static_cast<double>(m_instances));
         }
     }
 
@@ -281,10 +282,20 @@
         const InstanceId& from, const PieceMessage& message, TimePoint now, ForwardActions& out)
     {
         BrokerActions actions;
+        if (std::holds_alternative<PiecesAsked>(message))
+            shareQueues(now);
         m_broker.onMessage(from, message, now, actions);
         carry(std::move(actions), now, out);
     }
 
+    void RoutingForwarder::onPeerLost(const InstanceId& instance, TimePoint now, ForwardActions& out)
+    {
+        BrokerActions actions;
+        m_broker.onLost(instance, now, actions);
+        shareQueues(now);
+        carry(std::move(actions), now, out);
+    }
+
     ForwarderStatus RoutingForwarder::status(TimePoint now) const
     {
         ForwarderStatus status;
--- a/src/foxtailwheel/serving/PieceBroker.cpp
+++ b/src/foxtailwheel/serving/PieceBroker.cpp
@@ -21,6 +21,10 @@
     constexpr Duration avoidTime = 2s;
     /// Time for which an instance that gave up a queue is not asked again, until its leaving is known here too.
     constexpr Duration movedAvoidTime = 500ms;
+    /// Time for which an instance whose connection ended is not asked, while others learn whether it is gone.
+    constexpr Duration lostAvoidTime = 1s;
+    /// Time for which an instance that others ask acts as the owner, though by its own view it may not be.
+    constexpr Duration servedTime = 1s;
     /// Time for which an owner's word about its queue counts: about the time of two calls.
     constexpr Duration toldLife = 800ms;
 
@@ -31,6 +35,7 @@
         InstanceId owner;
         TimePoint answerBy; ///< The group is made here if nothing is heard until then.
         bool confirmed = false;
+        bool takenBack = false; ///< An owner before did not answer.
     };
 
     /// What an owner said of its queue.
@@ -92,6 +97,7 @@
     std::map<PieceGroupId, Queued> queued; ///< By the number in the local queues.
     std::map<PieceGroupId, PieceGroup> ownGroups; ///< This instance's own groups in its queues, by the asker's number.
     std::map<ServiceId, Told> told;
+    std::map<ServiceId, TimePoint> servedUntil; ///< Services that others asked this instance for lately.
     std::uint64_t lastQueued = 0;
 };
 
@@ -121,7 +127,7 @@
         group.preferredZone.value_or(AvailabilityZoneId()), group.leaveZoneAfter - now, group.resultBytes,
         group.again };
     const auto id = group.id;
-    asked[id] = { service, std::move(group), owner, now + confirmLimit, false };
+    asked[id] = { service, std::move(group), owner, now + confirmLimit };
     out.emplace_back(TellInstance { owner, std::move(message) });
 }
 
@@ -165,7 +171,7 @@
         ownGroups.erase(id);
 }
 
-/// Makes a group here that its owner does not answer for.
+/// Asks another for a group that its owner does not answer for.
 void PieceBroker::Impl::takeBack(PieceGroupId id, TimePoint now, BrokerActions& out)
 {
     const auto it = asked.find(id);
@@ -173,7 +179,14 @@
     asked.erase(it);
     avoided[entry.owner] = now + avoidTime;
     out.emplace_back(TellInstance { entry.owner, PiecesCancelled { id } });
-    makeHere(entry.service, std::move(entry.group), now, out);
+    // The next in line gathers the pieces of all who miss the owner; only where that one is silent too are they made
+    // here, since the calls of many instances each for itself would fill the servers' queues.
+    if (entry.takenBack)
+        makeHere(entry.service, std::move(entry.group), now, out);
+    else
+        askAgain(entry.service, std::move(entry.group), now, out);
+    if (const auto again = asked.find(id); again != asked.end())
+        again->second.takenBack = true;
 }
 
 void PieceBroker::Impl::onAsked(const InstanceId& from, const PiecesAsked& message, TimePoint now, BrokerActions& out)
@@ -189,6 +202,7 @@
     for (std::size_t i = 0; i < toldPriorities; ++i)
         taken.waits.at(i) = queue->expectedWait(static_cast<std::uint32_t>(i), message.pieces.size(), now);
     queued[group.id] = { from, message.group, message.service, message.pieces.size() };
+    servedUntil[message.service] = now + servedTime;
     out.emplace_back(TellInstance { from, taken });
     std::vector<BatchAction> actions;
     queue->add(std::move(group), now, actions);
@@ -346,6 +360,29 @@
     m_impl->handOver(now, out);
 }
 
+bool PieceBroker::gathers(const ServiceId& service, TimePoint now) const
+{
+    const auto served = m_impl->servedUntil.find(service);
+    const bool asked = served != m_impl->servedUntil.end() && served->second > now;
+    return asked || m_impl->ownerOf(service, now) == m_impl->self;
+}
+
+void PieceBroker::onLost(const InstanceId& instance, TimePoint now, BrokerActions& out)
+{
+    std::vector<PieceGroupId> lost;
+    for (const auto& it : m_impl->asked) {
+        if (it.second.owner == instance)
+            lost.push_back(it.first);
+    }
+    // An instance that restarts is back in a moment, as an owner whose queue is empty.
+    m_impl->avoided[instance] = now + lostAvoidTime;
+    for (const auto id : lost) {
+        auto entry = std::move(m_impl->asked.at(id));
+        m_impl->asked.erase(id);
+        m_impl->askAgain(entry.service, std::move(entry.group), now, out);
+    }
+}
+
 InstanceId PieceBroker::ownerOf(const ServiceId& service, TimePoint now) const
 {
     return m_impl->ownerOf(service, now);
--- a/src/foxtailwheel/serving/PieceBrokerTest.cpp
+++ b/src/foxtailwheel/serving/PieceBrokerTest.cpp
@@ -141,16 +141,45 @@
     }
 }
 
-Test(PieceBroker, anOwnerThatDoesNotConfirmIsStoodInFor)
+Test(PieceBroker, theNextInLineGathersWhatASilentOwnerDoesNotConfirm)
+{
+    Group group(9, 2);
+    const auto owner = group.owner();
+    group.cut.insert(owner);
+    for (const auto& id : group.ids) {
+        if (id != owner)
+            group.ask(id, 1, 2, start);
+    }
+    for (const auto& id : group.ids) {
+        if (id != owner)
+            group.run(id, start + 300ms,
+                [&](PieceBroker& broker, BrokerActions& out) { broker.onTime(start + 300ms, out); });
+    }
+    const auto heir = group.instances.at(group.other()).broker->ownerOf(portal, start + 300ms);
+    cr_assert(group.instances.at(heir).broker->gathers(portal, start + 300ms));
+    for (int i = 1; i < 4; ++i)
+        group.endCalls(heir, start + 300ms + i * 400ms);
+    for (const auto& id : group.ids) {
+        if (id != owner)
+            cr_assert_eq(group.instances.at(id).done.size(), 2);
+        if (id != heir)
+            cr_assert_eq(group.instances.at(id).lastCall, 0, "no instance calls for itself");
+    }
+}
+
+Test(PieceBroker, whereTheNextInLineIsSilentTooThePiecesAreMadeHere)
 {
     Group group(3);
-    group.cut.insert(group.owner());
+    for (const auto& id : group.ids) {
+        if (id != group.other())
+            group.cut.insert(id);
+    }
     const auto id = group.other();
     group.ask(id, 1, 2, start);
-    cr_assert_eq(group.instances.at(id).sent.size(), 0);
-    group.run(id, start + 300ms, [&](PieceBroker& broker, BrokerActions& out) { broker.onTime(start + 300ms, out); });
+    for (const auto after : { 300ms, 600ms })
+        group.run(id, start + after, [&](PieceBroker& broker, BrokerActions& out) { broker.onTime(start + after, out); });
     cr_assert_eq(group.instances.at(id).sent.size(), 1);
-    group.endCalls(id, start + 600ms);
+    group.endCalls(id, start + 900ms);
     cr_assert_eq(group.instances.at(id).done.size(), 2);
 }
 
@@ -162,7 +191,8 @@
     group.ask(id, 1, 2, start);
     group.cut.insert(owner);
     group.setMembers(id, { id, group.other(1) }, { owner }, start + 50ms);
-    cr_assert_eq(group.instances.at(id).sent.size(), 1);
+    const auto heir = group.instances.at(id).broker->ownerOf(portal, start + 50ms);
+    cr_assert_eq(group.instances.at(heir).sent.size(), 1);
 }
 
 Test(PieceBroker, aLeavingOwnerHandsItsQueueOver)
@@ -211,3 +241,19 @@
     cr_assert(group.instances.at(id).broker->expectedWait(portal, 0, 1, start + 1ms) > 500ms);
     cr_assert(group.instances.at(id).broker->expectedWait(portal, 0, 1, start + 2s) == Duration {});
 }
+
+Test(PieceBroker, whatALostOwnerHadIsAskedOfAnotherAtOnce)
+{
+    Group group(3, 1);
+    const auto owner = group.owner();
+    const auto id = group.other();
+    group.ask(id, 1, 2, start);
+    cr_assert_eq(group.instances.at(owner).sent.size(), 1);
+    group.cut.insert(owner);
+    group.run(id, start + 50ms,
+        [&](PieceBroker& broker, BrokerActions& out) { broker.onLost(owner, start + 50ms, out); });
+    const auto heir = group.instances.at(id).broker->ownerOf(portal, start + 50ms);
+    cr_assert_neq(heir, owner);
+    group.endCalls(heir, start + 300ms);
+    cr_assert_eq(group.instances.at(id).done.size(), 2);
+}
--- a/src/foxtailwheel/serving/ResultRoom.cpp
+++ b/src/foxtailwheel/serving/ResultRoom.cpp
@@ -5,6 +5,14 @@
 
 namespace foxtailwheel::serving {
 
+namespace {
+
+    /// Time for which a server that refused a result counts as full: results are released within a few hundred
+    /// milliseconds.
+    constexpr Duration fullTime = std::chrono::milliseconds(300);
+
+} // namespace
+
 void ResultRoom::setLimits(std::uint64_t bytes, Duration life)
 {
     m_bytes = bytes;
@@ -22,7 +30,12 @@
         server.used -= std::min(server.used, it.second.bytes);
         return true;
     });
-    return m_bytes - std::min(m_bytes, server.used);
+    return server.fullUntil > now ? 0 : m_bytes - std::min(m_bytes, server.used);
+}
+
+void ResultRoom::refused(const BackendServerId& server, TimePoint now)
+{
+    m_servers[server].fullUntil = now + fullTime;
 }
 
 void ResultRoom::reserve(const BackendServerId& server, std::uint64_t bytes)
