--- a/include/foxtailwheel/peer/Network.h
+++ b/include/foxtailwheel/peer/Network.h
@@ -36,8 +36,7 @@
     /// @param key Shared secret of all instances.
     /// @param closed May be empty.
     static Result<std::unique_ptr<Network>> listen(
-        http::IoPool& pool, const config::Endpoint& address, std::string key, Receive receive,
-        Closed closed = {});
+        http::IoPool& pool, const config::Endpoint& address, std::string key, Receive receive, Closed closed = {});
     virtual ~Network() = default;
 
     /// @brief Sends a message, or drops it where the peer cannot be reached; never blocks.
--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -6,6 +6,7 @@
 #include "foxtailwheel/http/Message.h"
 #include "foxtailwheel/routing/ServerPool.h"
 #include "foxtailwheel/serving/BatchQueue.h"
+#include "foxtailwheel/serving/Note.h"
 #include "foxtailwheel/serving/PieceBroker.h"
 
 #include <cstdint>
@@ -143,16 +144,6 @@
     std::uint32_t waiting = 0;
 };
 
-/// @brief One decision about a request, for the log.
-struct ForwardNote {
-    std::string_view event;
-    std::string request;
-    std::vector<std::pair<std::string_view, std::string>> fields;
-};
-
-/// @brief Receives decisions for the log; called while the forwarder decides, so it must not call back.
-using NoteSink = std::function<void(const ForwardNote&)>;
-
 /// @brief How requests are passed on.
 struct ForwarderOptions {
     routing::PoolOptions pools;
--- a/include/foxtailwheel/serving/PieceBroker.h
+++ b/include/foxtailwheel/serving/PieceBroker.h
@@ -3,6 +3,7 @@
 #include "foxtailwheel/base/Ids.h"
 #include "foxtailwheel/base/Units.h"
 #include "foxtailwheel/serving/BatchQueue.h"
+#include "foxtailwheel/serving/Note.h"
 
 #include <array>
 #include <cstdint>
@@ -90,7 +91,8 @@
 /// and avoids it for a while. Not thread-safe.
 class PieceBroker {
 public:
-    PieceBroker(InstanceId self, FindQueue findQueue);
+    /// @param note May be empty.
+    PieceBroker(InstanceId self, FindQueue findQueue, NoteSink note = {});
     ~PieceBroker();
     PieceBroker(const PieceBroker&) = delete;
     PieceBroker& operator=(const PieceBroker&) = delete;
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -300,9 +300,11 @@
 namespace {
 
     /// Writes a decision of the forwarder to the log.
-    void writeNote(const serving::ForwardNote& note)
+    void writeNote(const serving::Note& note)
     {
-        std::vector<telemetry::Field> fields { { "request", note.request } };
+        std::vector<telemetry::Field> fields;
+        if (!note.request.empty())
+            fields.push_back({ "request", note.request });
         for (const auto& it : note.fields)
             fields.push_back({ it.first, it.second });
         telemetry::logInfoFields(note.event, fields);
--- a/src/foxtailwheel/peer/Network.cpp
+++ b/src/foxtailwheel/peer/Network.cpp
@@ -441,8 +441,7 @@
 Result<std::unique_ptr<Network>> Network::listen(
     http::IoPool& pool, const config::Endpoint& address, std::string key, Receive receive, Closed closed)
 {
-    auto network
-        = std::make_unique<TcpNetwork>(pool.context(), std::move(key), std::move(receive), std::move(closed));
+    auto network = std::make_unique<TcpNetwork>(pool.context(), std::move(key), std::move(receive), std::move(closed));
     if (const auto ec = network->open(address))
         return fail(Errc::Unreachable, "cannot listen on " + address.toString() + ": " + ec.message());
     return std::unique_ptr<Network>(std::move(network));
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -120,7 +120,8 @@
         explicit RoutingForwarder(ForwarderOptions options)
             : m_options(std::move(options))
             , m_directory(m_options, [this] { return newCall(); })
-            , m_broker(m_options.pools.self, [this](const ServiceId& id) { return queueOf(id); })
+            , m_broker(
+                  m_options.pools.self, [this](const ServiceId& id) { return queueOf(id); }, m_options.note)
             , m_random(m_options.pools.seed)
         {
         }
--- a/src/foxtailwheel/serving/PieceBroker.cpp
+++ b/src/foxtailwheel/serving/PieceBroker.cpp
@@ -14,9 +14,10 @@
 
     /// An owner confirms within this time, or counts as unreachable: many round trips between zones.
     constexpr Duration confirmLimit = 250ms;
-    /// Results may take this multiple of the time that the owner expected, and this much more.
-    constexpr double resultPatience = 3;
-    constexpr Duration resultSlack = 1500ms;
+    /// Period in which an owner tells those that wait for it that it is there.
+    constexpr Duration heartbeatPeriod = 500ms;
+    /// An owner that says nothing for this long has lost its way here, or is gone: two heartbeats and some delay.
+    constexpr Duration silenceLimit = 1300ms;
     /// Time for which an owner that did not answer is not asked again.
     constexpr Duration avoidTime = 2s;
     /// Time for which an instance that gave up a queue is not asked again, until its leaving is known here too.
@@ -33,9 +34,13 @@
         ServiceId service;
         PieceGroup group; ///< Pieces that are not decided yet.
         InstanceId owner;
-        TimePoint answerBy; ///< The group is made here if nothing is heard until then.
+        TimePoint askedAt;
+        TimePoint heardAt; ///< When the owner last said anything.
         bool confirmed = false;
         bool takenBack = false; ///< An owner before did not answer.
+
+        /// When the owner counts as silent, if nothing more is heard of it.
+        TimePoint silentAt() const { return confirmed ? heardAt + silenceLimit : askedAt + confirmLimit; }
     };
 
     /// What an owner said of its queue.
@@ -57,6 +62,15 @@
         std::size_t missing = 0;
     };
 
+    /// How long so many more pieces would wait, for each priority.
+    std::array<Duration, toldPriorities> waitsOf(const BatchQueue& queue, std::size_t pieces, TimePoint now)
+    {
+        std::array<Duration, toldPriorities> waits {};
+        for (std::size_t i = 0; i < toldPriorities; ++i)
+            waits.at(i) = queue.expectedWait(static_cast<std::uint32_t>(i), pieces, now);
+        return waits;
+    }
+
     void addTo(PiecesMade& message, const Queued& group, const PieceDone& done)
     {
         message.group = group.theirs;
@@ -67,9 +81,10 @@
 } // namespace
 
 struct PieceBroker::Impl {
-    Impl(InstanceId s, FindQueue f)
+    Impl(InstanceId s, FindQueue f, NoteSink n)
         : self(std::move(s))
         , findQueue(std::move(f))
+        , note(std::move(n))
     {
     }
 
@@ -85,12 +100,14 @@
     void onMade(const InstanceId& from, const PiecesMade& made, TimePoint now, BrokerActions& out);
     void askAgain(const ServiceId& service, PieceGroup group, TimePoint now, BrokerActions& out);
     void handOver(TimePoint now, BrokerActions& out);
+    void beat(TimePoint now, BrokerActions& out);
     void takeOwn(const ServiceId& service, BrokerActions given, TimePoint now, BrokerActions& out);
     InstanceId ownerOf(const ServiceId& service, TimePoint now) const;
     bool releaseHere(const ReleaseResults& release, TimePoint now, BrokerActions& out);
 
     InstanceId self;
     FindQueue findQueue;
+    NoteSink note;
     std::vector<InstanceId> live;
     std::map<InstanceId, TimePoint> avoided;
     std::map<PieceGroupId, Asked> asked;
@@ -99,6 +116,7 @@
     std::map<ServiceId, Told> told;
     std::map<ServiceId, TimePoint> servedUntil; ///< Services that others asked this instance for lately.
     std::uint64_t lastQueued = 0;
+    TimePoint beatAt {};
 };
 
 /// Groups in the local queues have numbers of their own, since askers number theirs themselves.
@@ -127,7 +145,7 @@
         group.preferredZone.value_or(AvailabilityZoneId()), group.leaveZoneAfter - now, group.resultBytes,
         group.again };
     const auto id = group.id;
-    asked[id] = { service, std::move(group), owner, now + confirmLimit };
+    asked[id] = { service, std::move(group), owner, now, now };
     out.emplace_back(TellInstance { owner, std::move(message) });
 }
 
@@ -177,6 +195,11 @@
     const auto it = asked.find(id);
     auto entry = std::move(it->second);
     asked.erase(it);
+    if (note)
+        note({ "owner_silent", entry.group.pieces.empty() ? std::string() : entry.group.pieces.front().request,
+            { { "service", entry.service.value() }, { "owner", entry.owner.value() },
+                { "confirmed", entry.confirmed ? "1" : "0" }, { "again", entry.takenBack ? "1" : "0" },
+                { "waited_ms", std::to_string(static_cast<long>(toMilliseconds(now - entry.askedAt))) } } });
     avoided[entry.owner] = now + avoidTime;
     out.emplace_back(TellInstance { entry.owner, PiecesCancelled { id } });
     // The next in line gathers the pieces of all who miss the owner; only where that one is silent too are they made
@@ -198,9 +221,7 @@
         now + message.timeLeft, std::nullopt, now + message.zoneLeft, message.resultBytes, message.again };
     if (!message.preferredZone.empty())
         group.preferredZone = message.preferredZone;
-    PiecesTaken taken { message.group, {} };
-    for (std::size_t i = 0; i < toldPriorities; ++i)
-        taken.waits.at(i) = queue->expectedWait(static_cast<std::uint32_t>(i), message.pieces.size(), now);
+    const PiecesTaken taken { message.group, waitsOf(*queue, message.pieces.size(), now) };
     queued[group.id] = { from, message.group, message.service, message.pieces.size() };
     servedUntil[message.service] = now + servedTime;
     out.emplace_back(TellInstance { from, taken });
@@ -215,9 +236,6 @@
     if (it == asked.end() || it->second.owner != from)
         return;
     it->second.confirmed = true;
-    const auto expected = taken.waits.at(toldIndex(it->second.group.priority));
-    const auto patience = fromSeconds(toSeconds(expected) * resultPatience) + resultSlack;
-    it->second.answerBy = std::min(now + patience, it->second.group.deadline + resultSlack);
     told[it->second.service] = { taken.waits, now };
 }
 
@@ -339,8 +357,8 @@
     }
 }
 
-PieceBroker::PieceBroker(InstanceId self, FindQueue findQueue)
-    : m_impl(std::make_unique<Impl>(std::move(self), std::move(findQueue)))
+PieceBroker::PieceBroker(InstanceId self, FindQueue findQueue, NoteSink note)
+    : m_impl(std::make_unique<Impl>(std::move(self), std::move(findQueue), std::move(note)))
 {
 }
 
@@ -416,6 +434,10 @@
 void PieceBroker::onMessage(const InstanceId& from, const PieceMessage& message, TimePoint now, BrokerActions& out)
 {
     m_impl->avoided.erase(from);
+    for (auto& it : m_impl->asked) {
+        if (it.second.owner == from)
+            it.second.heardAt = now;
+    }
     if (const auto* asked = std::get_if<PiecesAsked>(&message))
         m_impl->onAsked(from, *asked, now, out);
     else if (const auto* taken = std::get_if<PiecesTaken>(&message))
@@ -474,20 +496,40 @@
 
 void PieceBroker::onTime(TimePoint now, BrokerActions& out)
 {
-    std::vector<PieceGroupId> late;
+    std::vector<PieceGroupId> silent;
     for (const auto& it : m_impl->asked) {
-        if (it.second.answerBy <= now)
-            late.push_back(it.first);
+        if (it.second.silentAt() <= now)
+            silent.push_back(it.first);
     }
-    for (const auto id : late)
+    for (const auto id : silent)
         m_impl->takeBack(id, now, out);
+    m_impl->beat(now, out);
+}
+
+/// Tells every instance that waits for this one that it is there, and how its queues stand.
+void PieceBroker::Impl::beat(TimePoint now, BrokerActions& out)
+{
+    if (now - beatAt < heartbeatPeriod)
+        return;
+    beatAt = now;
+    std::map<std::pair<InstanceId, ServiceId>, PieceGroupId> waiting;
+    for (const auto& it : queued) {
+        if (!it.second.asker.empty())
+            waiting[{ it.second.asker, it.second.service }] = it.second.theirs;
+    }
+    for (const auto& [asker, group] : waiting) {
+        if (const auto* queue = findQueue(asker.second))
+            out.emplace_back(TellInstance { asker.first, PiecesTaken { group, waitsOf(*queue, 1, now) } });
+    }
 }
 
 TimePoint PieceBroker::nextTime() const
 {
     auto next = TimePoint::max();
     for (const auto& it : m_impl->asked)
-        next = std::min(next, it.second.answerBy);
+        next = std::min(next, it.second.silentAt());
+    if (!m_impl->queued.empty())
+        next = std::min(next, m_impl->beatAt + heartbeatPeriod);
     return next;
 }
 
--- a/src/foxtailwheel/serving/PieceBrokerTest.cpp
+++ b/src/foxtailwheel/serving/PieceBrokerTest.cpp
@@ -152,8 +152,8 @@
     }
     for (const auto& id : group.ids) {
         if (id != owner)
-            group.run(id, start + 300ms,
-                [&](PieceBroker& broker, BrokerActions& out) { broker.onTime(start + 300ms, out); });
+            group.run(
+                id, start + 300ms, [&](PieceBroker& broker, BrokerActions& out) { broker.onTime(start + 300ms, out); });
     }
     const auto heir = group.instances.at(group.other()).broker->ownerOf(portal, start + 300ms);
     cr_assert(group.instances.at(heir).broker->gathers(portal, start + 300ms));
@@ -177,7 +177,8 @@
     const auto id = group.other();
     group.ask(id, 1, 2, start);
     for (const auto after : { 300ms, 600ms })
-        group.run(id, start + after, [&](PieceBroker& broker, BrokerActions& out) { broker.onTime(start + after, out); });
+        group.run(
+            id, start + after, [&](PieceBroker& broker, BrokerActions& out) { broker.onTime(start + after, out); });
     cr_assert_eq(group.instances.at(id).sent.size(), 1);
     group.endCalls(id, start + 900ms);
     cr_assert_eq(group.instances.at(id).done.size(), 2);
@@ -250,10 +251,39 @@
     group.ask(id, 1, 2, start);
     cr_assert_eq(group.instances.at(owner).sent.size(), 1);
     group.cut.insert(owner);
-    group.run(id, start + 50ms,
-        [&](PieceBroker& broker, BrokerActions& out) { broker.onLost(owner, start + 50ms, out); });
+    group.run(
+        id, start + 50ms, [&](PieceBroker& broker, BrokerActions& out) { broker.onLost(owner, start + 50ms, out); });
     const auto heir = group.instances.at(id).broker->ownerOf(portal, start + 50ms);
     cr_assert_neq(heir, owner);
     group.endCalls(heir, start + 300ms);
     cr_assert_eq(group.instances.at(id).done.size(), 2);
 }
+
+Test(PieceBroker, aLongQueueIsNoReasonToAskElsewhereWhileTheOwnerIsHeard)
+{
+    Group group(3, 1);
+    const auto id = group.other();
+    for (std::uint64_t i = 1; i < 60; ++i)
+        group.ask(id, i, 1, start);
+    for (int i = 1; i < 11; ++i) {
+        for (const auto& it : group.ids)
+            group.run(it, start + i * 500ms,
+                [&](PieceBroker& broker, BrokerActions& out) { broker.onTime(start + i * 500ms, out); });
+    }
+    cr_assert_eq(group.instances.at(id).lastCall, 0);
+    cr_assert_eq(group.instances.at(group.other(1)).lastCall, 0);
+}
+
+Test(PieceBroker, anOwnerThatFallsSilentAfterItsConfirmationIsReplaced)
+{
+    Group group(3, 1);
+    const auto id = group.other();
+    group.ask(id, 1, 1, start);
+    group.cut.insert(group.owner());
+    group.run(id, start + 1s, [&](PieceBroker& broker, BrokerActions& out) { broker.onTime(start + 1s, out); });
+    const auto heir = [&] { return group.instances.at(id).broker->ownerOf(portal, start + 1400ms); };
+    cr_assert_eq(heir(), group.owner());
+    group.run(id, start + 1400ms, [&](PieceBroker& broker, BrokerActions& out) { broker.onTime(start + 1400ms, out); });
+    cr_assert_neq(heir(), group.owner());
+    cr_assert_eq(group.instances.at(heir()).sent.size(), 1);
+}
