Requests that would wait in vain are refused at once; the store's return is seen within a second

Change: owners also tell the wait of late pieces; a request that cannot meet its goal and is not foreseen to be made within 0.7 of its time is refused before anything is made for it. While the store is away it is asked briefly.

--- a/include/foxtailwheel/control/TableFollower.h
+++ b/include/foxtailwheel/control/TableFollower.h
@@ -17,6 +17,7 @@
     std::string table;
     Duration wait {}; ///< Longest time that the store holds a call until something changes.
     Duration answerLimit = std::chrono::milliseconds(1200); ///< Beyond `wait`; then the call counts as lost.
+    Duration probeLimit = std::chrono::milliseconds(500); ///< For an answer while the store is away.
     Duration pause = std::chrono::milliseconds(250); ///< Before the next call after a failure, with jitter.
     Duration silence {}; ///< A follower that is told by another asks the store itself after this long without news.
     std::uint64_t seed = 1;
--- a/include/foxtailwheel/peer/Messages_generated.h
+++ b/include/foxtailwheel/peer/Messages_generated.h
@@ -1377,7 +1377,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SENDER = 4,
     VT_GROUP = 6,
-    VT_WAITS_US = 8
+    VT_WAITS_US = 8,
+    VT_LATE_US = 10
   };
   const foxtailwheel::peer::wire::Member *sender() const {
     return GetPointer<const foxtailwheel::peer::wire::Member *>(VT_SENDER);
@@ -1388,6 +1389,9 @@
   const flatbuffers::Vector<int64_t> *waits_us() const {
     return GetPointer<const flatbuffers::Vector<int64_t> *>(VT_WAITS_US);
   }
+  int64_t late_us() const {
+    return GetField<int64_t>(VT_LATE_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -1395,6 +1399,7 @@
            VerifyField<uint64_t>(verifier, VT_GROUP, 8) &&
            VerifyOffset(verifier, VT_WAITS_US) &&
            verifier.VerifyVector(waits_us()) &&
+           VerifyField<int64_t>(verifier, VT_LATE_US, 8) &&
            verifier.EndTable();
   }
 };
@@ -1412,6 +1417,9 @@
   void add_waits_us(flatbuffers::Offset<flatbuffers::Vector<int64_t>> waits_us) {
     fbb_.AddOffset(PiecesTaken::VT_WAITS_US, waits_us);
   }
+  void add_late_us(int64_t late_us) {
+    fbb_.AddElement<int64_t>(PiecesTaken::VT_LATE_US, late_us, 0);
+  }
   explicit PiecesTakenBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1427,8 +1435,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender = 0,
     uint64_t group = 0,
-    flatbuffers::Offset<flatbuffers::Vector<int64_t>> waits_us = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<int64_t>> waits_us = 0,
+    int64_t late_us = 0) {
   PiecesTakenBuilder builder_(_fbb);
+  builder_.add_late_us(late_us);
   builder_.add_group(group);
   builder_.add_waits_us(waits_us);
   builder_.add_sender(sender);
@@ -1439,13 +1449,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender = 0,
     uint64_t group = 0,
-    const std::vector<int64_t> *waits_us = nullptr) {
+    const std::vector<int64_t> *waits_us = nullptr,
+    int64_t late_us = 0) {
   auto waits_us__ = waits_us ? _fbb.CreateVector<int64_t>(*waits_us) : 0;
   return foxtailwheel::peer::wire::CreatePiecesTaken(
       _fbb,
       sender,
       group,
-      waits_us__);
+      waits_us__,
+      late_us);
 }
 
 struct PiecesCancelled FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/include/foxtailwheel/serving/BatchQueue.h
+++ b/include/foxtailwheel/serving/BatchQueue.h
@@ -149,7 +149,8 @@
     std::size_t waiting() const;
     std::size_t callsInProgress() const;
     /// @brief Expected time until `pieces` more pieces of the given priority would be made.
-    Duration expectedWait(std::uint32_t priority, std::size_t pieces, TimePoint now) const;
+    /// @param late They cannot meet their goal any more.
+    Duration expectedWait(std::uint32_t priority, bool late, std::size_t pieces, TimePoint now) const;
 
 private:
     struct Impl;
--- a/include/foxtailwheel/serving/PieceBroker.h
+++ b/include/foxtailwheel/serving/PieceBroker.h
@@ -35,10 +35,18 @@
 /// @brief Priorities that owners tell their waits for; less urgent ones count as the last.
 constexpr std::size_t toldPriorities = 4;
 
+/// @brief Time until more pieces of a service are made, as the owner's queue stands.
+struct QueueWaits {
+    std::array<Duration, toldPriorities> timely {}; ///< By priority, for pieces that can meet their goal.
+    Duration late {}; ///< For pieces that cannot, which go last.
+
+    friend bool operator==(const QueueWaits&, const QueueWaits&) = default;
+};
+
 /// @brief From the owner: the pieces are in its queue.
 struct PiecesTaken {
     PieceGroupId group;
-    std::array<Duration, toldPriorities> waits {}; ///< Time until pieces are made, as the queue stands, by priority.
+    QueueWaits waits;
 
     friend bool operator==(const PiecesTaken&, const PiecesTaken&) = default;
 };
@@ -126,7 +134,9 @@
     TimePoint nextTime() const;
     /// @brief Expected time until more pieces of a service would be made: from this instance's own queue where it owns
     /// the service, else as the owner said lately; 0 where nothing is known.
-    Duration expectedWait(const ServiceId& service, std::uint32_t priority, std::size_t pieces, TimePoint now) const;
+    /// @param late They cannot meet their goal any more.
+    Duration expectedWait(
+        const ServiceId& service, std::uint32_t priority, bool late, std::size_t pieces, TimePoint now) const;
 
 private:
     struct Impl;
--- a/src/foxtailwheel/control/TableFollower.cpp
+++ b/src/foxtailwheel/control/TableFollower.cpp
@@ -72,11 +72,14 @@
             self->take(std::move(answer), now, from);
     };
     // A follower that is told by another asks only to catch up, so the store need not hold its call.
-    const auto wait = asking ? options.wait : Duration {};
+    // While the store is away it is asked briefly and often, so that its return is seen soon.
+    const bool away = !table.available && table.lostAt != TimePoint {};
+    const auto wait = asking && !away ? options.wait : Duration {};
+    const auto limit = away && whole ? options.probeLimit : options.answerLimit;
     if (!whole)
-        feed.readAll(options.table, now + options.answerLimit, std::move(done));
+        feed.readAll(options.table, now + limit, std::move(done));
     else
-        feed.changes(options.table, version, wait, now + wait + options.answerLimit, std::move(done));
+        feed.changes(options.table, version, wait, now + wait + limit, std::move(done));
 }
 
 void TableFollower::Impl::askLater(Duration delay)
@@ -163,7 +166,9 @@
     table.lostAt = now;
     if (std::exchange(table.available, false))
         changed(table, false);
-    askLater(options.pause + fromSeconds(toSeconds(options.pause) * random.uniform()));
+    // One that is told by another leaves the probing to that one, and asks only as often as it would without news.
+    const auto pause = asking || !whole ? options.pause : options.silence;
+    askLater(pause + fromSeconds(toSeconds(pause) * random.uniform()));
 }
 
 void TableFollower::Impl::take(store::FeedAnswer answer, TimePoint sentAt, std::uint64_t from)
--- a/src/foxtailwheel/control/TableFollowerTest.cpp
+++ b/src/foxtailwheel/control/TableFollowerTest.cpp
@@ -112,6 +112,10 @@
     cr_assert(world.feed.asked.empty());
     world.runLater(500ms);
     cr_assert_eq(world.feed.asked.front().after, 5);
+    cr_assert(world.feed.asked.front().wait == Duration {}, "its return is to be seen soon");
+    world.feed.answer(World::rows(5, {}));
+    cr_assert(world.follower->table().available);
+    cr_assert(world.feed.asked.front().wait == 1500ms);
 }
 
 Test(TableFollower, oneThatIsToldAsksNothingWhileNewsCome)
--- a/src/foxtailwheel/peer/Message.cpp
+++ b/src/foxtailwheel/peer/Message.cpp
@@ -100,10 +100,11 @@
         flatbuffers::Offset<wire::Envelope> operator()(const serving::PiecesTaken& it) const
         {
             std::vector<std::int64_t> waits;
-            for (const auto wait : it.waits)
+            for (const auto wait : it.waits.timely)
                 waits.push_back(microseconds(wait));
             return wrap(wire::Body::PiecesTaken,
-                wire::CreatePiecesTakenDirect(fbb, pack(fbb, sender), it.group.value(), &waits));
+                wire::CreatePiecesTakenDirect(
+                    fbb, pack(fbb, sender), it.group.value(), &waits, microseconds(it.waits.late)));
         }
         flatbuffers::Offset<wire::Envelope> operator()(const serving::PiecesCancelled& it) const
         {
@@ -274,8 +275,9 @@
     {
         serving::PiecesTaken out { serving::PieceGroupId(taken.group()), {} };
         const auto n = taken.waits_us() == nullptr ? 0 : taken.waits_us()->size();
-        for (flatbuffers::uoffset_t i = 0; i < std::min<std::size_t>(n, out.waits.size()); ++i)
-            out.waits.at(i) = std::chrono::microseconds(taken.waits_us()->Get(i));
+        for (flatbuffers::uoffset_t i = 0; i < std::min<std::size_t>(n, out.waits.timely.size()); ++i)
+            out.waits.timely.at(i) = std::chrono::microseconds(taken.waits_us()->Get(i));
+        out.waits.late = std::chrono::microseconds(taken.late_us());
         return out;
     }
 
--- a/src/foxtailwheel/serving/BatchQueue.cpp
+++ b/src/foxtailwheel/serving/BatchQueue.cpp
@@ -446,17 +446,17 @@
     return m_impl->calls.size();
 }
 
-Duration BatchQueue::expectedWait(std::uint32_t priority, std::size_t pieces, TimePoint now) const
+Duration BatchQueue::expectedWait(std::uint32_t priority, bool late, std::size_t pieces, TimePoint now) const
 {
     const auto ahead = std::count_if(m_impl->waiting.begin(), m_impl->waiting.end(),
-        [&](const Waiting& it) { return it.priority <= priority && !m_impl->isLate(it, now); });
+        [&](const Waiting& it) { return late || (it.priority <= priority && !m_impl->isLate(it, now)); });
     const auto servers = m_impl->servers(now);
     const bool busy = static_cast<double>(m_impl->calls.size()) >= servers;
     // While all servers are busy, the next one comes free after part of a call.
     const Duration untilFree = busy ? fromSeconds(toSeconds(m_impl->forecast.callTime(m_impl->limits.pieces))
                                    / static_cast<double>(1 + m_impl->calls.size()))
                                     : Duration {};
-    return untilFree + m_impl->forecast.wait(priority, false, pieces + static_cast<std::size_t>(ahead), servers, now);
+    return untilFree + m_impl->forecast.wait(priority, late, pieces + static_cast<std::size_t>(ahead), servers, now);
 }
 
 } // namespace foxtailwheel::serving
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -27,6 +27,8 @@
     constexpr Duration serverRetryPause = 25ms;
     /// Hint for callers of an instance that has no configuration or no current credentials.
     constexpr Duration instanceRetryAfter = 300ms;
+    /// Part of its time within which a late request must be foreseen to be made: others still come and go first.
+    constexpr double surelyMadeShare = 0.7;
     /// Least hint for callers that are refused under load: about the time of one batch call.
     constexpr Duration leastRetryAfter = 300ms;
     /// Hint for callers that no server could take.
@@ -169,7 +171,8 @@
         void start(ForwardRun& run, TimePoint now, ForwardActions& out);
         Duration spentBefore(const ForwardRun& run, TimePoint now);
         void chooseZone(ForwardRun& run);
-        Duration expectedTime(const ForwardRun& run, TimePoint now) const;
+        Duration expectedTime(const ForwardRun& run, bool late, TimePoint now) const;
+        std::optional<Duration> overloaded(const ForwardRun& run, TimePoint now) const;
 
         void startStages(ForwardRun& run, TimePoint now, ForwardActions& out);
         void requestPieces(ForwardRun& run, StageIndex stage, TimePoint now, ForwardActions& out);
@@ -403,10 +406,8 @@
         }
         setTimer(run.deadline, { TimerKind::Deadline, run.id, {}, {} });
         chooseZone(run);
-        if (const auto expected = expectedTime(run, now); m_options.earlyRefusal && expected > run.timeLeft(now)) {
-            const auto longest = run.timeLeft(now) / 3;
-            refuse(run, ForwardEnd::Overloaded, std::clamp(expected - run.timeLeft(now), leastRetryAfter, longest), now,
-                out);
+        if (const auto retryAfter = overloaded(run, now); m_options.earlyRefusal && retryAfter) {
+            refuse(run, ForwardEnd::Overloaded, *retryAfter, now, out);
             return;
         }
         note(run, "request_accepted",
@@ -444,7 +445,8 @@
     }
 
     /// Time until the answer begins, along the longest way through the stages, as the queues stand.
-    Duration RoutingForwarder::expectedTime(const ForwardRun& run, TimePoint now) const
+    /// @param late The request cannot meet its goal, so that its pieces go last.
+    Duration RoutingForwarder::expectedTime(const ForwardRun& run, bool late, TimePoint now) const
     {
         std::vector<Duration> done(run.stages.size());
         Duration longest {};
@@ -452,12 +454,27 @@
             for (const auto needed : run.route->stages[i].needs)
                 done[i] = std::max(done[i], done[needed]);
             if (const auto n = run.stages[i].missing; n > 0)
-                done[i] += m_broker.expectedWait(run.route->stages[i].service, run.priority, n, now);
+                done[i] += m_broker.expectedWait(run.route->stages[i].service, run.priority, late, n, now);
             longest = std::max(longest, done[i]);
         }
         return longest;
     }
 
+    /// Whether a request would wait in vain: it cannot meet its goal, and what cannot is not made in its time. Such a
+    /// request is told so at once, before anything is made for it.
+    /// @return When to come back.
+    std::optional<Duration> RoutingForwarder::overloaded(const ForwardRun& run, TimePoint now) const
+    {
+        const auto goalLeft = run.begunAt + run.route->goal - now;
+        if (expectedTime(run, false, now) <= goalLeft)
+            return std::nullopt;
+        const auto left = run.timeLeft(now);
+        const auto expected = expectedTime(run, true, now);
+        if (expected <= fromSeconds(toSeconds(left) * surelyMadeShare))
+            return std::nullopt;
+        return std::clamp<Duration>(expected - left, leastRetryAfter, std::max<Duration>(left / 3, leastRetryAfter));
+    }
+
     void RoutingForwarder::onCallerLeft(ForwardId id, TimePoint now, ForwardActions& out)
     {
         auto* run = find(id);
--- a/src/foxtailwheel/serving/PieceBroker.cpp
+++ b/src/foxtailwheel/serving/PieceBroker.cpp
@@ -45,7 +45,7 @@
 
     /// What an owner said of its queue.
     struct Told {
-        std::array<Duration, toldPriorities> waits {};
+        QueueWaits waits;
         TimePoint at;
     };
 
@@ -62,12 +62,13 @@
         std::size_t missing = 0;
     };
 
-    /// How long so many more pieces would wait, for each priority.
-    std::array<Duration, toldPriorities> waitsOf(const BatchQueue& queue, std::size_t pieces, TimePoint now)
+    /// How long so many more pieces would wait.
+    QueueWaits waitsOf(const BatchQueue& queue, std::size_t pieces, TimePoint now)
     {
-        std::array<Duration, toldPriorities> waits {};
+        QueueWaits waits;
         for (std::size_t i = 0; i < toldPriorities; ++i)
-            waits.at(i) = queue.expectedWait(static_cast<std::uint32_t>(i), pieces, now);
+            waits.timely.at(i) = queue.expectedWait(static_cast<std::uint32_t>(i), false, pieces, now);
+        waits.late = queue.expectedWait(0, true, pieces, now);
         return waits;
     }
 
@@ -534,15 +535,15 @@
 }
 
 Duration PieceBroker::expectedWait(
-    const ServiceId& service, std::uint32_t priority, std::size_t pieces, TimePoint now) const
+    const ServiceId& service, std::uint32_t priority, bool late, std::size_t pieces, TimePoint now) const
 {
     const auto* queue = m_impl->findQueue(service);
     if (queue != nullptr && ownerOf(service, now) == m_impl->self)
-        return queue->expectedWait(priority, pieces, now);
+        return queue->expectedWait(priority, late, pieces, now);
     const auto told = m_impl->told.find(service);
     if (told == m_impl->told.end() || now - told->second.at > toldLife)
         return {};
-    return told->second.waits.at(toldIndex(priority));
+    return late ? told->second.waits.late : told->second.waits.timely.at(toldIndex(priority));
 }
 
 } // namespace foxtailwheel::serving
--- a/src/foxtailwheel/serving/PieceBrokerTest.cpp
+++ b/src/foxtailwheel/serving/PieceBrokerTest.cpp
@@ -239,8 +239,8 @@
     const auto id = group.other();
     for (std::uint64_t i = 1; i < 40; ++i)
         group.ask(id, i, 1, start);
-    cr_assert(group.instances.at(id).broker->expectedWait(portal, 0, 1, start + 1ms) > 500ms);
-    cr_assert(group.instances.at(id).broker->expectedWait(portal, 0, 1, start + 2s) == Duration {});
+    cr_assert(group.instances.at(id).broker->expectedWait(portal, 0, false, 1, start + 1ms) > 500ms);
+    cr_assert(group.instances.at(id).broker->expectedWait(portal, 0, false, 1, start + 2s) == Duration {});
 }
 
 Test(PieceBroker, whatALostOwnerHadIsAskedOfAnotherAtOnce)
