Log lines on standard output that never wait for their reader, with budgets, and foxtailwheel explain

Each event has a budget of 200 lines a second. explain prints one request's story over several logs.

--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -28,7 +28,7 @@
 foxtailwheel_package(backend DEPENDS http serving)
 foxtailwheel_package(peer DEPENDS http membership serving LIBRARIES OpenSSL::Crypto)
 foxtailwheel_package(control DEPENDS serving store)
-foxtailwheel_package(telemetry DEPENDS base LIBRARIES log4cplus::log4cplus prometheus-cpp::core)
+foxtailwheel_package(telemetry DEPENDS limits LIBRARIES log4cplus::log4cplus prometheus-cpp::core)
 foxtailwheel_package(daemon DEPENDS backend control peer telemetry)
 
 if(NOT FOXTAILWHEEL_DEPLOY)
--- a/include/foxtailwheel/telemetry/Log.h
+++ b/include/foxtailwheel/telemetry/Log.h
@@ -18,9 +18,14 @@
 
 /// @brief Sends log lines of `level` (`error`, `warn`, `info`, `debug`) and above to standard output.
 ///
-/// A line is `time level event name=value ...`; values with spaces or quotes are quoted.
+/// A line is `time level event name=value ...`; values with spaces or quotes are quoted. Writing never waits for the
+/// reader: lines that it does not take are dropped, and lines of one event beyond its rate are withheld; both are
+/// counted in lines of their own.
 void configureLog(const std::string& level);
 
+/// @brief Writes the lines that have gathered; called now and then, and before the process ends.
+void flushLog();
+
 void logError(std::string_view event, Fields fields = {});
 void logWarning(std::string_view event, Fields fields = {});
 void logInfo(std::string_view event, Fields fields = {});
--- a/src/foxtailwheel/cli/Commands.cpp
+++ b/src/foxtailwheel/cli/Commands.cpp
@@ -4,6 +4,7 @@
 #include "foxtailwheel/base/Json.h"
 #include "foxtailwheel/base/Random.h"
 #include "foxtailwheel/cli/ApiClient.h"
+#include "foxtailwheel/cli/Explain.h"
 #include "foxtailwheel/cli/Output.h"
 #include "foxtailwheel/config/Declarations.h"
 #include "foxtailwheel/config/Difference.h"
@@ -13,6 +14,7 @@
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <fstream>
+#include <iostream>
 #include <optional>
 #include <sstream>
 #include <thread>
@@ -64,6 +66,7 @@
         ExitCode audit();
         ExitCode drain();
         ExitCode call();
+        ExitCode explainRequest();
 
         bool wantsJson() const { return m_args["output"].as<std::string>() == "json"; }
         std::string textOption(const std::string& name) const
@@ -101,6 +104,7 @@
             { "audit", &Session::audit },
             { "drain", &Session::drain },
             { "call", &Session::call },
+            { "explain", &Session::explainRequest },
         };
         return table;
     }
@@ -427,6 +431,38 @@
         return ExitCode::Ok;
     }
 
+    ExitCode Session::explainRequest()
+    {
+        if (m_words.empty())
+            return complain(ExitCode::Usage, "explain needs the id of a request");
+        std::vector<std::unique_ptr<std::ifstream>> files;
+        std::vector<LogSource> sources;
+        for (std::size_t i = 1; i < m_words.size(); ++i) {
+            files.push_back(std::make_unique<std::ifstream>(m_words[i]));
+            if (!*files.back())
+                return complain(ExitCode::Usage, "cannot read '" + m_words[i] + "'");
+            sources.push_back({ m_words[i], files.back().get() });
+        }
+        if (sources.empty())
+            sources.push_back({ "-", &std::cin });
+        const auto story = explain(m_words[0], sources);
+        json lines = json::array();
+        for (const auto& it : story.lines)
+            lines.push_back(
+                { { "time", it.time }, { "process", it.process }, { "event", it.event }, { "fields", it.fields } });
+        if (wantsJson()) {
+            m_out << json { { "request", m_words[0] }, { "lines", lines }, { "missing", story.missing } }.dump(2)
+                  << "\n";
+        } else {
+            printTable(m_out,
+                { { "TIME", "time" }, { "PROCESS", "process" }, { "EVENT", "event" }, { "FIELDS", "fields" } }, lines);
+            if (story.missing > 0)
+                m_out << story.missing << " lines of these processes are missing in this time\n";
+        }
+        return story.lines.empty() ? complain(ExitCode::Failed, "no line touches request '" + m_words[0] + "'")
+                                   : ExitCode::Ok;
+    }
+
     ExitCode Session::sayOutcome(const json& body)
     {
         if (wantsJson()) {
@@ -534,12 +570,14 @@
   audit                audit trail of changes and operations
   drain                shut one instance down gracefully
   call PIPELINE        run a pipeline as a client account
+  explain ID [FILE...] the story of one request from log files, or from standard input
 
 Exit codes: 0 done, 1 failed, 2 usage, 3 invalid configuration, 4 conflict, 5 unavailable, 6 not run, 7 unknown.
 
 Examples:
   foxtailwheel config check examples/irish-agency.yaml
   foxtailwheel config apply netting.yaml --operators 10.0.0.5:7201 --token-file token --author mary --wait
+  foxtailwheel explain 9c41d07be2a35f68 cork-a-1.log cork-b-2.log
   foxtailwheel call answer --callers 10.0.0.5:7200 --credential-file key --json '{"prompt": "nets for May"}' --stream
   foxtailwheel call book --callers 10.0.0.5:7200 --credential-file key --key order-17 --json '{"nets": 4}'
 )";
