A server may outlive its pool; requests that two readers could end differently are refused; early answers are taken

Cause of the demo that hung: stand-ins were destroyed after their pool, and a server posted to a context that no longer existed. The context is shared now, so that a server holds what it uses; 200 rounds in a test. Transfer-Encoding other than chunked, a length beside it, and no Host or two are refused (400, 501). Logs name ends and failures by words, and tell which owner was asked with which expectation.

--- a/include/foxtailwheel/http/IoPool.h
+++ b/include/foxtailwheel/http/IoPool.h
@@ -33,6 +33,8 @@
     void stop();
     /// @brief The context that the threads run.
     boost::asio::io_context& context();
+    /// @brief The same, kept alive by its holder: what uses it may be destroyed after the pool.
+    std::shared_ptr<boost::asio::io_context> sharedContext();
 
 private:
     struct Impl;
--- a/include/foxtailwheel/http/Server.h
+++ b/include/foxtailwheel/http/Server.h
@@ -73,7 +73,8 @@
 
 private:
     struct Impl;
-    explicit Server(std::shared_ptr<Impl> impl);
+    Server(std::shared_ptr<boost::asio::io_context> context, std::shared_ptr<Impl> impl);
+    std::shared_ptr<boost::asio::io_context> m_context; ///< Outlives `m_impl`, also where the pool does not.
     std::shared_ptr<Impl> m_impl;
 };
 
--- a/include/foxtailwheel/serving/BatchQueue.h
+++ b/include/foxtailwheel/serving/BatchQueue.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -72,6 +73,9 @@
     Failed, ///< The server failed at it, or the call broke.
 };
 
+/// @brief Name of a failure as it is written in logs.
+std::string_view toString(PieceFailure failure);
+
 /// @brief What came of one piece.
 using PieceResult = std::variant<ResultHandle, PieceFailure>;
 
@@ -83,6 +87,9 @@
     Broken, ///< The connection ended early or went silent.
 };
 
+/// @brief Name of an end as it is written in logs.
+std::string_view toString(BatchEnd end);
+
 /// @brief Send one call with these pieces.
 struct SendBatch {
     CallId call;
--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -138,6 +138,9 @@
     TimedOut,
 };
 
+/// @brief Name of an end as it is written in logs.
+std::string_view toString(ForwardCallEnd end);
+
 /// @brief Load that a backend server told with an answer.
 struct ToldLoad {
     std::uint32_t running = 0;
--- a/src/foxtailwheel/apps/foxtailwheel-standins.cpp
+++ b/src/foxtailwheel/apps/foxtailwheel-standins.cpp
@@ -80,8 +80,8 @@
 int run(const cxxopts::ParseResult& args)
 {
     const auto clock = systemClock();
-    StandIns running;
     const auto pool = http::IoPool::create(args["threads"].as<unsigned>());
+    StandIns running;
     bool started = true;
     if (args.count("table") > 0)
         started = started
--- a/src/foxtailwheel/http/HttpTest.cpp
+++ b/src/foxtailwheel/http/HttpTest.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 #include <future>
+#include <thread>
 
 using namespace foxtailwheel;
 using namespace std::chrono_literals;
@@ -183,3 +184,67 @@
     net::read(socket, net::buffer(&byte, 1), ec);
     cr_assert_lt(taken.load(), 64U << 20U);
 }
+
+Test(HttpServer, aRequestWhoseEndTwoReadersCouldSeeDifferentlyIsRefused)
+{
+    const std::vector<std::string> heads { "Host: a\r\nTransfer-Encoding: xchunked\r\n",
+        "Host: a\r\nTransfer-Encoding: chunked, identity\r\n", "Host: a\r\nTransfer-Encoding: identity\r\n",
+        "Host: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+        "Host: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", "X: 1\r\n",
+        "Host: a\r\nHost: b\r\n" };
+    for (const auto& head : heads) {
+        std::atomic<int> handled { 0 };
+        Fixture fixture([&](const http::Request&, const std::shared_ptr<http::Responder>& responder) {
+            ++handled;
+            responder->respond({ 200, {}, {} });
+        });
+        const auto answer
+            = fixture.raw("POST / HTTP/1.1\r\n" + head + "\r\n0\r\n\r\nGET /inner HTTP/1.1\r\nHost: a\r\n\r\n");
+        cr_assert_eq(handled, 0, "%s", head.c_str());
+        cr_assert(answer.starts_with("HTTP/1.1 400") || answer.starts_with("HTTP/1.1 501"), "%s: %s", head.c_str(),
+            answer.c_str());
+    }
+}
+
+Test(HttpServer, aServerMayOutliveItsPool)
+{
+    for (int i = 0; i < 200; ++i) {
+        auto pool = http::IoPool::create(1);
+        http::ServerOptions options;
+        options.listen = { "127.0.0.1", 0 };
+        auto server = http::Server::listen(*pool, options, Fixture::echo());
+        cr_assert(server.has_value());
+        pool.reset();
+        server.value().reset();
+    }
+}
+
+Test(HttpClient, anAnswerBeforeTheWholeRequestWasReadIsTaken)
+{
+    net::io_context context;
+    tcp::acceptor acceptor(context, { net::ip::make_address("127.0.0.1"), 0 });
+    std::thread early([&] {
+        tcp::socket socket(context);
+        acceptor.accept(socket);
+        std::string buf(1024, ' ');
+        boost::system::error_code ec;
+        socket.read_some(net::buffer(buf), ec);
+        net::write(socket, net::buffer(std::string("HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n")), ec);
+        std::this_thread::sleep_for(300ms);
+    });
+    const auto pool = http::IoPool::create(1);
+    const auto clock = systemClock();
+    const auto client = http::Client::create(*pool, *clock);
+    std::promise<http::CallResult> done;
+    http::CallEvents events;
+    events.onDone = [&](http::CallResult result) { done.set_value(std::move(result)); };
+    const auto until = clock->now() + 5s;
+    client->start({ { "127.0.0.1", acceptor.local_endpoint().port() },
+                      { "POST", "/", {}, std::string(32U << 20U, 'x') }, until, until, true },
+        std::move(events));
+    const auto result = done.get_future().get();
+    early.join();
+    pool->stop();
+    cr_assert_eq(result.end, http::CallEnd::Complete);
+    cr_assert_eq(result.response.status, 503);
+}
--- a/src/foxtailwheel/http/IoPool.cpp
+++ b/src/foxtailwheel/http/IoPool.cpp
@@ -15,7 +15,8 @@
 
 struct IoPool::Impl {
     explicit Impl(std::size_t n)
-        : context(static_cast<int>(n))
+        : shared(std::make_shared<net::io_context>(static_cast<int>(n)))
+        , context(*shared)
         , guard(net::make_work_guard(context))
         , signals(context)
         , reloadSignals(context)
@@ -42,7 +43,8 @@
         });
     }
 
-    net::io_context context;
+    std::shared_ptr<net::io_context> shared;
+    net::io_context& context;
     net::executor_work_guard<net::io_context::executor_type> guard;
     net::signal_set signals;
     net::signal_set reloadSignals;
@@ -110,6 +112,11 @@
     }
 }
 
+std::shared_ptr<boost::asio::io_context> IoPool::sharedContext()
+{
+    return m_impl->shared;
+}
+
 boost::asio::io_context& IoPool::context()
 {
     return m_impl->context;
--- a/src/foxtailwheel/http/Server.cpp
+++ b/src/foxtailwheel/http/Server.cpp
@@ -489,8 +489,9 @@
     }
 }
 
-Server::Server(std::shared_ptr<Impl> impl)
-    : m_impl(std::move(impl))
+Server::Server(std::shared_ptr<net::io_context> context, std::shared_ptr<Impl> impl)
+    : m_context(std::move(context))
+    , m_impl(std::move(impl))
 {
 }
 
@@ -506,7 +507,7 @@
         return fail(Errc::Unreachable, "cannot listen on " + impl->options.listen.toString() + ": " + ec.message());
     net::co_spawn(
         impl->acceptor.get_executor(), [impl]() -> net::awaitable<void> { co_await impl->acceptAll(); }, net::detached);
-    return std::unique_ptr<Server>(new Server(std::move(impl)));
+    return std::unique_ptr<Server>(new Server(pool.sharedContext(), std::move(impl)));
 }
 
 std::uint16_t Server::port() const
--- a/src/foxtailwheel/serving/BatchQueue.cpp
+++ b/src/foxtailwheel/serving/BatchQueue.cpp
@@ -65,6 +65,38 @@
 
 } // namespace
 
+std::string_view toString(PieceFailure failure)
+{
+    switch (failure) {
+    case PieceFailure::Late:
+        return "late";
+    case PieceFailure::InputGone:
+        return "input_gone";
+    case PieceFailure::NoRoom:
+        return "no_room";
+    case PieceFailure::Moved:
+        return "moved";
+    case PieceFailure::Failed:
+        break;
+    }
+    return "failed";
+}
+
+std::string_view toString(BatchEnd end)
+{
+    switch (end) {
+    case BatchEnd::Answered:
+        return "answered";
+    case BatchEnd::NotRun:
+        return "not_run";
+    case BatchEnd::Unreachable:
+        return "unreachable";
+    case BatchEnd::Broken:
+        break;
+    }
+    return "broken";
+}
+
 struct BatchQueue::Impl {
     Impl(ServiceId s, config::BatchLimits l, routing::ServerPool& p, BatchQueueEvents e)
         : service(std::move(s))
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -572,8 +572,16 @@
         auto& progress = run.stages[stage];
         progress.group = PieceGroupId(++m_lastGroup);
         m_groups[progress.group] = { run.id, stage };
+        auto group = groupOf(run, stage, now);
+        note(run, "pieces_asked",
+            { { "stage", std::to_string(stage) }, { "service", service.value() },
+                { "owner", m_broker.ownerOf(service, now).value() }, { "pieces", std::to_string(group.pieces.size()) },
+                { "goal_ms", number(toMilliseconds(group.goal - now)) },
+                { "expected_ms",
+                    number(toMilliseconds(
+                        m_broker.expectedWait(service, run.priority, false, group.pieces.size(), now))) } });
         BrokerActions actions;
-        m_broker.ask(service, groupOf(run, stage, now), now, actions);
+        m_broker.ask(service, std::move(group), now, actions);
         carry(std::move(actions), now, out);
     }
 
@@ -638,7 +646,7 @@
         auto& progress = run.stages[stage];
         note(run, "piece_failed",
             { { "stage", std::to_string(stage) }, { "piece", std::to_string(piece.index) },
-                { "reason", std::to_string(static_cast<int>(failure)) }, { "tries", std::to_string(progress.tries) } });
+                { "reason", std::string(toString(failure)) }, { "tries", std::to_string(progress.tries) } });
         if (failure == PieceFailure::Late) {
             fail(run, ForwardEnd::TimedOutWaiting, now, out);
             return;
@@ -859,7 +867,7 @@
         const bool headSeen = run->findCall(call)->headSeen;
         if (end != ForwardCallEnd::Complete)
             note(*run, "call_failed",
-                { { "call", std::to_string(call.value()) }, { "end", std::to_string(static_cast<int>(end)) },
+                { { "call", std::to_string(call.value()) }, { "end", std::string(toString(end)) },
                     { "status", std::to_string(response.status) },
                     { "after_ms", number(toMilliseconds(now - run->acceptedAt)) } });
         switch (end) {
@@ -1142,6 +1150,27 @@
     return "unknown";
 }
 
+std::string_view toString(ForwardCallEnd end)
+{
+    switch (end) {
+    case ForwardCallEnd::Complete:
+        return "complete";
+    case ForwardCallEnd::NotSent:
+        return "not_sent";
+    case ForwardCallEnd::Refused:
+        return "refused";
+    case ForwardCallEnd::Misdirected:
+        return "misdirected";
+    case ForwardCallEnd::InputGone:
+        return "input_gone";
+    case ForwardCallEnd::TimedOut:
+        return "timed_out";
+    case ForwardCallEnd::Broken:
+        break;
+    }
+    return "broken";
+}
+
 std::unique_ptr<Forwarder> Forwarder::create(ForwarderOptions options)
 {
     return std::make_unique<RoutingForwarder>(std::move(options));
