--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -407,6 +407,11 @@
         setTimer(run.deadline, { TimerKind::Deadline, run.id, {}, {} });
         chooseZone(run);
         if (const auto retryAfter = overloaded(run, now); m_options.earlyRefusal && retryAfter) {
+            note(run, "overload_foreseen",
+                { { "goal_left_ms", number(toMilliseconds(run.begunAt + route.goal - now)) },
+                    { "timely_ms", number(toMilliseconds(expectedTime(run, false, now))) },
+                    { "late_ms", number(toMilliseconds(expectedTime(run, true, now))) },
+                    { "time_left_ms", number(toMilliseconds(run.timeLeft(now))) } });
             refuse(run, ForwardEnd::Overloaded, *retryAfter, now, out);
             return;
         }
