--- a/src/foxtailwheel/cli/Explain.cpp
+++ b/src/foxtailwheel/cli/Explain.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <map>
 #include <string_view>
 
 namespace foxtailwheel::cli {
@@ -56,6 +57,7 @@
 Explanation explain(const std::string& request, const std::vector<LogSource>& sources)
 {
     Explanation out;
+    std::multimap<std::string, ExplainedLine> lines; ///< By time; those of one time in the order of the sources.
     std::vector<std::pair<std::string, std::size_t>> gaps; ///< Time and lines missing.
     for (const auto& source : sources) {
         std::string line;
@@ -67,13 +69,13 @@
             if (event == "lines_dropped" || event == "lines_withheld")
                 gaps.emplace_back(time, countOf(line));
             else if (valueOf(line, "request") == request)
-                out.lines.push_back(read(line, source.name));
+                lines.emplace(time, read(line, source.name));
         }
     }
-    std::stable_sort(out.lines.begin(), out.lines.end(),
-        [](const ExplainedLine& a, const ExplainedLine& b) { return a.time < b.time; });
-    if (out.lines.empty())
+    if (lines.empty())
         return out;
+    for (auto& it : lines)
+        out.lines.push_back(std::move(it.second));
     for (const auto& [time, count] : gaps) {
         if (time >= out.lines.front().time && time <= out.lines.back().time)
             out.missing += count;
--- a/src/foxtailwheel/config/Routes.cpp
+++ b/src/foxtailwheel/config/Routes.cpp
@@ -10,8 +10,11 @@
     for (std::size_t i = 0; i < routes.size(); ++i)
         m_byHost[routes[i].host].push_back(i);
     for (auto& it : m_byHost) {
-        std::stable_sort(it.second.begin(), it.second.end(),
-            [this](std::size_t a, std::size_t b) { return routes[a].prefix.size() > routes[b].prefix.size(); });
+        std::sort(it.second.begin(), it.second.end(), [this](std::size_t a, std::size_t b) {
+            const auto longer = routes[a].prefix.size();
+            const auto other = routes[b].prefix.size();
+            return longer != other ? longer > other : a < b;
+        });
     }
 }
 
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -238,11 +238,13 @@
 
 void ForwardService::Impl::flushReleases()
 {
-    for (const auto& [server, handles] : std::exchange(releases, {})) {
+    for (const auto& it : std::exchange(releases, {})) {
+        const auto& server = it.first;
+        const auto& handles = it.second;
         const auto now = clock.now();
         http::CallEvents events;
         // A release that is lost costs room until the result's life is over, no more.
-        events.onDone = [server = server](const http::CallResult& result) {
+        events.onDone = [server](const http::CallResult& result) {
             if (result.end != http::CallEnd::Complete || result.response.status != 200)
                 telemetry::logDebug("release_failed", { { "server", server.toString() }, { "detail", result.detail } });
         };
