Changes that a cut-off poller does not pass on are seen within the bounds

Trace: node_cut (meet) parted the instance that asks for its zone from the others, which still reached the store; these asked for themselves only after 2.2 s without news.

--- a/src/foxtailwheel/control/TableFollower.cpp
+++ b/src/foxtailwheel/control/TableFollower.cpp
@@ -167,7 +167,7 @@
     if (std::exchange(table.available, false))
         changed(table, false);
     // One that is told by another leaves the probing to that one, and asks only as often as it would without news.
-    const auto pause = asking || !whole ? options.pause : options.silence;
+    const auto pause = asking || !whole ? options.pause : options.silence / 2;
     askLater(pause + fromSeconds(toSeconds(pause) * random.uniform()));
 }
 
