Results stay in the zone that reads them, and their room is counted as servers see it

Change: pieces go where most of the bytes that they take lie; stages that others follow go where a server is free, and the rest of a group follows its first pieces. What the next calls of a zone cannot take, or would make too late, may leave it (ZoneForecast). A server that was full or lacked room pauses alone, for results of that size. Released room counts 30 ms later, and releases leave after 5 ms. Results tell the waits of the queue. Goals of stages and early refusal use the usual time to the first event of the route (SmoothedTime).

The test muchWaitingFillsCallsInAnyZone was replaced: it asked that ten pieces leave a zone whose next call takes them; now just the four beyond that call leave, and the ten must leave with that call.

Ruled out: engines are a fifth busy; batch calls found no server full.

Conclusion: room and the reads of the next stage decide where pieces go, more than where the request runs.

--- a/include/foxtailwheel/peer/Messages_generated.h
+++ b/include/foxtailwheel/peer/Messages_generated.h
@@ -1647,7 +1647,9 @@
     VT_SENDER = 4,
     VT_GROUP = 6,
     VT_PIECES = 8,
-    VT_SERVICE = 10
+    VT_SERVICE = 10,
+    VT_WAITS_US = 12,
+    VT_LATE_US = 14
   };
   const foxtailwheel::peer::wire::Member *sender() const {
     return GetPointer<const foxtailwheel::peer::wire::Member *>(VT_SENDER);
@@ -1661,6 +1663,12 @@
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
   }
+  const flatbuffers::Vector<int64_t> *waits_us() const {
+    return GetPointer<const flatbuffers::Vector<int64_t> *>(VT_WAITS_US);
+  }
+  int64_t late_us() const {
+    return GetField<int64_t>(VT_LATE_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -1671,6 +1679,9 @@
            verifier.VerifyVectorOfTables(pieces()) &&
            VerifyOffset(verifier, VT_SERVICE) &&
            verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_WAITS_US) &&
+           verifier.VerifyVector(waits_us()) &&
+           VerifyField<int64_t>(verifier, VT_LATE_US, 8) &&
            verifier.EndTable();
   }
 };
@@ -1691,6 +1702,12 @@
   void add_service(flatbuffers::Offset<flatbuffers::String> service) {
     fbb_.AddOffset(PiecesMade::VT_SERVICE, service);
   }
+  void add_waits_us(flatbuffers::Offset<flatbuffers::Vector<int64_t>> waits_us) {
+    fbb_.AddOffset(PiecesMade::VT_WAITS_US, waits_us);
+  }
+  void add_late_us(int64_t late_us) {
+    fbb_.AddElement<int64_t>(PiecesMade::VT_LATE_US, late_us, 0);
+  }
   explicit PiecesMadeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1707,9 +1724,13 @@
     flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender = 0,
     uint64_t group = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::PieceMade>>> pieces = 0,
-    flatbuffers::Offset<flatbuffers::String> service = 0) {
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::Vector<int64_t>> waits_us = 0,
+    int64_t late_us = 0) {
   PiecesMadeBuilder builder_(_fbb);
+  builder_.add_late_us(late_us);
   builder_.add_group(group);
+  builder_.add_waits_us(waits_us);
   builder_.add_service(service);
   builder_.add_pieces(pieces);
   builder_.add_sender(sender);
@@ -1721,15 +1742,20 @@
     flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender = 0,
     uint64_t group = 0,
     const std::vector<flatbuffers::Offset<foxtailwheel::peer::wire::PieceMade>> *pieces = nullptr,
-    const char *service = nullptr) {
+    const char *service = nullptr,
+    const std::vector<int64_t> *waits_us = nullptr,
+    int64_t late_us = 0) {
   auto pieces__ = pieces ? _fbb.CreateVector<flatbuffers::Offset<foxtailwheel::peer::wire::PieceMade>>(*pieces) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto waits_us__ = waits_us ? _fbb.CreateVector<int64_t>(*waits_us) : 0;
   return foxtailwheel::peer::wire::CreatePiecesMade(
       _fbb,
       sender,
       group,
       pieces__,
-      service__);
+      service__,
+      waits_us__,
+      late_us);
 }
 
 struct ResultsReleased FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/include/foxtailwheel/serving/BatchQueue.h
+++ b/include/foxtailwheel/serving/BatchQueue.h
@@ -145,9 +145,9 @@
     /// @param results One for each piece where `end` is `Answered`, else ignored.
     void ended(CallId call, BatchEnd end, const std::vector<PieceResult>& results, TimePoint now,
         std::vector<BatchAction>& out);
-    /// @brief Results were released.
+    /// @brief Results are being released; `nextPump` tells when their room can be used.
     /// @return False where none of them was made by this queue.
-    bool released(const ReleaseResults& release, TimePoint now, std::vector<BatchAction>& out);
+    bool released(const ReleaseResults& release, TimePoint now);
     /// @brief Sends what can leave now; called when a server has come or time has passed.
     void pump(TimePoint now, std::vector<BatchAction>& out);
     /// @brief When `pump` is next needed, if nothing else happens.
--- a/include/foxtailwheel/serving/PieceBroker.h
+++ b/include/foxtailwheel/serving/PieceBroker.h
@@ -71,6 +71,7 @@
     PieceGroupId group;
     ServiceId service;
     std::vector<MadePiece> pieces;
+    QueueWaits waits; ///< For more pieces, as the queue stands now.
 
     friend bool operator==(const PiecesMade&, const PiecesMade&) = default;
 };
--- a/include/foxtailwheel/serving/ResultRoom.h
+++ b/include/foxtailwheel/serving/ResultRoom.h
@@ -4,7 +4,9 @@
 #include "foxtailwheel/base/Units.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace foxtailwheel::serving {
@@ -24,26 +26,32 @@
     void unreserve(const BackendServerId& server, std::uint64_t bytes);
     /// @brief A result lies at a server.
     void made(const BackendServerId& server, const std::string& handle, std::uint64_t bytes, TimePoint now);
-    /// @brief A result was released.
-    /// @return False where it is not known here.
-    bool released(const BackendServerId& server, const std::string& handle);
-    /// @brief The server said that it has no room: results of others lie there, so it gets none for a while.
-    void refused(const BackendServerId& server, TimePoint now);
+    /// @brief A result is being released; its room is free once the server has been told.
+    /// @return False where it is not known here, or was released before.
+    bool released(const BackendServerId& server, const std::string& handle, TimePoint now);
+    /// @brief When room of released results comes free next.
+    std::optional<TimePoint> nextFree(TimePoint now);
+    /// @brief The server said that it has no room for a result: others' results lie there, so it gets none of that size
+    /// for a while.
+    void refused(const BackendServerId& server, std::uint64_t bytes, TimePoint now);
 
 private:
     struct Result {
         std::uint64_t bytes = 0;
         TimePoint until;
+        bool releasing = false;
     };
     struct Server {
         std::uint64_t used = 0; ///< Reserved or made.
-        TimePoint fullUntil {};
+        std::uint64_t refusedBytes = 0; ///< Smallest result that was refused lately.
+        TimePoint refusedUntil {};
         std::map<std::string, Result> results;
     };
 
     std::map<BackendServerId, Server> m_servers;
     std::uint64_t m_bytes = 0;
     Duration m_life {};
+    std::deque<TimePoint> m_freeAt; ///< Of results that are being released, in ascending order.
 };
 
 } // namespace foxtailwheel::serving
--- /dev/null
+++ b/src/foxtailwheel/base/SmoothedTime.cpp
@@ -0,0 +1,20 @@
+#include "foxtailwheel/base/SmoothedTime.h"
+
+namespace foxtailwheel {
+
+namespace {
+
+    /// Shares of a new measurement, as a divisor; those of RFC 6298.
+    constexpr int meanDivisor = 8;
+    constexpr int deviationDivisor = 4;
+
+} // namespace
+
+void SmoothedTime::add(Duration measured)
+{
+    const auto error = measured - m_mean;
+    m_deviation += (std::chrono::abs(error) - m_deviation) / deviationDivisor;
+    m_mean += error / meanDivisor;
+}
+
+} // namespace foxtailwheel
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -18,8 +18,8 @@
     /// Longest time for a connection to a backend server: above a round trip between zones, below a lost packet's
     /// repetition, which comes after a second.
     constexpr Duration connectLimit = 250ms;
-    /// Releases of results wait this long for others to the same server.
-    constexpr Duration releaseDelay = 40ms;
+    /// Releases of results wait this long for others to the same server; more would hold room that waiting pieces need.
+    constexpr Duration releaseDelay = 5ms;
     constexpr Duration releaseLimit = 1s;
 
     struct Session {
--- a/src/foxtailwheel/peer/Message.cpp
+++ b/src/foxtailwheel/peer/Message.cpp
@@ -84,6 +84,14 @@
         return std::chrono::duration_cast<std::chrono::microseconds>(d).count();
     }
 
+    std::vector<std::int64_t> timelyWaits(const serving::QueueWaits& waits)
+    {
+        std::vector<std::int64_t> out;
+        for (const auto wait : waits.timely)
+            out.push_back(microseconds(wait));
+        return out;
+    }
+
     /// Packs one kind of news about pieces into its own table.
     struct PieceNewsPacker {
         FlatBufferBuilder& fbb;
@@ -99,9 +107,7 @@
         }
         flatbuffers::Offset<wire::Envelope> operator()(const serving::PiecesTaken& it) const
         {
-            std::vector<std::int64_t> waits;
-            for (const auto wait : it.waits.timely)
-                waits.push_back(microseconds(wait));
+            const auto waits = timelyWaits(it.waits);
             return wrap(wire::Body::PiecesTaken,
                 wire::CreatePiecesTakenDirect(
                     fbb, pack(fbb, sender), it.group.value(), &waits, microseconds(it.waits.late)));
@@ -116,9 +122,10 @@
             std::vector<flatbuffers::Offset<wire::PieceMade>> pieces;
             for (const auto& piece : it.pieces)
                 pieces.push_back(pack(fbb, piece));
+            const auto waits = timelyWaits(it.waits);
             return wrap(wire::Body::PiecesMade,
-                wire::CreatePiecesMadeDirect(
-                    fbb, pack(fbb, sender), it.group.value(), &pieces, it.service.value().c_str()));
+                wire::CreatePiecesMadeDirect(fbb, pack(fbb, sender), it.group.value(), &pieces,
+                    it.service.value().c_str(), &waits, microseconds(it.waits.late)));
         }
         flatbuffers::Offset<wire::Envelope> operator()(const serving::ReleaseResults& it) const
         {
@@ -271,19 +278,26 @@
         return out;
     }
 
+    /// The waits of a message that tells them.
+    template <class T> serving::QueueWaits unpackWaits(const T& message)
+    {
+        serving::QueueWaits waits;
+        const auto n = message.waits_us() == nullptr ? 0 : message.waits_us()->size();
+        for (flatbuffers::uoffset_t i = 0; i < std::min<std::size_t>(n, waits.timely.size()); ++i)
+            waits.timely.at(i) = std::chrono::microseconds(message.waits_us()->Get(i));
+        waits.late = std::chrono::microseconds(message.late_us());
+        return waits;
+    }
+
     serving::PiecesTaken unpack(const wire::PiecesTaken& taken)
     {
-        serving::PiecesTaken out { serving::PieceGroupId(taken.group()), {} };
-        const auto n = taken.waits_us() == nullptr ? 0 : taken.waits_us()->size();
-        for (flatbuffers::uoffset_t i = 0; i < std::min<std::size_t>(n, out.waits.timely.size()); ++i)
-            out.waits.timely.at(i) = std::chrono::microseconds(taken.waits_us()->Get(i));
-        out.waits.late = std::chrono::microseconds(taken.late_us());
-        return out;
+        return { serving::PieceGroupId(taken.group()), unpackWaits(taken) };
     }
 
     serving::PiecesMade unpack(const wire::PiecesMade& made)
     {
-        serving::PiecesMade out { serving::PieceGroupId(made.group()), ServiceId(textOf(made.service())), {} };
+        serving::PiecesMade out { serving::PieceGroupId(made.group()), ServiceId(textOf(made.service())), {},
+            unpackWaits(made) };
         if (made.pieces() == nullptr)
             return out;
         for (const auto* it : *made.pieces()) {
--- a/src/foxtailwheel/serving/BatchQueue.cpp
+++ b/src/foxtailwheel/serving/BatchQueue.cpp
@@ -2,6 +2,7 @@
 
 #include "foxtailwheel/serving/BatchForecast.h"
 #include "foxtailwheel/serving/ResultRoom.h"
+#include "foxtailwheel/serving/ZoneForecast.h"
 
 #include <algorithm>
 #include <cmath>
@@ -24,16 +25,16 @@
     constexpr double doublingShare = 2.2;
     /// Servers whose calls take longer than this multiple of the expected time are left alone while pieces can wait.
     constexpr double slowServer = 2.5;
-    /// From this part of a full round of calls on, waiting pieces fill calls in any zone.
-    constexpr double heavyLoad = 0.5;
     /// Times that a piece is put back after a server said that it did not start it or has no room.
     constexpr std::uint32_t mostReturns = 6;
-    /// Pause before the queue sends again after a server had no room.
-    constexpr Duration roomPause = 60ms;
+    /// Pause before a server that did not start a call is sent another: others fill its queue for about so long.
+    constexpr Duration busyPause = 60ms;
     /// Period in which waiting pieces are checked against their deadlines, and calls against their expected time.
     constexpr Duration checkPeriod = 100ms;
 
     using PieceId = std::pair<PieceGroupId, std::uint32_t>;
+    using RoomByZone = std::map<AvailabilityZoneId, std::uint64_t>; ///< Most room for results at a free server.
+    using Orders = std::set<std::uint64_t>; ///< Pieces by their order of arrival.
 
     struct Waiting {
         PieceGroupId group;
@@ -111,10 +112,12 @@
     std::size_t mostCalls(TimePoint now) const;
     double servers(TimePoint now) const { return static_cast<double>(mostCalls(now)); }
     bool sendOne(TimePoint now, std::vector<BatchAction>& out);
-    std::optional<AvailabilityZoneId> zoneToServe(
-        const std::map<AvailabilityZoneId, std::uint64_t>& free, TimePoint now) const;
-    bool mayLeaveZone(const Waiting& piece, TimePoint now) const;
-    std::vector<Waiting> take(const config::BackendServer& server, TimePoint now);
+    std::vector<config::BackendServer> freeServers(TimePoint now) const;
+    std::optional<AvailabilityZoneId> zoneToServe(const RoomByZone& free, const Orders& leaving) const;
+    Orders leavingZones(
+        const std::vector<config::BackendServer>& free, const RoomByZone& roomByZone, TimePoint now) const;
+    std::vector<Waiting> take(const config::BackendServer& server, const Orders& leaving, TimePoint now);
+    void keepTogether(const std::vector<Waiting>& sent, const AvailabilityZoneId& zone);
     void send(
         const config::BackendServer& server, std::vector<Waiting> pieces, TimePoint now, std::vector<BatchAction>& out);
     void check(TimePoint now, std::vector<BatchAction>& out);
@@ -137,7 +140,8 @@
     std::set<PieceId> twice; ///< Pieces that are in two calls, or in one and in the queue.
     std::set<PieceId> settled; ///< Of these, the ones that one call has decided.
     std::uint64_t arrivals = 0;
-    TimePoint pausedUntil {};
+    std::optional<TimePoint> roomFreeAt; ///< When released room may let a waiting piece go.
+    std::map<BackendServerId, TimePoint> busyUntil; ///< Servers that did not start a call.
     TimePoint checkedAt {};
 };
 
@@ -147,24 +151,43 @@
     return static_cast<std::size_t>(std::max(1.0, std::ceil(share * pool.slots(now))));
 }
 
-/// A piece leaves its zone, so that its result crosses zones, where the servers there are gone or would make it too
-/// late, and where so much waits that full calls are worth more.
-bool BatchQueue::Impl::mayLeaveZone(const Waiting& piece, TimePoint now) const
+/// Usable servers with a slot for this queue that were not full a moment ago.
+std::vector<config::BackendServer> BatchQueue::Impl::freeServers(TimePoint now) const
 {
-    if (static_cast<double>(waiting.size()) > heavyLoad * servers(now) * limits.pieces)
-        return true;
-    auto freeAt = TimePoint::max();
-    for (const auto& [id, call] : calls) {
-        if (call.server.zone == *piece.zone)
-            freeAt = std::min(freeAt, std::max(call.sentAt + call.expected, now));
+    auto free = pool.freeServers(limits.slots, now);
+    std::erase_if(free, [&](const config::BackendServer& it) {
+        const auto until = busyUntil.find(it.id);
+        return until != busyUntil.end() && until->second > now;
+    });
+    return free;
+}
+
+/// Pieces that may leave their zone, so that what they take or give crosses zones: those that the next calls there
+/// cannot take, those that would be made too late there, and those whose results have no room at an idle server there.
+Orders BatchQueue::Impl::leavingZones(
+    const std::vector<config::BackendServer>& free, const RoomByZone& roomByZone, TimePoint now) const
+{
+    ZoneForecast zones(forecast, limits.pieces);
+    for (const auto& it : free)
+        zones.addServer(it.zone, now);
+    for (const auto& it : calls)
+        zones.addServer(it.second.server.zone, std::max(it.second.sentAt + it.second.expected, now));
+    Orders leaving;
+    std::map<AvailabilityZoneId, std::size_t> ahead;
+    for (const auto& it : waiting) {
+        if (!it.zone)
+            continue;
+        const auto before = ahead[*it.zone]++;
+        const auto idle = roomByZone.find(*it.zone);
+        const bool noRoom = idle != roomByZone.end() && idle->second < it.resultBytes;
+        if (noRoom || zones.exceedsNextCalls(*it.zone, before) || zones.madeBy(*it.zone, before) > it.leaveZoneAfter)
+            leaving.insert(it.order);
     }
-    return freeAt == TimePoint::max() || freeAt + forecast.callTime(limits.pieces) > piece.leaveZoneAfter;
+    return leaving;
 }
 
 /// The zone of a free server that some piece may go to now, in the order in which pieces leave.
-/// @param free Most room for results at a free server, by zone.
-std::optional<AvailabilityZoneId> BatchQueue::Impl::zoneToServe(
-    const std::map<AvailabilityZoneId, std::uint64_t>& free, TimePoint now) const
+std::optional<AvailabilityZoneId> BatchQueue::Impl::zoneToServe(const RoomByZone& free, const Orders& leaving) const
 {
     const auto widest
         = std::max_element(free.begin(), free.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
@@ -172,22 +195,17 @@
         const auto home = it.zone ? free.find(*it.zone) : free.end();
         if (home != free.end() && home->second >= it.resultBytes)
             return home->first;
-        if ((!it.zone || mayLeaveZone(it, now)) && widest->second >= it.resultBytes)
+        if ((!it.zone || leaving.contains(it.order)) && widest->second >= it.resultBytes)
             return widest->first;
     }
     return std::nullopt;
 }
 
 /// Fills a call for `server`: first with the pieces that can meet their goal, as far as there is room for results.
-std::vector<Waiting> BatchQueue::Impl::take(const config::BackendServer& server, TimePoint now)
+std::vector<Waiting> BatchQueue::Impl::take(const config::BackendServer& server, const Orders& leaving, TimePoint now)
 {
     std::vector<Waiting> pieces;
     auto left = room.left(server.id, now);
-    std::set<std::uint64_t> leaving; ///< Judged before any is taken.
-    for (const auto& it : waiting) {
-        if (it.zone && *it.zone != server.zone && mayLeaveZone(it, now))
-            leaving.insert(it.order);
-    }
     const auto takeAll = [&](bool ofOtherZones, bool late) {
         for (auto it = waiting.begin(); it != waiting.end() && pieces.size() < limits.pieces;) {
             const auto next = std::next(it);
@@ -208,37 +226,63 @@
     return pieces;
 }
 
+/// The rest of a group that was free to go anywhere follows its first pieces, so that its results lie in one zone.
+void BatchQueue::Impl::keepTogether(const std::vector<Waiting>& sent, const AvailabilityZoneId& zone)
+{
+    std::set<PieceGroupId> groups;
+    for (const auto& it : sent) {
+        if (!it.zone)
+            groups.insert(it.group);
+    }
+    for (auto it = waiting.begin(); it != waiting.end();) {
+        const auto next = std::next(it);
+        if (!it->zone && groups.contains(it->group)) {
+            auto node = waiting.extract(it);
+            node.value().zone = zone;
+            waiting.insert(next, std::move(node));
+        }
+        it = next;
+    }
+}
+
 bool BatchQueue::Impl::sendOne(TimePoint now, std::vector<BatchAction>& out)
 {
     if (waiting.empty() || calls.size() >= mostCalls(now))
         return false;
-    std::map<AvailabilityZoneId, std::uint64_t> roomByZone;
-    for (const auto& it : pool.freeServers(limits.slots, now)) {
+    const auto free = freeServers(now);
+    if (free.empty())
+        return false;
+    RoomByZone roomByZone;
+    for (const auto& it : free) {
         auto& most = roomByZone[it.zone];
         most = std::max(most, room.left(it.id, now));
     }
-    if (roomByZone.empty())
-        return false;
-    const auto zone = zoneToServe(roomByZone, now);
+    const auto leaving = leavingZones(free, roomByZone, now);
+    const auto zone = zoneToServe(roomByZone, leaving);
     if (!zone)
         return false;
     routing::PlacementRequest wanted;
     wanted.mostOwnCalls = limits.slots;
     wanted.zone = *zone;
-    for (const auto& it : pool.freeServers(limits.slots, now)) {
+    for (const auto& it : free) {
         if (it.zone == *zone && room.left(it.id, now) < roomByZone[*zone])
             wanted.avoid.push_back(it.id);
     }
+    for (const auto& it : busyUntil) {
+        if (it.second > now)
+            wanted.avoid.push_back(it.first);
+    }
     if (!calls.empty())
         wanted.longest = fromSeconds(toSeconds(limits.callTime + limits.pieceTime) * slowServer);
     const auto placement = pool.place(wanted, now);
     if (!placement)
         return false;
-    auto pieces = take(placement->server, now);
+    auto pieces = take(placement->server, leaving, now);
     if (pieces.empty()) {
         pool.cancelled(placement->server.id, {}, now);
         return false;
     }
+    keepTogether(pieces, placement->server.zone);
     send(placement->server, std::move(pieces), now, out);
     return true;
 }
@@ -337,7 +381,6 @@
         return;
     }
     waiting.insert(std::move(piece));
-    pausedUntil = std::max(pausedUntil, now + roomPause);
 }
 
 /// The pool learns the time of a call with one piece, so calls of unlike size are brought to that size.
@@ -422,6 +465,8 @@
     m_impl->pool.ended(call.server.id, m_impl->reportOf(call, end, now), now);
     if (end == BatchEnd::Answered)
         m_impl->forecast.answered(call.pieces.size(), now - call.sentAt);
+    else if (end == BatchEnd::NotRun)
+        m_impl->busyUntil[call.server.id] = now + busyPause;
     m_impl->room.unreserve(call.server.id, call.resultBytes);
     for (std::size_t i = 0; i < call.pieces.size(); ++i) {
         auto& piece = call.pieces[i];
@@ -434,7 +479,7 @@
         const bool notMade = end == BatchEnd::NotRun || end == BatchEnd::Unreachable
             || (failure != nullptr && *failure == PieceFailure::NoRoom);
         if (failure != nullptr && *failure == PieceFailure::NoRoom)
-            m_impl->room.refused(call.server.id, now);
+            m_impl->room.refused(call.server.id, piece.resultBytes, now);
         if (notMade)
             m_impl->putBack(std::move(piece), *failure, now, out);
         else
@@ -443,29 +488,34 @@
     pump(now, out);
 }
 
-bool BatchQueue::released(const ReleaseResults& release, TimePoint now, std::vector<BatchAction>& out)
+bool BatchQueue::released(const ReleaseResults& release, TimePoint now)
 {
     bool known = false;
     for (const auto& it : release.handles)
-        known = m_impl->room.released(release.maker.id, it) || known;
-    if (known)
-        pump(now, out);
+        known = m_impl->room.released(release.maker.id, it, now) || known;
+    if (known && !m_impl->waiting.empty())
+        m_impl->roomFreeAt = m_impl->room.nextFree(now);
     return known;
 }
 
 void BatchQueue::pump(TimePoint now, std::vector<BatchAction>& out)
 {
     m_impl->check(now, out);
-    if (now < m_impl->pausedUntil)
-        return;
+    std::erase_if(m_impl->busyUntil, [now](const auto& it) { return it.second <= now; });
     while (m_impl->sendOne(now, out)) { }
+    m_impl->roomFreeAt = m_impl->waiting.empty() ? std::nullopt : m_impl->room.nextFree(now);
 }
 
 std::optional<TimePoint> BatchQueue::nextPump() const
 {
     if (m_impl->waiting.empty() && m_impl->calls.empty())
         return std::nullopt;
-    return std::max(m_impl->pausedUntil, m_impl->checkedAt + checkPeriod);
+    auto next = m_impl->checkedAt + checkPeriod;
+    for (const auto& it : m_impl->busyUntil)
+        next = std::min(next, it.second);
+    if (m_impl->roomFreeAt)
+        next = std::min(next, *m_impl->roomFreeAt);
+    return next;
 }
 
 std::size_t BatchQueue::waiting() const
--- a/src/foxtailwheel/serving/BatchQueueTest.cpp
+++ b/src/foxtailwheel/serving/BatchQueueTest.cpp
@@ -136,7 +136,7 @@
     cr_assert_eq(world.sent[1].pieces.front().request, "r3");
 }
 
-Test(BatchQueue, muchWaitingFillsCallsInAnyZone)
+Test(BatchQueue, whatTheNextCallsOfAZoneCannotTakeFillsCallsElsewhere)
 {
     World world({ "a", "b" });
     world.add(1, 1, start, 0, 2s, 8s, "a");
@@ -145,7 +145,55 @@
     world.end(world.sent[1], start + 217ms);
     cr_assert_eq(world.sent.size(), 3);
     cr_assert_eq(world.sent[2].server.zone.value(), "b");
+    cr_assert_eq(world.sent[2].pieces.size(), 4, "the next call in the own zone takes ten");
+    world.end(world.sent[0], start + 218ms);
+    cr_assert_eq(world.sent.size(), 4);
+    cr_assert_eq(world.sent[3].server.zone.value(), "a");
+    cr_assert_eq(world.sent[3].pieces.size(), 10);
+}
+
+Test(BatchQueue, piecesOfABusyZoneStayThereWhileItsNextCallTakesThem)
+{
+    World world({ "a", "b" });
+    world.add(1, 1, start, 0, 2s, 8s, "a");
+    world.add(2, 9, start + 10ms, 0, 2s, 8s, "a");
+    cr_assert_eq(world.sent.size(), 1, "nothing crosses zones");
+    world.end(world.sent[0], start + 217ms);
+    cr_assert_eq(world.sent.size(), 2);
+    cr_assert_eq(world.sent[1].pieces.size(), 9);
+}
+
+Test(BatchQueue, theRestOfAGroupFollowsItsFirstPieces)
+{
+    World world({ "a", "b" });
+    world.add(1, 1, start, 0, 2s, 8s, "a");
+    world.add(2, 1, start, 0, 2s, 8s, "b");
+    world.add(3, 14, start + 10ms);
+    world.end(world.sent[1], start + 217ms);
+    cr_assert_eq(world.sent.size(), 3);
     cr_assert_eq(world.sent[2].pieces.size(), 10);
+    world.end(world.sent[0], start + 218ms);
+    cr_assert_eq(world.sent.size(), 3, "the other four wait for the same zone");
+    world.end(world.sent[2], start + 590ms);
+    cr_assert_eq(world.sent.at(3).server.zone.value(), "b");
+    cr_assert_eq(world.sent[3].pieces.size(), 4);
+}
+
+Test(BatchQueue, aServerWithoutRoomForALargeResultDelaysNoOther)
+{
+    World world({ "a", "b" });
+    world.add(1, 1, start, 0, 2s, 8s, "a", 5'000'000);
+    const auto call = world.sent.at(0);
+    world.add(2, 1, start, 0, 2s, 8s, "b", 5'000'000);
+    world.take([&](auto& actions) {
+        world.queue->ended(call.call, BatchEnd::Answered, { PieceFailure::NoRoom }, start + 200ms, actions);
+    });
+    world.end(world.sent[1], start + 201ms);
+    cr_assert_eq(world.sent.size(), 3);
+    cr_assert_eq(world.sent[2].server.zone.value(), "b", "the large one goes where there is room");
+    world.add(3, 1, start + 202ms, 0, 2s, 8s, "a", 8000);
+    cr_assert_eq(world.sent.size(), 4, "a small result has room where a large one has none");
+    cr_assert_eq(world.sent[3].server.zone.value(), "a");
 }
 
 Test(BatchQueue, resultsNeverExceedTheRoomOfTheirMaker)
@@ -156,7 +204,10 @@
     world.end(world.sent[0], start + 300ms);
     cr_assert_eq(world.sent.size(), 1, "no room until something is released");
     ReleaseResults release { ServiceId("portal"), world.sent[0].server, { "r1/0", "r1/1" } };
-    world.take([&](auto& actions) { cr_assert(world.queue->released(release, start + 310ms, actions)); });
+    cr_assert(world.queue->released(release, start + 310ms));
+    cr_assert_eq(world.sent.size(), 1, "the release is on its way");
+    cr_assert_eq(*world.queue->nextPump(), start + 340ms);
+    world.pump(start + 340ms);
     cr_assert_eq(world.sent.size(), 2);
     cr_assert_eq(world.sent[1].pieces.size(), 2);
 }
@@ -265,18 +316,21 @@
     room.made(server, "a", 30, start);
     room.made(server, "b", 30, start);
     cr_assert_eq(room.left(server, start), 40);
-    cr_assert(room.released(server, "a"));
-    cr_assert(!room.released(server, "a"));
-    cr_assert_eq(room.left(server, start), 70);
+    cr_assert(room.released(server, "a", start));
+    cr_assert(!room.released(server, "a", start));
+    cr_assert_eq(room.left(server, start), 40, "the server has not been told yet");
+    cr_assert_eq(*room.nextFree(start), start + 30ms);
+    cr_assert_eq(room.left(server, start + 30ms), 70);
+    cr_assert(!room.nextFree(start + 30ms));
     cr_assert_eq(room.left(server, start + 4s), 100);
 }
 
-Test(ResultRoom, aServerThatRefusedAResultCountsAsFullForAWhile)
+Test(ResultRoom, aServerThatRefusedAResultHasLessRoomThanItNeedsForAWhile)
 {
     const BackendServerId server("s");
     ResultRoom room;
     room.setLimits(100, 4s);
-    room.refused(server, start);
-    cr_assert_eq(room.left(server, start + 200ms), 0);
+    room.refused(server, 40, start);
+    cr_assert_eq(room.left(server, start + 200ms), 39);
     cr_assert_eq(room.left(server, start + 400ms), 100);
 }
--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -23,6 +23,8 @@
     constexpr Duration streamSilence = 1100ms;
     /// Part of its time that a request must have left to be worth sending.
     constexpr Duration leastTimeToSend = 5ms;
+    /// Time from sending a request to the first event of its answer, until it is measured.
+    constexpr Duration initialAnswerTime = 150ms;
 
 } // namespace
 
@@ -99,6 +101,19 @@
     run.calls.erase(it);
 }
 
+/// Time from the last stage's results to the first event of an answer, as it is for most requests of the route.
+Duration RoutingForwarder::answerTime(const ForwardRun& run) const
+{
+    const auto it = m_answerTimes.find(run.route->name);
+    return it == m_answerTimes.end() ? initialAnswerTime : it->second.usual();
+}
+
+void RoutingForwarder::learnAnswerTime(const ForwardRun& run, const OpenCall& call, TimePoint now)
+{
+    const auto it = m_answerTimes.try_emplace(run.route->name, initialAnswerTime).first;
+    it->second.add(now - call.sentAt);
+}
+
 void RoutingForwarder::onHead(CallId call, http::Response head, TimePoint now, ForwardActions& out)
 {
     auto* run = ownerOf(call);
@@ -107,6 +122,7 @@
     auto* open = run->findCall(call);
     open->headSeen = true;
     run->lastBytesAt = now;
+    learnAnswerTime(*run, *open, now);
     // The first event shows that the server has read its inputs.
     for (StageIndex i = 0; i < run->stages.size(); ++i)
         releaseStage(*run, i, now, out);
--- a/src/foxtailwheel/serving/ForwardRequests.cpp
+++ b/src/foxtailwheel/serving/ForwardRequests.cpp
@@ -201,7 +201,8 @@
 std::optional<Duration> RoutingForwarder::overloaded(const ForwardRun& run, TimePoint now) const
 {
     const auto goalLeft = run.begunAt + run.route->goal - now;
-    if (expectedTime(run, false, now) <= goalLeft)
+    const auto stages = expectedTime(run, false, now);
+    if (stages == Duration {} || stages + answerTime(run) <= goalLeft)
         return std::nullopt;
     const auto left = run.timeLeft(now);
     const auto expected = expectedTime(run, true, now);
--- a/src/foxtailwheel/serving/ForwardStages.cpp
+++ b/src/foxtailwheel/serving/ForwardStages.cpp
@@ -12,8 +12,6 @@
     constexpr std::uint32_t mostGroupTries = 3;
     /// Times that all stages of a request are made again because a result was gone.
     constexpr std::uint32_t mostRestarts = 1;
-    /// Time from the last stage's results to the first event of an answer.
-    constexpr Duration leastAnswerTime = 150ms;
     /// Part of a full call that pieces of a busy stage wait before they leave: the mean, since calls end at any time.
     constexpr double waitShare = 0.5;
 
@@ -65,7 +63,7 @@
 /// When the results of a stage are wanted: the request's goal less the usual time of what follows.
 TimePoint RoutingForwarder::goalOf(const ForwardRun& run, StageIndex stage) const
 {
-    Duration after = leastAnswerTime;
+    Duration after = answerTime(run);
     std::vector<bool> follows(run.stages.size(), false);
     for (StageIndex i = stage + 1; i < run.stages.size(); ++i) {
         const auto& needs = run.route->stages[i].needs;
@@ -85,12 +83,33 @@
             [](const StageProgress& it) { return it.missing > 0; });
 }
 
+/// Where the pieces of a stage should be made, so that the least crosses zones: each piece takes all results of the
+/// stages before, and its own result goes to where the request runs. Pieces of other stages go where there is a server.
+std::optional<AvailabilityZoneId> RoutingForwarder::zoneOf(const ForwardRun& run, StageIndex stage)
+{
+    const auto& declared = run.route->stages[stage];
+    std::map<AvailabilityZoneId, std::uint64_t> inputs;
+    for (const auto needed : declared.needs) {
+        for (const auto& it : run.stages[needed].results)
+            inputs[it->maker.zone] += run.route->stages[needed].resultBytes;
+    }
+    const auto most = std::max_element(
+        inputs.begin(), inputs.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+    if (most != inputs.end() && most->second >= declared.resultBytes)
+        return most->first;
+    const auto& stages = run.route->stages;
+    const bool followed = std::any_of(stages.begin(), stages.end(), [stage](const config::RouteStage& it) {
+        return std::find(it.needs.begin(), it.needs.end(), stage) != it.needs.end();
+    });
+    return followed ? std::nullopt : run.homeZone;
+}
+
 /// The pieces of a stage that have no result yet.
 PieceGroup RoutingForwarder::groupOf(const ForwardRun& run, StageIndex stage, TimePoint now) const
 {
     const auto& progress = run.stages[stage];
     const auto goal = goalOf(run, stage);
-    PieceGroup group { progress.group, {}, run.priority, goal, run.deadline, run.homeZone,
+    PieceGroup group { progress.group, {}, run.priority, goal, run.deadline, zoneOf(run, stage),
         now + (goal - now) / stagesFrom(run, stage), run.route->stages[stage].resultBytes, progress.tries > 0 };
     for (std::uint32_t i = 0; i < progress.results.size(); ++i) {
         if (!progress.results[i])
@@ -139,9 +158,10 @@
     }
     for (const auto& it : m_directory.services()) {
         const auto at = it.second.batches ? it.second.batches->nextPump() : std::nullopt;
-        if (!at || m_pumpTimers.contains(it.first))
+        const auto set = m_pumpTimers.find(it.first);
+        if (!at || (set != m_pumpTimers.end() && set->second <= *at))
             continue;
-        m_pumpTimers.insert(it.first);
+        m_pumpTimers[it.first] = *at;
         setTimer(std::max(*at, now), { TimerKind::Batches, {}, {}, it.first });
     }
 }
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -45,10 +45,10 @@
     return out;
 }
 
-AnnouncedServer server(const std::string& id, const std::string& service, bool leaving = false)
+AnnouncedServer server(const std::string& id, const std::string& service, const std::string& zone = "a")
 {
     static std::uint16_t port = 9000;
-    return { { BackendServerId(id), "127.0.0.1", ++port, AvailabilityZoneId("a") }, ServiceId(service), leaving, 6 };
+    return { { BackendServerId(id), "127.0.0.1", ++port, AvailabilityZoneId(zone) }, ServiceId(service), false, 6 };
 }
 
 struct World {
@@ -334,6 +334,21 @@
     cr_assert_eq(world.released.size(), 5, "the first event shows that the inputs were read");
 }
 
+Test(Forwarder, aStageIsMadeInTheZoneOfTheResultsThatItTakes)
+{
+    World world;
+    world.servers
+        = { server("m1", "model"), server("p1", "portal", "b"), server("b1", "bill"), server("b2", "bill", "b") };
+    world.run([&](auto& out) { world.forwarder->setServers(world.servers, start, out); });
+    for (std::size_t i = 0; i < 6; ++i) {
+        world.pieces = { 2, 3 };
+        world.submit("staged", start + i * 700ms);
+        world.endBatch(world.batches.at(2 * i), start + i * 700ms + 234ms);
+        cr_assert_eq(world.batches.at(2 * i + 1).server.id.value(), "b2");
+        world.endBatch(world.batches[2 * i + 1], start + i * 700ms + 500ms);
+    }
+}
+
 Test(Forwarder, aStageWithoutPiecesIsLeftOut)
 {
     World world;
--- a/src/foxtailwheel/serving/PieceBroker.cpp
+++ b/src/foxtailwheel/serving/PieceBroker.cpp
@@ -92,8 +92,8 @@
     void makeHere(const ServiceId& service, PieceGroup group, TimePoint now, BrokerActions& out);
     void askOwner(
         const InstanceId& owner, const ServiceId& service, PieceGroup group, TimePoint now, BrokerActions& out);
-    std::vector<PieceGroupId> carryOn(const std::vector<BatchAction>& actions, BrokerActions& out);
-    void carry(const std::vector<BatchAction>& actions, BrokerActions& out);
+    std::vector<PieceGroupId> carryOn(const std::vector<BatchAction>& actions, TimePoint now, BrokerActions& out);
+    void carry(const std::vector<BatchAction>& actions, TimePoint now, BrokerActions& out);
     void takeBack(PieceGroupId group, TimePoint now, BrokerActions& out);
     void onAsked(const InstanceId& from, const PiecesAsked& asked, TimePoint now, BrokerActions& out);
     void onTaken(const InstanceId& from, const PiecesTaken& taken, TimePoint now);
@@ -104,7 +104,7 @@
     void beat(TimePoint now, BrokerActions& out);
     void takeOwn(const ServiceId& service, BrokerActions given, TimePoint now, BrokerActions& out);
     InstanceId ownerOf(const ServiceId& service, TimePoint now) const;
-    bool releaseHere(const ReleaseResults& release, TimePoint now, BrokerActions& out);
+    bool releaseHere(const ReleaseResults& release, TimePoint now);
 
     InstanceId self;
     FindQueue findQueue;
@@ -136,7 +136,7 @@
     ownGroups[theirs].id = theirs;
     std::vector<BatchAction> actions;
     queue->add(std::move(group), now, actions);
-    carry(actions, out);
+    carry(actions, now, out);
 }
 
 void PieceBroker::Impl::askOwner(
@@ -152,7 +152,8 @@
 
 /// Passes calls on, and results to who asked for them; results of one asker's group go in one message.
 /// @return This instance's own groups that are done.
-std::vector<PieceGroupId> PieceBroker::Impl::carryOn(const std::vector<BatchAction>& actions, BrokerActions& out)
+std::vector<PieceGroupId> PieceBroker::Impl::carryOn(
+    const std::vector<BatchAction>& actions, TimePoint now, BrokerActions& out)
 {
     std::vector<PieceGroupId> finished;
     std::map<std::pair<InstanceId, PieceGroupId>, PiecesMade> remote;
@@ -179,14 +180,17 @@
             finished.push_back(group.theirs);
         queued.erase(entry);
     }
-    for (auto& it : remote)
+    for (auto& it : remote) {
+        if (const auto* queue = findQueue(it.second.service))
+            it.second.waits = waitsOf(*queue, 1, now);
         out.emplace_back(TellInstance { it.first.first, std::move(it.second) });
+    }
     return finished;
 }
 
-void PieceBroker::Impl::carry(const std::vector<BatchAction>& actions, BrokerActions& out)
+void PieceBroker::Impl::carry(const std::vector<BatchAction>& actions, TimePoint now, BrokerActions& out)
 {
-    for (const auto id : carryOn(actions, out))
+    for (const auto id : carryOn(actions, now, out))
         ownGroups.erase(id);
 }
 
@@ -228,7 +232,7 @@
     out.emplace_back(TellInstance { from, taken });
     std::vector<BatchAction> actions;
     queue->add(std::move(group), now, actions);
-    carry(actions, out);
+    carry(actions, now, out);
 }
 
 void PieceBroker::Impl::onTaken(const InstanceId& from, const PiecesTaken& taken, TimePoint now)
@@ -253,6 +257,7 @@
 
 void PieceBroker::Impl::onMade(const InstanceId& from, const PiecesMade& made, TimePoint now, BrokerActions& out)
 {
+    told[made.service] = { made.waits, now };
     const auto it = asked.find(made.group);
     PieceGroup moved;
     for (const auto& piece : made.pieces) {
@@ -327,7 +332,7 @@
         std::vector<BatchAction> actions;
         queue->handOver(actions);
         BrokerActions given;
-        const auto finished = carryOn(actions, given);
+        const auto finished = carryOn(actions, now, given);
         takeOwn(service, std::move(given), now, out);
         for (const auto id : finished)
             ownGroups.erase(id);
@@ -448,26 +453,23 @@
     else if (const auto* made = std::get_if<PiecesMade>(&message))
         m_impl->onMade(from, *made, now, out);
     else if (const auto* release = std::get_if<ReleaseResults>(&message)) {
-        m_impl->releaseHere(*release, now, out);
+        m_impl->releaseHere(*release, now);
         out.emplace_back(*release);
     }
 }
 
 /// Gives the room of results back to the queue that had them made.
 /// @return False where that is not this instance's queue.
-bool PieceBroker::Impl::releaseHere(const ReleaseResults& release, TimePoint now, BrokerActions& out)
+bool PieceBroker::Impl::releaseHere(const ReleaseResults& release, TimePoint now)
 {
     auto* queue = findQueue(release.service);
-    std::vector<BatchAction> actions;
-    const bool known = queue != nullptr && queue->released(release, now, actions);
-    carry(actions, out);
-    return known;
+    return queue != nullptr && queue->released(release, now);
 }
 
 void PieceBroker::release(ReleaseResults release, TimePoint now, BrokerActions& out)
 {
     const auto owner = ownerOf(release.service, now);
-    const bool known = m_impl->releaseHere(release, now, out);
+    const bool known = m_impl->releaseHere(release, now);
     if (known || owner == m_impl->self)
         out.emplace_back(std::move(release));
     else
@@ -482,7 +484,7 @@
         return;
     std::vector<BatchAction> actions;
     queue->ended(call, end, results, now, actions);
-    m_impl->carry(actions, out);
+    m_impl->carry(actions, now, out);
 }
 
 void PieceBroker::pump(const ServiceId& service, TimePoint now, BrokerActions& out)
@@ -492,7 +494,7 @@
         return;
     std::vector<BatchAction> actions;
     queue->pump(now, actions);
-    m_impl->carry(actions, out);
+    m_impl->carry(actions, now, out);
 }
 
 void PieceBroker::onTime(TimePoint now, BrokerActions& out)
--- a/src/foxtailwheel/serving/PieceBrokerTest.cpp
+++ b/src/foxtailwheel/serving/PieceBrokerTest.cpp
@@ -287,3 +287,19 @@
     cr_assert_neq(heir(), group.owner());
     cr_assert_eq(group.instances.at(heir()).sent.size(), 1);
 }
+
+Test(PieceBroker, resultsTellHowTheQueueStands)
+{
+    Group group(3, 1);
+    const auto asker = group.other(0);
+    group.ask(asker, 1, 1, start);
+    // Others fill the queue after the asker was told that it is empty.
+    for (std::uint64_t i = 1; i < 20; ++i)
+        group.ask(group.other(1), i, 3, start + 10ms);
+    const auto wait
+        = [&](TimePoint now) { return group.instances.at(asker).broker->expectedWait(portal, 0, false, 1, now); };
+    const auto before = wait(start + 200ms);
+    group.endCalls(group.owner(), start + 217ms);
+    cr_assert_gt(wait(start + 230ms), 3 * before);
+    cr_assert_gt(wait(start + 1000ms), 3 * before, "the last word counts from when it was said");
+}
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -2,6 +2,7 @@
 
 #include "ForwardRun.h"
 #include "ServerDirectory.h"
+#include "foxtailwheel/base/SmoothedTime.h"
 #include "foxtailwheel/serving/Forwarder.h"
 
 #include <map>
@@ -100,8 +101,11 @@
     void restartStages(ForwardRun& run, TimePoint now, ForwardActions& out);
     Piece pieceOf(const ForwardRun& run, StageIndex stage, std::uint32_t index) const;
     void carry(BrokerActions actions, TimePoint now, ForwardActions& out);
+    Duration answerTime(const ForwardRun& run) const;
+    void learnAnswerTime(const ForwardRun& run, const OpenCall& call, TimePoint now);
     TimePoint goalOf(const ForwardRun& run, StageIndex stage) const;
     PieceGroup groupOf(const ForwardRun& run, StageIndex stage, TimePoint now) const;
+    static std::optional<AvailabilityZoneId> zoneOf(const ForwardRun& run, StageIndex stage);
     static long stagesFrom(const ForwardRun& run, StageIndex stage);
     void takePiece(const PieceDone& piece, TimePoint now, ForwardActions& out);
     void pieceFailed(ForwardRun& run, StageIndex stage, const PieceDone& piece, PieceFailure failure, TimePoint now,
@@ -141,7 +145,8 @@
     std::unordered_map<PieceGroupId, GroupOwner> m_groups;
     std::multimap<TimePoint, Timer> m_timers;
     std::unordered_map<std::string, CallerTime> m_callerTimes; ///< By route.
-    std::set<ServiceId> m_pumpTimers; ///< Services whose queue has a timer.
+    std::unordered_map<std::string, SmoothedTime> m_answerTimes; ///< From sending to the first event, by route.
+    std::map<ServiceId, TimePoint> m_pumpTimers; ///< When the queue of a service is looked at next.
     TimePoint m_confirmedAt {};
     std::uint64_t m_lastRun = 0;
     std::uint64_t m_lastCall = 0;
