The next batch call leaves as the one before is about to end; changes of tables come together

Between two calls a server of another zone waits for the answer, a new connection and the next call: four ways between zones, 8% of its time, while pieces wait.

Change: a server takes its next call 25 ms before the one in progress should end; one call waits there at most, none behind a call that is overdue (CallsInProgress). A follower of a table pauses for 100 ms after changes. batch_sent and batch_ended tell waits and times.

Test theNextCallLeavesAsTheOneBeforeIsAboutToEnd and changesInQuickSuccessionComeWithOneCall were written with the change; on the code before the second call leaves at the end of the first, and the next call of a follower at once. Two tests of zones got times at which the other server is not about to end.

--- a/include/foxtailwheel/control/TableFollower.h
+++ b/include/foxtailwheel/control/TableFollower.h
@@ -19,6 +19,8 @@
     Duration answerLimit = std::chrono::milliseconds(1200); ///< Beyond `wait`; then the call counts as lost.
     Duration probeLimit = std::chrono::milliseconds(500); ///< For an answer while the store is away.
     Duration pause = std::chrono::milliseconds(250); ///< Before the next call after a failure, with jitter.
+    Duration gather
+        = std::chrono::milliseconds(100); ///< Before the next call after changes, so that they come together.
     Duration silence {}; ///< A follower that is told by another asks the store itself after this long without news.
     std::uint64_t seed = 1;
 };
--- a/include/foxtailwheel/serving/BatchQueue.h
+++ b/include/foxtailwheel/serving/BatchQueue.h
@@ -98,6 +98,8 @@
     std::vector<Piece> pieces;
     std::vector<Duration> timeLeft; ///< For each piece.
     TimePoint deadline; ///< The call is given up then.
+    Duration waited {}; ///< Of the piece that waited longest in the queue.
+    std::size_t left = 0; ///< Pieces that still wait for the service.
 };
 
 /// @brief One piece of a group is decided.
--- a/src/foxtailwheel/control/TableFollower.cpp
+++ b/src/foxtailwheel/control/TableFollower.cpp
@@ -39,7 +39,7 @@
 
     void ask();
     void askLater(Duration delay);
-    void goOn();
+    void goOn(bool changesCame);
     void watch();
     void takeNews(const TableNews& news);
     void take(store::FeedAnswer answer, TimePoint sentAt, std::uint64_t after);
@@ -91,10 +91,12 @@
     });
 }
 
-/// Asks again, or waits for news.
-void TableFollower::Impl::goOn()
+/// Asks again, or waits for news. Where much changes at once, as when servers start, one call brings many changes.
+void TableFollower::Impl::goOn(bool changesCame)
 {
-    if (asking || !whole)
+    if ((asking || !whole) && changesCame)
+        askLater(options.gather);
+    else if (asking || !whole)
         ask();
     else
         watch();
@@ -190,10 +192,10 @@
     if (tell && asking && whole)
         tell({ options.table, from, answer });
     const bool rowsChanged = merge(std::move(answer.rows));
-    whole = true;
+    const bool followed = std::exchange(whole, true);
     version = std::max(version, answer.version);
     changed(table, rowsChanged);
-    goOn();
+    goOn(followed && rowsChanged);
 }
 
 TableFollower::TableFollower(
--- a/src/foxtailwheel/control/TableFollowerTest.cpp
+++ b/src/foxtailwheel/control/TableFollowerTest.cpp
@@ -91,6 +91,19 @@
     cr_assert_eq(world.told.size(), 1, "changes are told to the others, the first reading is not");
 }
 
+Test(TableFollower, changesInQuickSuccessionComeWithOneCall)
+{
+    World world;
+    world.feed.answer(World::rows(5, { { "a", "1" } }));
+    world.feed.answer(World::rows(6, { { "b", "1" } }));
+    cr_assert_eq(world.feed.asked.size(), 0, "others may change within a moment");
+    cr_assert_eq(world.later.back().first, 100ms);
+    world.runLater(100ms);
+    cr_assert_eq(world.feed.asked.front().after, 6);
+    world.feed.answer(World::rows(6, {}));
+    cr_assert_eq(world.feed.asked.size(), 1, "without changes the next call follows at once");
+}
+
 Test(TableFollower, aLostHistoryIsReadAnew)
 {
     World world;
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -61,7 +61,7 @@
     void onHead(CallId id, const http::Response& head);
     void onData(CallId id, std::string_view bytes);
     void onDone(CallId id, http::CallResult result);
-    void onBatchDone(const serving::SendBatch& batch, const http::CallResult& result);
+    void onBatchDone(const serving::SendBatch& batch, TimePoint sentAt, const http::CallResult& result);
     void flushReleases();
     void setWake();
     void wake();
@@ -194,16 +194,22 @@
 
 void ForwardService::Impl::carry(serving::SendBatch& batch)
 {
+    telemetry::logInfo("batch_sent",
+        { { "call", std::to_string(batch.call.value()) }, { "service", batch.service.value() },
+            { "server", batch.server.id.value() }, { "pieces", std::to_string(batch.pieces.size()) },
+            { "waited_ms", std::to_string(static_cast<long>(toMilliseconds(batch.waited))) },
+            { "still_waiting", std::to_string(batch.left) } });
     http::CallRequest request { { batch.server.host, batch.server.port }, protocol.encodeBatch(batch),
         clock.now() + connectLimit, batch.deadline, false };
     request.newConnection = true;
     http::CallEvents events;
-    events.onDone = [self = shared_from_this(), sent = batch](
-                        const http::CallResult& result) { self->onBatchDone(sent, result); };
+    events.onDone = [self = shared_from_this(), sent = batch, sentAt = clock.now()](
+                        const http::CallResult& result) { self->onBatchDone(sent, sentAt, result); };
     client.start(std::move(request), std::move(events));
 }
 
-void ForwardService::Impl::onBatchDone(const serving::SendBatch& batch, const http::CallResult& result)
+void ForwardService::Impl::onBatchDone(
+    const serving::SendBatch& batch, TimePoint sentAt, const http::CallResult& result)
 {
     backend::BatchAnswer answer;
     if (result.end == http::CallEnd::NotSent)
@@ -211,9 +217,10 @@
     else if (result.end == http::CallEnd::Complete)
         answer = protocol.decodeBatch(batch, result.response);
     telemetry::logInfo("batch_ended",
-        { { "call", std::to_string(batch.call.value()) }, { "server", batch.server.id.value() },
-            { "pieces", std::to_string(batch.pieces.size()) }, { "end", std::to_string(static_cast<int>(answer.end)) },
-            { "detail", result.detail } });
+        { { "call", std::to_string(batch.call.value()) }, { "service", batch.service.value() },
+            { "server", batch.server.id.value() }, { "pieces", std::to_string(batch.pieces.size()) },
+            { "after_ms", std::to_string(static_cast<long>(toMilliseconds(clock.now() - sentAt))) },
+            { "end", std::string(toString(answer.end)) }, { "detail", result.detail } });
     serving::ForwardActions actions;
     forwarder->onBatchEnd(batch.call, answer.end, answer.results, clock.now(), actions);
     perform(std::move(actions));
--- a/src/foxtailwheel/serving/BatchQueueTest.cpp
+++ b/src/foxtailwheel/serving/BatchQueueTest.cpp
@@ -139,14 +139,14 @@
 Test(BatchQueue, whatTheNextCallsOfAZoneCannotTakeFillsCallsElsewhere)
 {
     World world({ "a", "b" });
-    world.add(1, 1, start, 0, 2s, 8s, "a");
+    world.add(1, 5, start, 0, 2s, 8s, "a");
     world.add(2, 1, start, 0, 2s, 8s, "b");
     world.add(3, 14, start, 0, 2s, 8s, "a");
     world.end(world.sent[1], start + 217ms);
     cr_assert_eq(world.sent.size(), 3);
     cr_assert_eq(world.sent[2].server.zone.value(), "b");
     cr_assert_eq(world.sent[2].pieces.size(), 4, "the next call in the own zone takes ten");
-    world.end(world.sent[0], start + 218ms);
+    world.end(world.sent[0], start + 285ms);
     cr_assert_eq(world.sent.size(), 4);
     cr_assert_eq(world.sent[3].server.zone.value(), "a");
     cr_assert_eq(world.sent[3].pieces.size(), 10);
@@ -166,13 +166,13 @@
 Test(BatchQueue, theRestOfAGroupFollowsItsFirstPieces)
 {
     World world({ "a", "b" });
-    world.add(1, 1, start, 0, 2s, 8s, "a");
+    world.add(1, 5, start, 0, 2s, 8s, "a");
     world.add(2, 1, start, 0, 2s, 8s, "b");
     world.add(3, 14, start + 10ms);
     world.end(world.sent[1], start + 217ms);
     cr_assert_eq(world.sent.size(), 3);
     cr_assert_eq(world.sent[2].pieces.size(), 10);
-    world.end(world.sent[0], start + 218ms);
+    world.end(world.sent[0], start + 285ms);
     cr_assert_eq(world.sent.size(), 3, "the other four wait for the same zone");
     world.end(world.sent[2], start + 590ms);
     cr_assert_eq(world.sent.at(3).server.zone.value(), "b");
@@ -212,6 +212,33 @@
     cr_assert_eq(world.sent[1].pieces.size(), 2);
 }
 
+Test(BatchQueue, theNextCallLeavesAsTheOneBeforeIsAboutToEnd)
+{
+    World world({ "a" });
+    world.add(1, 1, start);
+    world.add(2, 3, start + 10ms);
+    cr_assert_eq(world.sent.size(), 1);
+    cr_assert_eq(*world.queue->nextPump(), start + 100ms);
+    world.pump(start + 180ms);
+    cr_assert_eq(world.sent.size(), 1);
+    cr_assert_eq(*world.queue->nextPump(), start + 192ms, "25 ms before the end of a call of 217 ms");
+    world.pump(start + 192ms);
+    cr_assert_eq(world.sent.size(), 2);
+    world.add(3, 1, start + 200ms);
+    cr_assert_eq(world.sent.size(), 2, "one call waits at the server, not two");
+}
+
+Test(BatchQueue, nothingIsSentAfterACallThatIsOverdue)
+{
+    World world({ "a" });
+    world.repeats = 0;
+    world.add(1, 1, start);
+    world.add(2, 1, start + 290ms);
+    cr_assert_eq(world.sent.size(), 1);
+    world.end(world.sent[0], start + 600ms);
+    cr_assert_eq(world.sent.size(), 2);
+}
+
 Test(BatchQueue, slowCallsAreDoubledAndEachPieceIsGivenOutOnce)
 {
     World world({ "a", "b" });
--- /dev/null
+++ b/src/foxtailwheel/serving/CallsInProgress.cpp
@@ -0,0 +1,100 @@
+#include "CallsInProgress.h"
+
+#include <algorithm>
+
+namespace foxtailwheel::serving {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    /// The next call to a server leaves this long before the one in progress should end: a connection, the call and the
+    /// answer before it take about four ways between zones, in which the server would be idle.
+    constexpr Duration nextCallLead = 25ms;
+    /// A call that is late by more than this may take much longer, and nothing is sent after it.
+    constexpr Duration mostOverdue = 60ms;
+    /// Pause before a server that did not start a call is sent another: others fill its queue for about so long.
+    constexpr Duration busyPause = 60ms;
+
+} // namespace
+
+bool BatchCall::isEnding(TimePoint now) const
+{
+    return endsAt() - now <= nextCallLead && now - endsAt() <= mostOverdue;
+}
+
+std::optional<BatchCall> CallsInProgress::take(CallId id, TimePoint now)
+{
+    const auto it = m_calls.find(id);
+    if (it == m_calls.end())
+        return std::nullopt;
+    auto call = std::move(it->second);
+    m_calls.erase(it);
+    for (auto& other : m_calls) {
+        if (other.second.server.id == call.server.id)
+            other.second.begunAt = now;
+    }
+    return call;
+}
+
+void CallsInProgress::pause(const BackendServerId& server, TimePoint now)
+{
+    std::erase_if(m_pausedUntil, [now](const auto& it) { return it.second <= now; });
+    m_pausedUntil[server] = now + busyPause;
+}
+
+bool CallsInProgress::takesNext(const BackendServerId& server, std::uint32_t slots, TimePoint now) const
+{
+    const auto paused = m_pausedUntil.find(server);
+    if (paused != m_pausedUntil.end() && paused->second > now)
+        return false;
+    const auto stay = std::count_if(m_calls.begin(), m_calls.end(),
+        [&](const auto& it) { return it.second.server.id == server && !it.second.isEnding(now); });
+    return static_cast<std::size_t>(stay) < slots;
+}
+
+TimePoint CallsInProgress::freeAt(const BackendServerId& server, TimePoint now) const
+{
+    auto free = now;
+    for (const auto& it : m_calls) {
+        if (it.second.server.id == server)
+            free = std::max(free, it.second.endsAt());
+    }
+    return free;
+}
+
+std::vector<std::pair<config::BackendServer, TimePoint>> CallsInProgress::ends() const
+{
+    std::map<BackendServerId, std::pair<config::BackendServer, TimePoint>> last;
+    for (const auto& it : m_calls) {
+        const auto& call = it.second;
+        auto& entry = last.try_emplace(call.server.id, call.server, call.endsAt()).first->second;
+        entry.second = std::max(entry.second, call.endsAt());
+    }
+    std::vector<std::pair<config::BackendServer, TimePoint>> out;
+    for (auto& it : last)
+        out.push_back(std::move(it.second));
+    return out;
+}
+
+std::size_t CallsInProgress::staying(TimePoint now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_calls.begin(), m_calls.end(), [now](const auto& it) { return !it.second.isEnding(now); }));
+}
+
+TimePoint CallsInProgress::nextChange(TimePoint after) const
+{
+    auto next = TimePoint::max();
+    const auto consider = [&](TimePoint at) {
+        if (at > after)
+            next = std::min(next, at);
+    };
+    for (const auto& it : m_pausedUntil)
+        consider(it.second);
+    for (const auto& it : m_calls)
+        consider(it.second.endsAt() - nextCallLead);
+    return next;
+}
+
+} // namespace foxtailwheel::serving
