A server without room is taken to hold results that are not known here; unused fields are gone

Fifteen of 77 instances had been killed: results of the owners before lie at their makers for four seconds, the owner after does not know them, and tried each server again every 300 ms with a call that mostly failed.

Change: when a server refuses a result, what is not known here is taken to be the rest of its room, and to end evenly within a second (ResultRoom). Results of the same call count first. A call waits at a server only where the declared limits let one wait. PieceGroup::again, RoutedService::maxConnections were filled in and never read, and are removed; the field on the wire is deprecated.

Tests: aServerThatRefusedAResultIsTakenToHoldOthersThatEndOneByOne and noCallWaitsAtAServerThatLetsNoneWait ask for what the code before did not do, as read from it; they were not run on it. CallsInProgressTest stands beside its unit.

--- a/include/foxtailwheel/config/Routes.h
+++ b/include/foxtailwheel/config/Routes.h
@@ -66,7 +66,6 @@
     std::optional<BatchLimits> batch; ///< Present for services of stages.
     std::uint32_t slots = 0; ///< Requests that one server works on at once; 0 where the servers say it themselves.
     std::uint64_t promptRoomTokens = 0; ///< Memory for prompts at one model engine; 0 for other services.
-    std::uint32_t maxConnections = 0; ///< Connections that one server takes from all instances; 0 for no bound.
 };
 
 /// @brief The account that a credential belongs to.
--- a/include/foxtailwheel/peer/Messages_generated.h
+++ b/include/foxtailwheel/peer/Messages_generated.h
@@ -1206,7 +1206,6 @@
     VT_GOAL_US = 14,
     VT_LEFT_US = 16,
     VT_ZONE = 18,
-    VT_AGAIN = 20,
     VT_ZONE_US = 22,
     VT_RESULT_BYTES = 24
   };
@@ -1234,9 +1233,6 @@
   const flatbuffers::String *zone() const {
     return GetPointer<const flatbuffers::String *>(VT_ZONE);
   }
-  bool again() const {
-    return GetField<uint8_t>(VT_AGAIN, 0) != 0;
-  }
   int64_t zone_us() const {
     return GetField<int64_t>(VT_ZONE_US, 0);
   }
@@ -1258,7 +1254,6 @@
            VerifyField<int64_t>(verifier, VT_LEFT_US, 8) &&
            VerifyOffset(verifier, VT_ZONE) &&
            verifier.VerifyString(zone()) &&
-           VerifyField<uint8_t>(verifier, VT_AGAIN, 1) &&
            VerifyField<int64_t>(verifier, VT_ZONE_US, 8) &&
            VerifyField<uint64_t>(verifier, VT_RESULT_BYTES, 8) &&
            verifier.EndTable();
@@ -1293,9 +1288,6 @@
   void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
     fbb_.AddOffset(PiecesAsked::VT_ZONE, zone);
   }
-  void add_again(bool again) {
-    fbb_.AddElement<uint8_t>(PiecesAsked::VT_AGAIN, static_cast<uint8_t>(again), 0);
-  }
   void add_zone_us(int64_t zone_us) {
     fbb_.AddElement<int64_t>(PiecesAsked::VT_ZONE_US, zone_us, 0);
   }
@@ -1323,7 +1315,6 @@
     int64_t goal_us = 0,
     int64_t left_us = 0,
     flatbuffers::Offset<flatbuffers::String> zone = 0,
-    bool again = false,
     int64_t zone_us = 0,
     uint64_t result_bytes = 0) {
   PiecesAskedBuilder builder_(_fbb);
@@ -1337,7 +1328,6 @@
   builder_.add_pieces(pieces);
   builder_.add_service(service);
   builder_.add_sender(sender);
-  builder_.add_again(again);
   return builder_.Finish();
 }
 
@@ -1351,7 +1341,6 @@
     int64_t goal_us = 0,
     int64_t left_us = 0,
     const char *zone = nullptr,
-    bool again = false,
     int64_t zone_us = 0,
     uint64_t result_bytes = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
@@ -1367,7 +1356,6 @@
       goal_us,
       left_us,
       zone__,
-      again,
       zone_us,
       result_bytes);
 }
--- a/include/foxtailwheel/serving/BatchQueue.h
+++ b/include/foxtailwheel/serving/BatchQueue.h
@@ -52,7 +52,6 @@
     std::optional<AvailabilityZoneId> preferredZone; ///< Where the results will be used.
     TimePoint leaveZoneAfter; ///< Pieces that would be made later than this there may be made elsewhere.
     std::uint64_t resultBytes = 0; ///< Approximate size of the result of one piece.
-    bool again = false; ///< The same pieces were asked for before.
 };
 
 /// @brief Tell the makers of results that they are not needed any more.
--- a/include/foxtailwheel/serving/PieceBroker.h
+++ b/include/foxtailwheel/serving/PieceBroker.h
@@ -27,7 +27,6 @@
     AvailabilityZoneId preferredZone; ///< Empty for none.
     Duration zoneLeft {}; ///< Time after which the pieces may be made outside of that zone.
     std::uint64_t resultBytes = 0; ///< Approximate size of one result.
-    bool again = false;
 
     friend bool operator==(const PiecesAsked&, const PiecesAsked&) = default;
 };
--- a/include/foxtailwheel/serving/ResultRoom.h
+++ b/include/foxtailwheel/serving/ResultRoom.h
@@ -31,8 +31,8 @@
     bool released(const BackendServerId& server, const std::string& handle, TimePoint now);
     /// @brief When room of released results comes free next.
     std::optional<TimePoint> nextFree(TimePoint now);
-    /// @brief The server said that it has no room for a result: others' results lie there, so it gets none of that size
-    /// for a while.
+    /// @brief The server said that it has no room for a result: results that are not known here take the rest, such as
+    /// those of an owner before. They are taken to end one by one.
     void refused(const BackendServerId& server, std::uint64_t bytes, TimePoint now);
 
 private:
@@ -43,11 +43,13 @@
     };
     struct Server {
         std::uint64_t used = 0; ///< Reserved or made.
-        std::uint64_t refusedBytes = 0; ///< Smallest result that was refused lately.
-        TimePoint refusedUntil {};
+        std::uint64_t unknown = 0; ///< Taken by results that are not known here, at `unknownAt`.
+        TimePoint unknownAt {};
         std::map<std::string, Result> results;
     };
 
+    static std::uint64_t unknownNow(const Server& server, TimePoint now);
+
     std::map<BackendServerId, Server> m_servers;
     std::uint64_t m_bytes = 0;
     Duration m_life {};
--- a/src/foxtailwheel/peer/Message.cpp
+++ b/src/foxtailwheel/peer/Message.cpp
@@ -103,7 +103,7 @@
             return wrap(wire::Body::PiecesAsked,
                 wire::CreatePiecesAskedDirect(fbb, pack(fbb, sender), it.group.value(), it.service.value().c_str(),
                     &pieces, it.priority, microseconds(it.goalLeft), microseconds(it.timeLeft),
-                    it.preferredZone.value().c_str(), it.again, microseconds(it.zoneLeft), it.resultBytes));
+                    it.preferredZone.value().c_str(), microseconds(it.zoneLeft), it.resultBytes));
         }
         flatbuffers::Offset<wire::Envelope> operator()(const serving::PiecesTaken& it) const
         {
@@ -262,7 +262,6 @@
         out.goalLeft = std::chrono::microseconds(asked.goal_us());
         out.timeLeft = std::chrono::microseconds(asked.left_us());
         out.preferredZone = AvailabilityZoneId(textOf(asked.zone()));
-        out.again = asked.again();
         out.zoneLeft = std::chrono::microseconds(asked.zone_us());
         out.resultBytes = asked.result_bytes();
         if (asked.pieces() == nullptr)
--- a/src/foxtailwheel/serving/BatchPlacement.cpp
+++ b/src/foxtailwheel/serving/BatchPlacement.cpp
@@ -17,7 +17,7 @@
 std::vector<config::BackendServer> BatchQueue::Impl::freeServers(TimePoint now) const
 {
     auto free = pool.freeServers(limits.slots + 1, now);
-    std::erase_if(free, [&](const config::BackendServer& it) { return !calls.takesNext(it.id, limits.slots, now); });
+    std::erase_if(free, [&](const config::BackendServer& it) { return !calls.takesNext(it.id, limits, now); });
     return free;
 }
 
@@ -129,7 +129,7 @@
     // A server whose call is about to end counts with that call as well.
     if (!calls.empty())
         wanted.longest = fromSeconds(toSeconds(limits.callTime + limits.pieceTime) * (slowServer + 1));
-    const auto placement = pool.place(wanted, now);
+    auto placement = pool.place(wanted, now);
     if (!placement || usable.contains(placement->server.id))
         return placement;
     pool.cancelled(placement->server.id, {}, now);
--- a/src/foxtailwheel/serving/BatchQueueTest.cpp
+++ b/src/foxtailwheel/serving/BatchQueueTest.cpp
@@ -228,6 +228,18 @@
     cr_assert_eq(world.sent.size(), 2, "one call waits at the server, not two");
 }
 
+Test(BatchQueue, noCallWaitsAtAServerThatLetsNoneWait)
+{
+    auto limits = tenPieces();
+    limits.queue = 0;
+    World world({ "a" }, limits);
+    world.add(1, 1, start);
+    world.add(2, 1, start + 200ms);
+    cr_assert_eq(world.sent.size(), 1);
+    world.end(world.sent[0], start + 217ms);
+    cr_assert_eq(world.sent.size(), 2);
+}
+
 Test(BatchQueue, nothingIsSentAfterACallThatIsOverdue)
 {
     World world({ "a" });
@@ -352,12 +364,16 @@
     cr_assert_eq(room.left(server, start + 4s), 100);
 }
 
-Test(ResultRoom, aServerThatRefusedAResultHasLessRoomThanItNeedsForAWhile)
+Test(ResultRoom, aServerThatRefusedAResultIsTakenToHoldOthersThatEndOneByOne)
 {
     const BackendServerId server("s");
     ResultRoom room;
     room.setLimits(100, 4s);
-    room.refused(server, 40, start);
-    cr_assert_eq(room.left(server, start + 200ms), 39);
-    cr_assert_eq(room.left(server, start + 400ms), 100);
+    room.made(server, "a", 20, start);
+    room.refused(server, 30, start);
+    cr_assert_eq(room.left(server, start), 29, "less than the refused result needs");
+    cr_assert(room.released(server, "a", start));
+    cr_assert_geq(room.left(server, start + 30ms), 49, "own results that end leave room");
+    cr_assert_geq(room.left(server, start + 500ms), 74, "half of the others have ended");
+    cr_assert_eq(room.left(server, start + 1s), 100);
 }
--- a/src/foxtailwheel/serving/CallsInProgress.cpp
+++ b/src/foxtailwheel/serving/CallsInProgress.cpp
@@ -43,14 +43,16 @@
     m_pausedUntil[server] = now + busyPause;
 }
 
-bool CallsInProgress::takesNext(const BackendServerId& server, std::uint32_t slots, TimePoint now) const
+bool CallsInProgress::takesNext(const BackendServerId& server, const config::BatchLimits& limits, TimePoint now) const
 {
     const auto paused = m_pausedUntil.find(server);
     if (paused != m_pausedUntil.end() && paused->second > now)
         return false;
-    const auto stay = std::count_if(m_calls.begin(), m_calls.end(),
-        [&](const auto& it) { return it.second.server.id == server && !it.second.isEnding(now); });
-    return static_cast<std::size_t>(stay) < slots;
+    const auto stay = std::count_if(m_calls.begin(), m_calls.end(), [&](const auto& it) {
+        const bool leaves = limits.queue > 0 && it.second.isEnding(now);
+        return it.second.server.id == server && !leaves;
+    });
+    return static_cast<std::size_t>(stay) < limits.slots;
 }
 
 TimePoint CallsInProgress::freeAt(const BackendServerId& server, TimePoint now) const
--- a/src/foxtailwheel/serving/CallsInProgress.h
+++ b/src/foxtailwheel/serving/CallsInProgress.h
@@ -31,8 +31,8 @@
     /// @brief Nothing is sent to a server for a while: it did not start a call.
     void pause(const BackendServerId& server, TimePoint now);
 
-    /// @brief Whether a server has a slot, or will have one when a call sent now arrives.
-    bool takesNext(const BackendServerId& server, std::uint32_t slots, TimePoint now) const;
+    /// @brief Whether a server has a slot, or lets a call wait and will have one when a call sent now arrives.
+    bool takesNext(const BackendServerId& server, const config::BatchLimits& limits, TimePoint now) const;
     /// @brief When a server starts on a call that is sent now.
     TimePoint freeAt(const BackendServerId& server, TimePoint now) const;
     /// @brief When the last call to each server should end.
--- /dev/null
+++ b/src/foxtailwheel/serving/CallsInProgressTest.cpp
@@ -0,0 +1,53 @@
+#include "CallsInProgress.h"
+
+#include <criterion/criterion.h>
+
+using namespace foxtailwheel;
+using namespace std::chrono_literals;
+using namespace foxtailwheel::serving;
+
+namespace {
+
+constexpr TimePoint start { 1h };
+const config::BatchLimits oneSlot { 1, 2, 10, 200ms, 17ms, 4s, 0 };
+const config::BackendServer server { BackendServerId("s"), "127.0.0.1", 9000, AvailabilityZoneId("a") };
+
+BatchCall call(TimePoint begunAt)
+{
+    return { server, {}, begunAt, 200ms };
+}
+
+} // namespace
+
+Test(CallsInProgress, aServerTakesTheNextCallShortlyBeforeItsLastOneEnds)
+{
+    CallsInProgress calls;
+    cr_assert(calls.takesNext(server.id, oneSlot, start));
+    calls.add(CallId(1), call(start));
+    cr_assert(!calls.takesNext(server.id, oneSlot, start + 174ms));
+    cr_assert_eq(calls.nextChange(start), start + 175ms);
+    cr_assert(calls.takesNext(server.id, oneSlot, start + 175ms));
+    cr_assert_eq(calls.staying(start + 175ms), 0);
+    cr_assert(!calls.takesNext(server.id, oneSlot, start + 261ms), "it is overdue and may take much longer");
+}
+
+Test(CallsInProgress, aCallThatWaitedBeginsAsTheOneBeforeEnds)
+{
+    CallsInProgress calls;
+    calls.add(CallId(1), call(start));
+    cr_assert_eq(calls.freeAt(server.id, start + 180ms), start + 200ms);
+    calls.add(CallId(2), call(calls.freeAt(server.id, start + 180ms)));
+    cr_assert_eq(calls.ends().at(0).second, start + 400ms);
+    cr_assert(calls.take(CallId(1), start + 230ms));
+    cr_assert_eq(calls.ends().at(0).second, start + 430ms);
+    cr_assert(!calls.take(CallId(1), start + 230ms));
+}
+
+Test(CallsInProgress, aServerThatDidNotStartACallPauses)
+{
+    CallsInProgress calls;
+    calls.pause(server.id, start);
+    cr_assert(!calls.takesNext(server.id, oneSlot, start + 59ms));
+    cr_assert_eq(calls.nextChange(start), start + 60ms);
+    cr_assert(calls.takesNext(server.id, oneSlot, start + 60ms));
+}
--- a/src/foxtailwheel/serving/ForwardStages.cpp
+++ b/src/foxtailwheel/serving/ForwardStages.cpp
@@ -110,7 +110,7 @@
     const auto& progress = run.stages[stage];
     const auto goal = goalOf(run, stage);
     PieceGroup group { progress.group, {}, run.priority, goal, run.deadline, zoneOf(run, stage),
-        now + (goal - now) / stagesFrom(run, stage), run.route->stages[stage].resultBytes, progress.tries > 0 };
+        now + (goal - now) / stagesFrom(run, stage), run.route->stages[stage].resultBytes };
     for (std::uint32_t i = 0; i < progress.results.size(); ++i) {
         if (!progress.results[i])
             group.pieces.push_back(pieceOf(run, stage, i));
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -37,8 +37,8 @@
     staged.stages = { { ServiceId("portal"), {}, 1000 }, { ServiceId("bill"), { 0 }, 100 } };
     out->routes.push_back(staged);
     const config::BatchLimits batch { 1, 2, 10, 200ms, 17ms, 4s, 0 };
-    out->services = { { ServiceId("desk"), std::nullopt, 6, 0, 0 }, { ServiceId("model"), std::nullopt, 64, 1000, 0 },
-        { ServiceId("portal"), batch, 0, 0, 0 }, { ServiceId("bill"), batch, 0, 0, 0 } };
+    out->services = { { ServiceId("desk"), std::nullopt, 6, 0 }, { ServiceId("model"), std::nullopt, 64, 1000 },
+        { ServiceId("portal"), batch, 0, 0 }, { ServiceId("bill"), batch, 0, 0 } };
     out->needsCredentials = true;
     out->credentials = { { "key", { ClientAccountId("account"), std::nullopt } } };
     out->index();
--- a/src/foxtailwheel/serving/PieceBroker.cpp
+++ b/src/foxtailwheel/serving/PieceBroker.cpp
@@ -143,8 +143,7 @@
     const InstanceId& owner, const ServiceId& service, PieceGroup group, TimePoint now, BrokerActions& out)
 {
     PiecesAsked message { group.id, service, group.pieces, group.priority, group.goal - now, group.deadline - now,
-        group.preferredZone.value_or(AvailabilityZoneId()), group.leaveZoneAfter - now, group.resultBytes,
-        group.again };
+        group.preferredZone.value_or(AvailabilityZoneId()), group.leaveZoneAfter - now, group.resultBytes };
     const auto id = group.id;
     asked[id] = { service, std::move(group), owner, now, now };
     out.emplace_back(TellInstance { owner, std::move(message) });
@@ -223,7 +222,7 @@
     if (queue == nullptr)
         return;
     PieceGroup group { PieceGroupId(++lastQueued), message.pieces, message.priority, now + message.goalLeft,
-        now + message.timeLeft, std::nullopt, now + message.zoneLeft, message.resultBytes, message.again };
+        now + message.timeLeft, std::nullopt, now + message.zoneLeft, message.resultBytes };
     if (!message.preferredZone.empty())
         group.preferredZone = message.preferredZone;
     const PiecesTaken taken { message.group, waitsOf(*queue, message.pieces.size(), now) };
--- a/src/foxtailwheel/serving/ResultRoom.cpp
+++ b/src/foxtailwheel/serving/ResultRoom.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-    /// Time for which a server that refused a result is taken to have less room than it needs: results are released
-    /// within a few hundred milliseconds.
-    constexpr Duration refusalTime = std::chrono::milliseconds(300);
+    /// Time in which results that are not known here are taken to end: they live for seconds where their owner is gone,
+    /// and for some hundred milliseconds where it is not, or where sizes were only approximate.
+    constexpr Duration unknownTime = std::chrono::seconds(1);
     /// Time until a server has a release: it waits shortly for others, and goes from zone to zone on a connection that
     /// may have to be opened.
     constexpr Duration releaseTime = std::chrono::milliseconds(30);
@@ -34,17 +34,24 @@
         server.used -= std::min(server.used, it.second.bytes);
         return true;
     });
-    const auto left = m_bytes - std::min(m_bytes, server.used);
-    if (server.refusedUntil <= now || server.refusedBytes == 0)
-        return left;
-    return std::min(left, server.refusedBytes - 1);
+    return m_bytes - std::min(m_bytes, server.used + unknownNow(server, now));
+}
+
+std::uint64_t ResultRoom::unknownNow(const Server& server, TimePoint now)
+{
+    const auto age = now - server.unknownAt;
+    if (server.unknown == 0 || age >= unknownTime)
+        return 0;
+    const double left = 1 - toSeconds(age) / toSeconds(unknownTime);
+    return static_cast<std::uint64_t>(static_cast<double>(server.unknown) * left);
 }
 
 void ResultRoom::refused(const BackendServerId& id, std::uint64_t bytes, TimePoint now)
 {
     auto& server = m_servers[id];
-    server.refusedBytes = server.refusedUntil > now ? std::min(server.refusedBytes, bytes) : bytes;
-    server.refusedUntil = now + refusalTime;
+    const auto taken = m_bytes - std::min(m_bytes, bytes) + 1;
+    server.unknown = std::max(unknownNow(server, now), taken - std::min(taken, server.used));
+    server.unknownAt = now;
 }
 
 void ResultRoom::reserve(const BackendServerId& server, std::uint64_t bytes)
