One function reads files; a declaration file that is missing is named

Two of them took a missing file for an empty one: foxtailwheel-standins complained about missing keys, and the bench compared against no known faults.

Change: base/File.h. No change of behaviour where files exist.

--- a/src/foxtailwheel/apps/foxtailwheel-bench.cpp
+++ b/src/foxtailwheel/apps/foxtailwheel-bench.cpp
@@ -1,12 +1,11 @@
+#include "foxtailwheel/base/File.h"
 #include "foxtailwheel/bench/Simulation.h"
 #include "foxtailwheel/bench/Targets.h"
 
 #include <atomic>
 #include <cxxopts.hpp>
-#include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
-#include <sstream>
 #include <thread>
 
 namespace {
@@ -14,14 +13,6 @@
 using namespace foxtailwheel;
 using bench::Row;
 
-std::string readFile(const std::string& path)
-{
-    const std::ifstream file(path);
-    std::ostringstream buf;
-    buf << file.rdbuf();
-    return buf.str();
-}
-
 void simulateAll(std::vector<Row>& rows)
 {
     std::atomic<std::size_t> next { 0 };
@@ -47,12 +38,21 @@
         { "worst_fair_share", f.worstFairShare }, { "cost_by_stage_uc", f.costByStage } };
 }
 
+int complain(const Error& error)
+{
+    std::cerr << "foxtailwheel-bench: " << error.message() << "\n";
+    return 1;
+}
+
 int run(const cxxopts::ParseResult& args)
 {
-    const std::vector<bench::Deployment> deployments {
-        bench::deploymentOf("irish-agency", readFile("examples/irish-agency.yaml")),
-        bench::deploymentOf("stringfold", readFile("examples/stringfold.yaml")),
-    };
+    std::vector<bench::Deployment> deployments;
+    for (const std::string name : { "irish-agency", "stringfold" }) {
+        const auto text = readFile("examples/" + name + ".yaml");
+        if (!text)
+            return complain(text.error());
+        deployments.push_back(bench::deploymentOf(name, text.value()));
+    }
     auto rows = bench::makeRows(deployments, args["only"].as<std::string>());
     simulateAll(rows);
     if (args.count("json") > 0) {
@@ -66,7 +66,10 @@
         bench::printRows(std::cout, rows);
         return 0;
     }
-    const auto verdict = bench::checkTargets(rows, readFile("KNOWN-RED.txt"));
+    const auto knownRed = readFile("KNOWN-RED.txt");
+    if (!knownRed)
+        return complain(knownRed.error());
+    const auto verdict = bench::checkTargets(rows, knownRed.value());
     for (const auto& it : verdict.knownRed)
         std::cout << "known red: " << it << "\n";
     for (const auto& it : verdict.broken)
--- a/src/foxtailwheel/apps/foxtailwheel-standins.cpp
+++ b/src/foxtailwheel/apps/foxtailwheel-standins.cpp
@@ -1,3 +1,4 @@
+#include "foxtailwheel/base/File.h"
 #include "foxtailwheel/config/Declarations.h"
 #include "foxtailwheel/config/Quantity.h"
 #include "foxtailwheel/standin/Backend.h"
@@ -5,10 +6,8 @@
 #include <algorithm>
 #include <condition_variable>
 #include <cxxopts.hpp>
-#include <fstream>
 #include <iostream>
 #include <mutex>
-#include <sstream>
 
 namespace {
 
@@ -41,10 +40,12 @@
 
 bool startBackends(http::IoPool& pool, const cxxopts::ParseResult& args, StandIns& running)
 {
-    const std::ifstream file(args["declarations"].as<std::string>());
-    std::ostringstream buf;
-    buf << file.rdbuf();
-    const auto parsed = config::parseDeclarations(buf.str());
+    const auto text = readFile(args["declarations"].as<std::string>());
+    if (!text) {
+        std::cerr << "foxtailwheel-standins: " << text.error().message() << "\n";
+        return false;
+    }
+    const auto parsed = config::parseDeclarations(text.value());
     if (!parsed.valid()) {
         std::cerr << config::describe(parsed.faults);
         return false;
--- a/src/foxtailwheel/apps/foxtailwheeld.cpp
+++ b/src/foxtailwheel/apps/foxtailwheeld.cpp
@@ -1,11 +1,10 @@
+#include "foxtailwheel/base/File.h"
 #include "foxtailwheel/config/Settings.h"
 #include "foxtailwheel/daemon/Instance.h"
 #include "foxtailwheel/telemetry/Log.h"
 
 #include <cxxopts.hpp>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 namespace {
 
@@ -18,14 +17,12 @@
 
 int run(const std::string& path, bool checkOnly)
 {
-    const std::ifstream file(path);
-    if (!file) {
-        std::cerr << "foxtailwheeld: cannot read '" << path << "'\n";
+    const auto text = readFile(path);
+    if (!text) {
+        std::cerr << "foxtailwheeld: " << text.error().message() << "\n";
         return exitUsage;
     }
-    std::ostringstream buf;
-    buf << file.rdbuf();
-    auto parsed = config::parseSettings(buf.str());
+    auto parsed = config::parseSettings(text.value());
     if (!parsed.valid()) {
         std::cerr << path << ":\n" << config::describe(parsed.faults);
         return exitUsage;
--- a/src/foxtailwheel/cli/Commands.cpp
+++ b/src/foxtailwheel/cli/Commands.cpp
@@ -1,5 +1,6 @@
 #include "foxtailwheel/cli/Commands.h"
 
+#include "foxtailwheel/base/File.h"
 #include "foxtailwheel/base/Hash.h"
 #include "foxtailwheel/base/Json.h"
 #include "foxtailwheel/base/Random.h"
@@ -133,14 +134,11 @@
 
     std::optional<std::string> Session::readFile(const std::string& path)
     {
-        const std::ifstream file(path);
-        if (!file) {
-            complain(ExitCode::Usage, "cannot read '" + path + "'");
-            return std::nullopt;
-        }
-        std::ostringstream buf;
-        buf << file.rdbuf();
-        return buf.str();
+        auto text = foxtailwheel::readFile(path);
+        if (text)
+            return std::move(text).value();
+        complain(ExitCode::Usage, text.error().message());
+        return std::nullopt;
     }
 
     std::unique_ptr<ApiClient> Session::connect(const std::string& addressOption, const std::string& secretOption)
--- a/src/foxtailwheel/config/Settings.cpp
+++ b/src/foxtailwheel/config/Settings.cpp
@@ -1,12 +1,11 @@
 #include "foxtailwheel/config/Settings.h"
 
+#include "foxtailwheel/base/File.h"
 #include "foxtailwheel/config/YamlReader.h"
 
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <fstream>
-#include <sstream>
 
 namespace foxtailwheel::config {
 
@@ -30,14 +29,14 @@
         const auto path = reader.text(key);
         if (path.empty())
             return {};
-        const std::ifstream file(path);
-        std::ostringstream buf;
-        buf << file.rdbuf();
-        auto secret = buf.str();
+        const auto text = readFile(path);
+        if (!text) {
+            reader.fault(key, text.error().message());
+            return {};
+        }
+        auto secret = text.value();
         secret.erase(secret.find_last_not_of(" \r\n") + 1);
-        if (!file)
-            reader.fault(key, "cannot read '" + path + "'");
-        else if (secret.size() < shortestSecretBytes)
+        if (secret.size() < shortestSecretBytes)
             reader.fault(key, "'" + path + "' holds fewer than 16 bytes", "write a longer secret");
         return secret;
     }
