A group of pieces leaves in one call

A server has room for 76 results of that stage, for 0.9 s each. Calls were filled with parts of groups; their results held room until the rest was made a call later.

Change: a group leaves in one call, or waits while others that fit pass it. Groups of more than half a call, or of a third of a server's room, are split, so that nothing is passed for ever.

Ruled out: waits for the next stage (its median of 526 ms is its call and half another), zones (the pieces had none).

Tests aGroupLeavesInOneCall and aGroupThatDoesNotFitLetsSmallerOnesPass ask for what the code before did not do (read, not run on it); aLargeGroupIsSplitSoThatItIsNotPassedForEver holds on both. Conclusion: where room binds, what is begun must be finished.

--- a/src/foxtailwheel/serving/BatchQueueImpl.h
+++ b/src/foxtailwheel/serving/BatchQueueImpl.h
@@ -11,6 +11,7 @@
 namespace foxtailwheel::serving {
 
 using RoomByZone = std::map<AvailabilityZoneId, std::uint64_t>; ///< Most room for results at a free server.
+using GroupSizes = std::unordered_map<PieceGroupId, std::size_t>; ///< Waiting pieces of each group.
 using Orders = std::set<std::uint64_t>; ///< Pieces by their order of arrival.
 
 /// @brief State of a batch queue; its members stand in one file for what leaves where, and one for the rest.
@@ -29,10 +30,14 @@
     double servers(TimePoint now) const { return static_cast<double>(mostCalls(now)); }
     bool sendOne(TimePoint now, std::vector<BatchAction>& out);
     std::vector<config::BackendServer> freeServers(TimePoint now) const;
-    std::optional<AvailabilityZoneId> zoneToServe(const RoomByZone& free, const Orders& leaving) const;
-    Orders leavingZones(
-        const std::vector<config::BackendServer>& free, const RoomByZone& roomByZone, TimePoint now) const;
-    std::vector<WaitingPiece> take(const config::BackendServer& server, const Orders& leaving, TimePoint now);
+    GroupSizes groupSizes() const;
+    std::size_t leavesWith(const WaitingPiece& piece, const GroupSizes& sizes) const;
+    std::optional<AvailabilityZoneId> zoneToServe(
+        const RoomByZone& free, const Orders& leaving, const GroupSizes& sizes) const;
+    Orders leavingZones(const std::vector<config::BackendServer>& free, const RoomByZone& roomByZone,
+        const GroupSizes& sizes, TimePoint now) const;
+    std::vector<WaitingPiece> take(
+        const config::BackendServer& server, const Orders& leaving, const GroupSizes& sizes, TimePoint now);
     std::optional<routing::Placement> placeIn(const AvailabilityZoneId& zone,
         const std::vector<config::BackendServer>& free, std::uint64_t mostRoom, TimePoint now);
     void keepTogether(const std::vector<WaitingPiece>& sent, const AvailabilityZoneId& zone);
--- a/src/foxtailwheel/serving/BatchQueueTest.cpp
+++ b/src/foxtailwheel/serving/BatchQueueTest.cpp
@@ -196,6 +196,38 @@
     cr_assert_eq(world.sent[3].server.zone.value(), "a");
 }
 
+Test(BatchQueue, aGroupLeavesInOneCall)
+{
+    World world({ "a" });
+    world.add(1, 4, start);
+    for (std::uint64_t i = 2; i < 5; ++i)
+        world.add(i, 4, start + 10ms);
+    world.end(world.sent[0], start + 268ms);
+    cr_assert_eq(world.sent[1].pieces.size(), 8, "half of a group would hold room and wait for the rest");
+    world.end(world.sent[1], start + 600ms);
+    cr_assert_eq(world.sent[2].pieces.size(), 4);
+}
+
+Test(BatchQueue, aGroupThatDoesNotFitLetsSmallerOnesPass)
+{
+    World world({ "a" });
+    world.add(1, 3, start, 0, 2s, 8s, {}, 5'000'000);
+    world.add(2, 2, start + 10ms, 0, 2s, 8s, {}, 3'600'000);
+    world.add(3, 1, start + 10ms, 0, 2s, 8s, {}, 3'600'000);
+    world.end(world.sent[0], start + 251ms);
+    cr_assert_eq(world.sent.at(1).pieces.size(), 1);
+    cr_assert_eq(world.sent[1].pieces[0].request, "r3");
+}
+
+Test(BatchQueue, aLargeGroupIsSplitSoThatItIsNotPassedForEver)
+{
+    World world({ "a" });
+    world.add(1, 1, start);
+    world.add(2, 6, start + 10ms, 0, 2s, 8s, {}, 4'000'000);
+    world.end(world.sent[0], start + 217ms);
+    cr_assert_eq(world.sent.at(1).pieces.size(), 5);
+}
+
 Test(BatchQueue, resultsNeverExceedTheRoomOfTheirMaker)
 {
     World world({ "a" });
