A server that callers leave without an answer is suspected

A call that its caller ends told nothing of its server, and streams that run once have no second attempt whose timer would tell.

Change: a call without a first event for four times the usual time of its route, and a second at least, counts as broken for the health of its server when the caller leaves. As before two in a row suspect it.

Ruled out: ending such a call earlier, which may run once and must not be sent again.

--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -23,6 +23,9 @@
     constexpr Duration streamSilence = 1100ms;
     /// Part of its time that a request must have left to be worth sending.
     constexpr Duration leastTimeToSend = 5ms;
+    /// A call without a first event counts as broken after this multiple of the route's usual time, and this time.
+    constexpr double silentShare = 4;
+    constexpr Duration leastSilence = 1s;
     /// Time from sending a request to the first event of its answer, until it is measured.
     constexpr Duration initialAnswerTime = 150ms;
 
@@ -108,6 +111,13 @@
     return it == m_answerTimes.end() ? initialAnswerTime : it->second.usual();
 }
 
+/// Whether a server has not answered for so long that it is a sign against it, though the caller ended the call.
+bool RoutingForwarder::isSilent(const ForwardRun& run, const OpenCall& call, TimePoint now) const
+{
+    const auto limit = std::max(leastSilence, fromSeconds(toSeconds(answerTime(run)) * silentShare));
+    return !call.headSeen && now - call.sentAt > limit;
+}
+
 void RoutingForwarder::learnAnswerTime(const ForwardRun& run, const OpenCall& call, TimePoint now)
 {
     const auto it = m_answerTimes.try_emplace(run.route->name, initialAnswerTime).first;
--- a/src/foxtailwheel/serving/ForwardRequests.cpp
+++ b/src/foxtailwheel/serving/ForwardRequests.cpp
@@ -256,7 +256,8 @@
     const auto id = run.id;
     while (!run.calls.empty()) {
         const auto& call = run.calls.front();
-        closeCall(run, call.id, routing::CallSign::Busy, true, now, out);
+        closeCall(run, call.id, isSilent(run, call, now) ? routing::CallSign::Broken : routing::CallSign::Busy, true,
+            now, out);
     }
     if (run.route != nullptr)
         forgetStages(run, now, out);
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -370,6 +370,31 @@
     cr_assert_eq(world.batches[2].service.value(), "portal");
 }
 
+Test(Forwarder, aServerThatCallersLeaveWithoutAnAnswerIsSuspected)
+{
+    World world;
+    world.submit("once");
+    const auto silent = world.sent.at(0).server.id;
+    std::size_t left = 0;
+    for (int i = 0; i < 12; ++i) {
+        const auto now = start + i * 10ms;
+        const auto id = world.submit("once", now);
+        const auto& call = world.sent.back();
+        if (call.server.id != silent)
+            continue;
+        ++left;
+        world.run([&](auto& out) { world.forwarder->onCallerLeft(id, now + 2s, out); });
+        if (left == 2)
+            break;
+    }
+    cr_assert_eq(left, 2);
+    const auto before = world.sent.size();
+    for (int i = 0; i < 12; ++i)
+        world.submit("once", start + 2200ms);
+    for (std::size_t i = before; i < world.sent.size(); ++i)
+        cr_assert_neq(world.sent[i].server.id, silent);
+}
+
 Test(Forwarder, aCallerThatLeavesEndsAllWork)
 {
     World world;
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -102,6 +102,7 @@
     Piece pieceOf(const ForwardRun& run, StageIndex stage, std::uint32_t index) const;
     void carry(BrokerActions actions, TimePoint now, ForwardActions& out);
     Duration answerTime(const ForwardRun& run) const;
+    bool isSilent(const ForwardRun& run, const OpenCall& call, TimePoint now) const;
     void learnAnswerTime(const ForwardRun& run, const OpenCall& call, TimePoint now);
     TimePoint goalOf(const ForwardRun& run, StageIndex stage) const;
     PieceGroup groupOf(const ForwardRun& run, StageIndex stage, TimePoint now) const;
