A group that can just meet its goal is not split

Cause, found on reading the change: whether a piece is in time was judged for each piece of a group with the ones before it counted twice, so the end of a group could be left behind where the first piece was in time. It is decided once, at the first piece.

--- a/src/foxtailwheel/serving/BatchPlacement.cpp
+++ b/src/foxtailwheel/serving/BatchPlacement.cpp
@@ -113,12 +113,12 @@
             const bool inTime
                 = it->goal >= now + forecast.callTime(std::min<std::size_t>(pieces.size() + n, limits.pieces));
             const bool wanted = (late || inTime) && (home || (ofOtherZones && leaving.contains(it->order)));
-            bool fit = it->resultBytes <= left;
+            bool taken = wanted && it->resultBytes <= left;
             if (n > 1) {
                 const bool whole = pieces.size() + n <= limits.pieces && n * it->resultBytes <= left;
-                fit = fits.try_emplace(it->group, wanted && whole).first->second;
+                taken = fits.try_emplace(it->group, wanted && whole).first->second;
             }
-            if (wanted && fit) {
+            if (taken) {
                 left -= it->resultBytes;
                 pieces.push_back(std::move(waiting.extract(it).value()));
             }
--- a/src/foxtailwheel/serving/BatchQueueTest.cpp
+++ b/src/foxtailwheel/serving/BatchQueueTest.cpp
@@ -208,6 +208,21 @@
     cr_assert_eq(world.sent[2].pieces.size(), 4);
 }
 
+Test(BatchQueue, aGroupThatCanJustMeetItsGoalIsNotSplit)
+{
+    World world({ "a" });
+    world.add(1, 4, start);
+    world.add(2, 5, start + 10ms, 0, 260ms + 410ms); // Nine pieces take 353 ms.
+    world.add(3, 4, start + 10ms, 1, 260ms + 355ms);
+    world.add(4, 1, start + 10ms, 2);
+    world.end(world.sent[0], start + 268ms);
+    std::map<std::string, std::size_t> taken;
+    for (const auto& it : world.sent.at(1).pieces)
+        ++taken[it.request];
+    cr_assert_eq(taken["r2"], 5);
+    cr_assert_eq(taken["r3"], 4, "whole, or not at all");
+}
+
 Test(BatchQueue, aGroupThatDoesNotFitLetsSmallerOnesPass)
 {
     World world({ "a" });
