--- a/include/foxtailwheel/config/Routes.h
+++ b/include/foxtailwheel/config/Routes.h
@@ -41,6 +41,7 @@
     bool resumable = false; ///< A broken stream can be resumed on another server; only if `retryMode` allows retries.
     Duration timeout {}; ///< Maximum time until the response is complete.
     Duration latencyTarget {}; ///< Target time until the response, or the first event of a stream.
+    Duration eventGapTarget {}; ///< Longest pause between events of a stream that is on time; 0 if not declared.
     std::uint32_t maxCallsPerRequest = 1; ///< Maximum number of calls to backend servers for one request.
     std::uint32_t priority = 0; ///< 0 is the most urgent.
     bool isPublic = false; ///< Requests need no credential.
--- a/include/foxtailwheel/daemon/ForwardService.h
+++ b/include/foxtailwheel/daemon/ForwardService.h
@@ -8,6 +8,7 @@
 #include "foxtailwheel/serving/Forwarder.h"
 #include "foxtailwheel/telemetry/Metrics.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <set>
@@ -15,14 +16,19 @@
 
 namespace foxtailwheel::daemon {
 
+/// @brief Options of a service.
+struct ForwardServiceOptions {
+    serving::ForwarderOptions forwarder; ///< The service sets the decision log.
+    std::uint64_t maxBodyBytes = std::uint64_t { 8 } << 20U; ///< A call whose response has a larger body fails.
+};
+
 /// @brief Executes the actions of a `Forwarder`: receives callers' requests and sends calls to backend servers.
 ///
 /// Runs on the single thread of its pool, as do all callbacks that it registers.
 class ForwardService {
 public:
-    /// @param options Options of the forwarder; the service sets the decision log.
     ForwardService(http::IoPool& pool, http::Client& client, const Clock& clock,
-        const backend::ForwardProtocol& protocol, telemetry::Metrics& metrics, serving::ForwarderOptions options);
+        const backend::ForwardProtocol& protocol, telemetry::Metrics& metrics, ForwardServiceOptions options);
     ~ForwardService();
     ForwardService(const ForwardService&) = delete;
     ForwardService& operator=(const ForwardService&) = delete;
@@ -45,6 +51,8 @@
     void onPeerMessage(const InstanceId& from, const serving::PieceMessage& message);
     /// @brief Handles the loss of a connection to another instance: requests sent to it may be lost.
     void onPeerConnectionLost(const InstanceId& instance);
+    /// @brief Handles an instance whose process has ended.
+    void onPeerUnreachable(const InstanceId& instance);
     /// @brief Sets the function that sends messages to other instances.
     void setSendToInstance(std::function<void(const InstanceId&, const serving::PieceMessage&)> send);
     /// @brief Rejects all new requests; requests in progress continue.
--- a/include/foxtailwheel/daemon/PeerLink.h
+++ b/include/foxtailwheel/daemon/PeerLink.h
@@ -24,6 +24,7 @@
         onMembersChanged;
     std::function<void(const InstanceId& from, const serving::PieceMessage& message)> onPieceMessage;
     std::function<void(const InstanceId& instance)> onConnectionLost; ///< Requests sent to it may be lost.
+    std::function<void(const InstanceId& instance)> onUnreachable; ///< It refuses connections: its process has ended.
     std::function<void(const control::TableUpdate& update)> onTableUpdate;
     std::function<void(bool)> onPollerChanged; ///< Whether this instance polls the store for its zone.
 };
--- a/include/foxtailwheel/http/Client.h
+++ b/include/foxtailwheel/http/Client.h
@@ -35,6 +35,7 @@
     bool idempotent = true; ///< A non-idempotent call uses a new connection and is never retried.
     bool newConnection = false; ///< Neither reuses an idle connection nor returns its own to the pool.
     bool tcpKeepAlive = false; ///< Enables TCP keep-alive probes, for calls whose response is slow to arrive.
+    std::uint64_t maxBodyBytes = std::uint64_t { 8 } << 20U; ///< A larger body ends the call with `ConnectionLost`.
 };
 
 /// @brief Callbacks of a call; they never run concurrently.
@@ -53,10 +54,26 @@
     virtual void cancel() = 0;
 };
 
+/// @brief Limits of a client.
+struct ClientOptions {
+    /// @brief Bytes of incomplete bodies of all calls together. Above it, the call with the largest body ends with
+    /// `ConnectionLost`. Bodies that are delivered through `onData` do not count.
+    std::size_t maxBufferedBytes = std::size_t { 64 } << 20U;
+    /// @brief Sends `identityField` with each call that may reuse a connection. A response with another value belongs
+    /// to another request, so the call ends with `ConnectionLost`; a connection whose response lacks the field is not
+    /// reused. If false, connections are reused without this check.
+    bool identifyRequests = true;
+};
+
 /// @brief HTTP/1.1 client with a connection pool.
+///
+/// Heads, chunk headers and trailers are limited to `maxHeadBytes` each, so the memory of a call does not depend on
+/// what the server sends.
 class Client {
 public:
-    static std::unique_ptr<Client> create(IoPool& pool, const Clock& clock);
+    static constexpr std::size_t maxHeadBytes = std::size_t { 16 } << 10U;
+
+    static std::unique_ptr<Client> create(IoPool& pool, const Clock& clock, ClientOptions options = {});
     virtual ~Client() = default;
     /// @brief Starts a call; no callback runs inside this function.
     virtual std::shared_ptr<Call> start(CallRequest request, CallCallbacks callbacks) = 0;
--- a/include/foxtailwheel/http/Message.h
+++ b/include/foxtailwheel/http/Message.h
@@ -12,6 +12,10 @@
     std::string value;
 };
 
+/// @brief Field by which a client recognizes the response to its request on a reused connection: a server repeats its
+/// value in the response.
+constexpr std::string_view identityField = "Request-Id";
+
 /// @brief Header fields, in order.
 using Headers = std::vector<Header>;
 
--- a/include/foxtailwheel/http/Server.h
+++ b/include/foxtailwheel/http/Server.h
@@ -47,6 +47,7 @@
     std::uint32_t maxConnections = 4096;
     std::size_t maxQueuedBytes = 256U << 10U; ///< Per response; above it the connection is aborted.
     Duration writeTimeout = std::chrono::seconds(10);
+    bool identifyResponses = true; ///< Repeats the `identityField` of a request in its response.
 };
 
 /// @brief Handles a request; responds immediately or later through the responder.
@@ -63,8 +64,12 @@
     Server& operator=(const Server&) = delete;
 
     std::uint16_t port() const;
-    /// @brief Stops listening. Requests in progress are completed, and their connections are closed afterwards.
+    /// @brief Stops listening. Requests in progress and those of connections that clients have established already are
+    /// completed, and their connections are closed afterwards.
     void stopAccepting();
+    /// @brief Closes the connections that have been waiting for a request for at least `quietTime` and have received
+    /// no byte of it.
+    void closeIdleConnections(Duration quietTime);
     /// @brief Sends `Connection: close` with every response from now on; new connections are still accepted.
     void disableKeepAlive();
     /// @brief Applies new limits to subsequent requests; the other `ServerOptions` do not change.
--- a/include/foxtailwheel/peer/Handshake.h
+++ b/include/foxtailwheel/peer/Handshake.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -15,8 +16,8 @@
 using Nonce = std::array<std::uint8_t, proofBytes>;
 using Proof = std::array<std::uint8_t, proofBytes>;
 
-/// @brief Returns a nonce from the cryptographic random generator of OpenSSL.
-Nonce generateNonce();
+/// @brief Returns a nonce from the cryptographic random generator of OpenSSL; nothing if that fails.
+std::optional<Nonce> generateNonce();
 /// @brief Returns the HMAC-SHA-256 of the role and both nonces.
 /// @param role Differs between the two directions, which prevents reflection of a proof to its sender.
 Proof computeProof(const std::string& key, std::string_view role, const Nonce& ownNonce, const Nonce& peerNonce);
--- a/include/foxtailwheel/peer/Messages_generated.h
+++ b/include/foxtailwheel/peer/Messages_generated.h
@@ -1207,7 +1207,8 @@
     VT_LEFT_US = 16,
     VT_ZONE = 18,
     VT_ZONE_US = 22,
-    VT_RESULT_BYTES = 24
+    VT_RESULT_BYTES = 24,
+    VT_REPEATED = 26
   };
   const foxtailwheel::peer::wire::Member *sender() const {
     return GetPointer<const foxtailwheel::peer::wire::Member *>(VT_SENDER);
@@ -1239,6 +1240,9 @@
   uint64_t result_bytes() const {
     return GetField<uint64_t>(VT_RESULT_BYTES, 0);
   }
+  bool repeated() const {
+    return GetField<uint8_t>(VT_REPEATED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -1256,6 +1260,7 @@
            verifier.VerifyString(zone()) &&
            VerifyField<int64_t>(verifier, VT_ZONE_US, 8) &&
            VerifyField<uint64_t>(verifier, VT_RESULT_BYTES, 8) &&
+           VerifyField<uint8_t>(verifier, VT_REPEATED, 1) &&
            verifier.EndTable();
   }
 };
@@ -1294,6 +1299,9 @@
   void add_result_bytes(uint64_t result_bytes) {
     fbb_.AddElement<uint64_t>(PiecesAsked::VT_RESULT_BYTES, result_bytes, 0);
   }
+  void add_repeated(bool repeated) {
+    fbb_.AddElement<uint8_t>(PiecesAsked::VT_REPEATED, static_cast<uint8_t>(repeated), 0);
+  }
   explicit PiecesAskedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1316,7 +1324,8 @@
     int64_t left_us = 0,
     flatbuffers::Offset<flatbuffers::String> zone = 0,
     int64_t zone_us = 0,
-    uint64_t result_bytes = 0) {
+    uint64_t result_bytes = 0,
+    bool repeated = false) {
   PiecesAskedBuilder builder_(_fbb);
   builder_.add_result_bytes(result_bytes);
   builder_.add_zone_us(zone_us);
@@ -1328,6 +1337,7 @@
   builder_.add_pieces(pieces);
   builder_.add_service(service);
   builder_.add_sender(sender);
+  builder_.add_repeated(repeated);
   return builder_.Finish();
 }
 
@@ -1342,7 +1352,8 @@
     int64_t left_us = 0,
     const char *zone = nullptr,
     int64_t zone_us = 0,
-    uint64_t result_bytes = 0) {
+    uint64_t result_bytes = 0,
+    bool repeated = false) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto pieces__ = pieces ? _fbb.CreateVector<flatbuffers::Offset<foxtailwheel::peer::wire::Piece>>(*pieces) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
@@ -1357,7 +1368,8 @@
       left_us,
       zone__,
       zone_us,
-      result_bytes);
+      result_bytes,
+      repeated);
 }
 
 struct PiecesTaken FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/include/foxtailwheel/peer/Transport.h
+++ b/include/foxtailwheel/peer/Transport.h
@@ -16,6 +16,12 @@
 /// @brief Reason for refusing a connection or a frame of a peer.
 enum class RefusalReason { WrongKey, WrongProtocol, OversizedFrame, MalformedFrame, TruncatedFrame };
 
+/// @brief Why a peer is disconnected.
+enum class DisconnectReason {
+    Lost, ///< An established connection ended; messages sent before may be lost.
+    Refused, ///< The peer's address refuses connections, so its process has ended.
+};
+
 /// @brief Counters of refusals, indexed by `RefusalReason`, and of traffic.
 struct TransportCounts {
     std::array<std::uint64_t, 5> refused {};
@@ -30,8 +36,9 @@
 class Transport {
 public:
     using MessageHandler = std::function<void(Message)>;
-    /// @brief Called when the peer closes the connection to its address; messages sent before may be lost.
-    using DisconnectHandler = std::function<void(const config::Endpoint&)>;
+    /// @brief Called when the connection to a peer's address ends or is refused; not for idle connections, and not for
+    /// a peer that does not respond.
+    using DisconnectHandler = std::function<void(const config::Endpoint&, DisconnectReason)>;
 
     /// @brief Starts to listen; the handlers run on the threads of the pool.
     /// @param key Secret shared by all instances.
--- a/include/foxtailwheel/serving/Dispatcher.h
+++ b/include/foxtailwheel/serving/Dispatcher.h
@@ -107,7 +107,6 @@
     std::uint64_t runs = 0; ///< Runs in progress, queued ones included.
     std::uint64_t queued = 0;
     std::uint64_t unmatchedResults = 0; ///< Results that match no open attempt; they are dropped.
-    std::uint64_t limitedAccounts = 0;
 };
 
 /// @brief Processes requests: admission, fair queueing, runs, server placement and retry budgets. Does no I/O.
--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -159,6 +159,9 @@
     bool admissionControl = true; ///< Disabled only to measure the effect of early rejection.
     bool affinity = true; ///< Disabled only to measure the effect of cached prompts.
     bool hedging = true; ///< Hedged calls and failover of silent streams; disabled only to measure their effect.
+    std::size_t maxEventBytes = std::size_t { 256 } << 10U; ///< A stream with a larger event is broken.
+    /// @brief Bytes of incomplete events of all streams together; above it, the stream with the largest one is broken.
+    std::size_t maxPartialEventBytes = std::size_t { 16 } << 20U;
     DecisionLog decisionLog; ///< May be empty.
 };
 
@@ -166,7 +169,6 @@
 struct ForwarderStatus {
     std::uint64_t configVersion = 0; ///< Version of the active configuration; 0 for none.
     std::size_t activeRequests = 0; ///< In progress.
-    std::size_t piecesWaiting = 0;
     bool credentialsCurrent = false;
 };
 
@@ -200,6 +202,8 @@
 
     /// @brief The connection to an instance was lost, so requests sent to it may be lost.
     virtual void onPeerConnectionLost(const InstanceId& instance, TimePoint now, ForwardActions& out) = 0;
+    /// @brief An instance refuses connections, because its process has ended.
+    virtual void onPeerUnreachable(const InstanceId& instance, TimePoint now, ForwardActions& out) = 0;
     /// @brief Rejects all new requests from now on; requests in progress continue.
     virtual void stopAccepting() = 0;
     /// @brief Allocates the id for a request.
--- a/include/foxtailwheel/serving/PieceBroker.h
+++ b/include/foxtailwheel/serving/PieceBroker.h
@@ -27,6 +27,7 @@
     AvailabilityZoneId preferredZone; ///< Empty if there is no preference.
     Duration remainingTimeInZone {}; ///< Time after which the pieces may be processed in another zone.
     std::uint64_t resultBytes = 0; ///< Approximate size of one result.
+    bool repeated = false; ///< Sent to the same owner before, which may have it in its queue.
 
     friend bool operator==(const PieceRequest&, const PieceRequest&) = default;
 };
@@ -124,9 +125,12 @@
     void release(ReleaseResults release, TimePoint now, BrokerActions& out);
     /// @brief Handles a message from another instance.
     void onMessage(const InstanceId& from, const PieceMessage& message, TimePoint now, BrokerActions& out);
-    /// @brief Handles the loss of the connection to an instance: requests sent to it may be lost and are submitted
-    /// again to the current owner.
+    /// @brief Handles the loss of the connection to an instance: requests may be lost, so they are sent to it again. It
+    /// ignores those that it has in its queue.
     void onConnectionLost(const InstanceId& instance, TimePoint now, BrokerActions& out);
+    /// @brief Handles that an instance refuses connections: its process has ended, so requests sent to it are submitted
+    /// to the next owner.
+    void onUnreachable(const InstanceId& instance, TimePoint now, BrokerActions& out);
     /// @brief Handles the end of a batch call.
     void onBatchEnd(const ServiceId& service, CallId call, BatchOutcome outcome,
         const std::vector<PieceResult>& results, TimePoint now, BrokerActions& out);
--- a/src/foxtailwheel/control/ClaimStore.cpp
+++ b/src/foxtailwheel/control/ClaimStore.cpp
@@ -133,8 +133,10 @@
         } else if (machine.mayHaveInserted()) {
             const auto record = std::make_shared<PendingRecord>(PendingRecord { machine.key(), machine.requestedRow(),
                 pipeline::ClaimOutcome::NotStarted, nullptr, m_clock.now() + recordRetryTimeout });
-            const std::lock_guard lock(m_mutex);
-            ++m_pendingRecords;
+            {
+                const std::lock_guard lock(m_mutex);
+                ++m_pendingRecords;
+            }
             m_runAfter(initialRetryDelay, [this, record] { readAndWrite(record); });
         }
         pending->done(machine.result());
--- a/src/foxtailwheel/control/TableFollower.cpp
+++ b/src/foxtailwheel/control/TableFollower.cpp
@@ -193,7 +193,9 @@
     table.asOf = std::max(table.asOf, bound.observe(sentAt, result.storeTime));
     if (publish && polling && synced)
         publish({ options.table, baseVersion, result });
-    const bool rowsChanged = applyRows(std::move(result.rows));
+    // An update from another instance may have arrived before this response although the store sent it later.
+    const bool outdated = synced && result.version < version;
+    const bool rowsChanged = !outdated && applyRows(std::move(result.rows));
     const bool wasSynced = std::exchange(synced, true);
     version = std::max(version, result.version);
     onChange(table, rowsChanged);
--- a/src/foxtailwheel/control/TableFollowerTest.cpp
+++ b/src/foxtailwheel/control/TableFollowerTest.cpp
@@ -179,6 +179,28 @@
     cr_assert_eq(fixture.follower->table().rows.at("a"), "new");
 }
 
+Test(TableFollower, ignoresResponseOlderThanAnUpdate)
+{
+    Fixture fixture;
+    fixture.feed.respond(Fixture::rows(5, { { "keys", "k1,k2" }, { "server", "ready" } }, 10s));
+    fixture.follower->onUpdate({ "op", 5, Fixture::rows(9, { { "keys", "k1" }, { "server", std::nullopt } }, 12s) });
+    fixture.feed.respond(Fixture::rows(7, { { "keys", "k1,k2,k3" }, { "server", "ready" } }, 11s));
+    cr_assert_eq(fixture.follower->table().rows.at("keys"), "k1", "a withdrawn key is in use again");
+    cr_assert_eq(fixture.follower->table().rows.count("server"), 0, "a server that left is in use again");
+    cr_assert_eq(fixture.feed.calls.front().after, 9);
+}
+
+Test(TableFollower, readsTheTableAgainWithoutTakingUpdatesInBetween)
+{
+    Fixture fixture;
+    fixture.feed.respond(Fixture::rows(5, { { "a", "1" } }));
+    fixture.feed.respond({ FeedOutcome::HistoryLost, {}, 0, {} });
+    fixture.follower->onUpdate({ "op", 5, Fixture::rows(8, { { "a", "2" } }, 12s) });
+    fixture.feed.respond(Fixture::rows(9, { { "a", "3" } }));
+    cr_assert_eq(fixture.follower->table().rows.at("a"), "3");
+    cr_assert_eq(fixture.feed.calls.front().after, 9);
+}
+
 Test(StoreClockBound, neverExceedsTheTimeOfTheResponse)
 {
     StoreClockBound bound;
--- a/src/foxtailwheel/daemon/ConfigService.cpp
+++ b/src/foxtailwheel/daemon/ConfigService.cpp
@@ -132,11 +132,31 @@
         });
 }
 
+/// Reads a text and the change that it belongs to, whose hash it has to match.
 void ConfigService::fetchText(ConfigVersion version)
 {
-    m_table.read(control::configTextKey(version), m_clock.now() + tableTimeout,
+    m_table.read(control::configChangeKey(version), m_clock.now() + tableTimeout,
         [this, version](const store::ReadResult& result) {
-            onText(version, result.rows.empty() ? std::nullopt : std::optional(result.rows.front().value));
+            const auto change
+                = result.rows.empty() ? std::nullopt : control::decodeConfigChange(result.rows.front().value);
+            if (result.succeeded)
+                fetchText(version, change ? change->textHash : std::string());
+            else
+                onText(version, std::nullopt);
+        });
+}
+
+/// @param hash SHA-256 of the text; empty if it is unknown, because the table no longer has the change.
+void ConfigService::fetchText(ConfigVersion version, const std::string& hash)
+{
+    m_table.read(control::configTextKey(version), m_clock.now() + tableTimeout,
+        [this, version, hash](const store::ReadResult& result) {
+            auto text = result.rows.empty() ? std::nullopt : std::optional(result.rows.front().value);
+            if (text && !hash.empty() && sha256Hex(*text) != hash) {
+                telemetry::logError("config_text_damaged", { { "version", std::to_string(version.value()) } });
+                text.reset();
+            }
+            onText(version, text);
         });
 }
 
--- a/src/foxtailwheel/daemon/ConfigService.h
+++ b/src/foxtailwheel/daemon/ConfigService.h
@@ -57,6 +57,7 @@
     void readHead();
     void fetch(const control::FetchText& fetch);
     void fetchText(ConfigVersion version);
+    void fetchText(ConfigVersion version, const std::string& hash);
     std::optional<std::string> applyPatches(const std::vector<config::Patch>& patches) const;
     void onPeerReply(ConfigVersion version, const peer::ConfigReply& reply);
     void onText(ConfigVersion version, const std::optional<std::string>& text);
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -21,6 +21,9 @@
     /// waiting pieces need.
     constexpr Duration releaseDelay = 5ms;
     constexpr Duration releaseTimeout = 1s;
+    /// Limits of the response to a batch call, which has a handle or a reason for each piece.
+    constexpr std::uint64_t maxBatchResponseBytes = 4U << 10U;
+    constexpr std::uint64_t maxPieceResponseBytes = 1U << 10U;
 
     struct Session {
         std::shared_ptr<http::Responder> responder;
@@ -38,13 +41,14 @@
 
 struct ForwardService::Impl : std::enable_shared_from_this<ForwardService::Impl> {
     Impl(http::IoPool& p, http::Client& c, const Clock& cl, const backend::ForwardProtocol& pr, telemetry::Metrics& m,
-        serving::ForwarderOptions options)
+        ForwardServiceOptions options)
         : pool(p)
         , client(c)
         , clock(cl)
         , protocol(pr)
         , metrics(m)
-        , forwarder(serving::Forwarder::create(std::move(options)))
+        , maxBodyBytes(options.maxBodyBytes)
+        , forwarder(serving::Forwarder::create(std::move(options.forwarder)))
     {
     }
 
@@ -72,6 +76,7 @@
     const Clock& clock;
     const backend::ForwardProtocol& protocol;
     telemetry::Metrics& metrics;
+    std::uint64_t maxBodyBytes;
     std::unique_ptr<serving::Forwarder> forwarder;
     std::unordered_map<ForwardId, Session> sessions;
     std::unordered_map<CallId, ActiveCall> calls;
@@ -116,6 +121,7 @@
         send.deadline, send.idempotent };
     // A reused connection may be dead without notice, which would fail the request.
     request.newConnection = true;
+    request.maxBodyBytes = maxBodyBytes;
     http::CallCallbacks callbacks;
     callbacks.onHead = [this, id](const http::Response& head) { onHead(id, head); };
     if (send.streams)
@@ -203,6 +209,7 @@
     http::CallRequest request { { batch.server.host, batch.server.port }, protocol.encodeBatch(batch),
         clock.now() + connectTimeout, batch.deadline, false };
     request.newConnection = true;
+    request.maxBodyBytes = maxBatchResponseBytes + batch.pieces.size() * maxPieceResponseBytes;
     http::CallCallbacks callbacks;
     callbacks.onDone = [self = shared_from_this(), batch, sentAt = clock.now()](
                            const http::CallResult& result) { self->onBatchDone(batch, sentAt, result); };
@@ -256,8 +263,10 @@
             if (result.outcome != http::TransportOutcome::Complete || result.response.status != 200)
                 telemetry::logDebug("release_failed", { { "server", server.toString() }, { "detail", result.detail } });
         };
-        client.start({ server, protocol.encodeRelease(handles), now + connectTimeout, now + releaseTimeout },
-            std::move(callbacks));
+        http::CallRequest request { server, protocol.encodeRelease(handles), now + connectTimeout,
+            now + releaseTimeout };
+        request.maxBodyBytes = maxBatchResponseBytes;
+        client.start(std::move(request), std::move(callbacks));
     }
 }
 
@@ -323,9 +332,9 @@
 } // namespace
 
 ForwardService::ForwardService(http::IoPool& pool, http::Client& client, const Clock& clock,
-    const backend::ForwardProtocol& protocol, telemetry::Metrics& metrics, serving::ForwarderOptions options)
+    const backend::ForwardProtocol& protocol, telemetry::Metrics& metrics, ForwardServiceOptions options)
 {
-    options.decisionLog = logDecision;
+    options.forwarder.decisionLog = logDecision;
     m_impl = std::make_shared<Impl>(pool, client, clock, protocol, metrics, std::move(options));
 }
 
@@ -395,6 +404,13 @@
     m_impl->executeAll(std::move(actions));
 }
 
+void ForwardService::onPeerUnreachable(const InstanceId& instance)
+{
+    serving::ForwardActions actions;
+    m_impl->forwarder->onPeerUnreachable(instance, m_impl->clock.now(), actions);
+    m_impl->executeAll(std::move(actions));
+}
+
 void ForwardService::setSendToInstance(std::function<void(const InstanceId&, const serving::PieceMessage&)> send)
 {
     m_impl->sendToInstance = std::move(send);
--- a/src/foxtailwheel/daemon/Instance.cpp
+++ b/src/foxtailwheel/daemon/Instance.cpp
@@ -32,6 +32,9 @@
     constexpr std::size_t leaseContendersPerPool = 2;
     constexpr Duration instanceListTimeout = 1s;
     constexpr Duration drainCheckPeriod = 20ms;
+    /// Time for which a connection without a request stays open after this instance has stopped listening: a request
+    /// may be on its way.
+    constexpr Duration connectionQuietTime = 200ms;
 
     serving::DispatcherOptions dispatcherOptions(const config::Settings& settings, std::uint64_t seed)
     {
@@ -76,8 +79,8 @@
         void refreshInstanceList();
         void announce(bool leaving);
         void onInstanceList(const store::InstanceListResult& list);
-        void drain();
-        void checkDrained();
+        void drain(TimePoint deadline);
+        void checkDrained(TimePoint deadline);
         bool process(LifecycleEvent event);
         LifecycleState state() const;
         void finishShutdown(std::size_t abortedRequests);
@@ -106,7 +109,6 @@
         std::condition_variable m_stoppedCondition;
         Lifecycle m_lifecycle;
         control::ClaimCleaner m_claimCleaner;
-        TimePoint m_drainDeadline {};
         std::size_t m_abortedRequests = 0;
     };
 
@@ -340,33 +342,34 @@
         m_cluster.leave();
         telemetry::logInfo(
             "leaving", { { "balancer_delay_ms", std::to_string(toMilliseconds(m_settings.balancerDelay)) } });
-        m_drainDeadline = m_clock->now() + m_settings.balancerDelay + m_settings.drainTimeout;
-        m_pool->postAfter(m_settings.balancerDelay, [this] { drain(); });
+        const auto deadline = m_clock->now() + m_settings.balancerDelay + m_settings.drainTimeout;
+        m_pool->postAfter(m_settings.balancerDelay, [this, deadline] { drain(deadline); });
     }
 
-    void InstanceImpl::drain()
+    void InstanceImpl::drain(TimePoint deadline)
     {
         process(LifecycleEvent::BalancerDelayElapsed);
         m_dispatcher->stopAccepting();
         m_callerServer->stopAccepting();
         telemetry::logInfo("draining", { { "in_progress", std::to_string(m_callerApi.inProgress()) } });
-        checkDrained();
+        checkDrained(deadline);
     }
 
-    void InstanceImpl::checkDrained()
+    void InstanceImpl::checkDrained(TimePoint deadline)
     {
-        const bool idle = m_callerApi.inProgress() == 0 && m_callerServer->requestsInProgress() == 0
+        m_callerServer->closeIdleConnections(connectionQuietTime);
+        const bool idle = m_callerApi.inProgress() == 0 && m_callerServer->openConnections() == 0
             && m_dispatcher->status().runs == 0 && m_claimStore->pendingRecords() == 0;
         if (idle && process(LifecycleEvent::DrainCompleted)) {
             finishShutdown(0);
             return;
         }
-        if (m_clock->now() >= m_drainDeadline && process(LifecycleEvent::DrainAborted)) {
+        if (m_clock->now() >= deadline && process(LifecycleEvent::DrainAborted)) {
             finishShutdown(m_callerApi.inProgress());
             return;
         }
         if (state() != LifecycleState::Stopped)
-            m_pool->postAfter(drainCheckPeriod, [this] { checkDrained(); });
+            m_pool->postAfter(drainCheckPeriod, [this, deadline] { checkDrained(deadline); });
     }
 
     void InstanceImpl::finishShutdown(std::size_t abortedRequests)
--- a/src/foxtailwheel/daemon/PeerLink.cpp
+++ b/src/foxtailwheel/daemon/PeerLink.cpp
@@ -49,7 +49,7 @@
     void onMessage(const peer::Message& message);
     void updateMembers();
     void updatePoller();
-    void onConnectionClosed(const config::Endpoint& address);
+    void onDisconnect(const config::Endpoint& address, peer::DisconnectReason reason);
 
     http::IoPool& pool;
     const Clock& clock;
@@ -128,11 +128,13 @@
     callbacks.onPollerChanged(shouldPoll);
 }
 
-void PeerLink::Impl::onConnectionClosed(const config::Endpoint& address)
+void PeerLink::Impl::onDisconnect(const config::Endpoint& address, peer::DisconnectReason reason)
 {
+    const auto& handler
+        = reason == peer::DisconnectReason::Refused ? callbacks.onUnreachable : callbacks.onConnectionLost;
     for (const auto& it : membership.members()) {
         if (it.endpoint == address)
-            callbacks.onConnectionLost(it.id);
+            handler(it.id);
     }
 }
 
@@ -166,9 +168,12 @@
     self.incarnation = Incarnation(static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count()));
     const auto address = self.endpoint;
     auto impl = std::make_shared<Impl>(pool, clock, std::move(self), seed, std::move(callbacks));
-    // Frames are received on strands of the pool's single thread.
+    // Both handlers run on strands of the pool's single thread.
     auto transport = peer::Transport::listen(
-        pool, address, std::move(key), [impl = impl.get()](const peer::Message& message) { impl->onMessage(message); });
+        pool, address, std::move(key), [impl = impl.get()](const peer::Message& message) { impl->onMessage(message); },
+        [impl = impl.get()](const config::Endpoint& peerAddress, peer::DisconnectReason reason) {
+            impl->onDisconnect(peerAddress, reason);
+        });
     if (!transport)
         return transport.error();
     impl->transport = std::move(transport.value());
--- a/src/foxtailwheel/http/Client.cpp
+++ b/src/foxtailwheel/http/Client.cpp
@@ -1,5 +1,6 @@
 #include "foxtailwheel/http/Client.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -12,6 +13,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <netinet/tcp.h>
@@ -30,7 +32,8 @@
     using namespace std::chrono_literals;
 
     constexpr auto completionToken = net::as_tuple(net::use_awaitable);
-    constexpr std::uint64_t maxResponseBytes = 64U << 20U;
+    /// Limit of a body that is delivered in pieces and not buffered.
+    constexpr std::uint64_t maxStreamBytes = std::uint64_t { 64 } << 20U;
     constexpr std::size_t readChunkBytes = 16U << 10U;
     constexpr std::size_t maxIdleConnectionsPerServer = 64;
     constexpr Duration maxIdleTime = 10s;
@@ -100,15 +103,81 @@
         m_idleConnections.erase(server);
     }
 
+    /// Bytes of incomplete bodies, by call, and their limit for all calls together.
+    class BodyBudget {
+    public:
+        explicit BodyBudget(std::size_t maxBytes)
+            : m_maxBytes(maxBytes)
+        {
+        }
+
+        /// Adds bytes to the body of a call; above the limit, ends the call with the largest body.
+        /// @param end Ends the call; may run on the thread of another call.
+        void add(const Call& call, std::size_t n, const std::function<void()>& end);
+        void remove(const Call& call);
+
+    private:
+        struct Body {
+            std::size_t bytes = 0;
+            std::function<void()> end;
+        };
+
+        std::size_t m_maxBytes;
+        std::mutex m_mutex;
+        std::map<const Call*, Body> m_bodies;
+        std::size_t m_totalBytes = 0;
+    };
+
+    void BodyBudget::add(const Call& call, std::size_t n, const std::function<void()>& end)
+    {
+        std::function<void()> endLargest;
+        {
+            const std::lock_guard lock(m_mutex);
+            auto& body = m_bodies[&call];
+            body.bytes += n;
+            if (!body.end)
+                body.end = end;
+            m_totalBytes += n;
+            if (m_totalBytes <= m_maxBytes)
+                return;
+            const auto largest = std::max_element(m_bodies.begin(), m_bodies.end(),
+                [](const auto& left, const auto& right) { return left.second.bytes < right.second.bytes; });
+            endLargest = largest->second.end;
+        }
+        endLargest();
+    }
+
+    void BodyBudget::remove(const Call& call)
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto it = m_bodies.find(&call);
+        if (it == m_bodies.end())
+            return;
+        m_totalBytes -= it->second.bytes;
+        m_bodies.erase(it);
+    }
+
+    /// State that the calls of a client share.
+    struct ClientState {
+        explicit ClientState(const ClientOptions& options)
+            : bodyBudget(options.maxBufferedBytes)
+        {
+        }
+
+        IdleConnectionPool idlePool;
+        BodyBudget bodyBudget;
+    };
+
     /// A call, run by a coroutine on its own strand.
     class PooledCall final : public Call, public std::enable_shared_from_this<PooledCall> {
     public:
         /// @param strand Executor of the call; the executor of `stream` if a connection is reused.
         /// @param stream Connection to reuse, or null to open a new one.
-        PooledCall(net::any_io_executor strand, std::unique_ptr<Stream> stream,
-            std::shared_ptr<IdleConnectionPool> pool, const Clock& clock, CallRequest request, CallCallbacks callbacks)
+        PooledCall(net::any_io_executor strand, std::unique_ptr<Stream> stream, std::shared_ptr<ClientState> state,
+            const Clock& clock, CallRequest request, CallCallbacks callbacks, std::string identity)
             : m_strand(std::move(strand))
-            , m_idlePool(std::move(pool))
+            , m_identity(std::move(identity))
+            , m_state(std::move(state))
             , m_clock(clock)
             , m_request(std::move(request))
             , m_callbacks(std::move(callbacks))
@@ -137,14 +206,20 @@
         CallResult errorResult(const boost::system::error_code& ec) const;
         void setStreamDeadline(TimePoint at);
 
+        void end();
+        void countBodyBytes(std::size_t bodyBytes, std::size_t received);
+        std::optional<bool> isOwnResponse(const Response& head) const;
+
         net::any_io_executor m_strand;
-        std::shared_ptr<IdleConnectionPool> m_idlePool;
+        std::string m_identity; ///< Empty if responses are not checked.
+        std::shared_ptr<ClientState> m_state;
         const Clock& m_clock;
         CallRequest m_request;
         CallCallbacks m_callbacks;
         std::unique_ptr<Stream> m_stream;
-        beast::flat_buffer m_buffer;
+        beast::flat_buffer m_buffer { Client::maxHeadBytes };
         std::atomic<bool> m_cancelled { false };
+        std::atomic<bool> m_overBudget { false };
         bhttp::request<bhttp::string_body> m_message;
         bool m_writeIncomplete = false;
         bool m_sendStarted = false;
@@ -161,6 +236,36 @@
         });
     }
 
+    /// Ends the call because the bodies of all calls exceed their limit.
+    void PooledCall::end()
+    {
+        m_overBudget = true;
+        net::post(m_strand, [self = shared_from_this()] {
+            if (self->m_stream)
+                self->m_stream->cancel();
+        });
+    }
+
+    /// Counts received bytes in the budget of all calls, except for bodies that fit into one chunk.
+    void PooledCall::countBodyBytes(std::size_t bodyBytes, std::size_t received)
+    {
+        if (bodyBytes <= readChunkBytes)
+            return;
+        m_state->bodyBudget.add(*this, received, [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->end();
+        });
+    }
+
+    /// Returns whether a response is the one to this request; nothing if that is unknown.
+    std::optional<bool> PooledCall::isOwnResponse(const Response& head) const
+    {
+        if (m_identity.empty())
+            return true;
+        const auto id = findHeader(head.headers, identityField);
+        return id.empty() ? std::nullopt : std::optional(id == m_identity);
+    }
+
     void PooledCall::setStreamDeadline(TimePoint at)
     {
         m_stream->expires_after(std::max<Duration>(at - m_clock.now(), Duration {}));
@@ -168,6 +273,8 @@
 
     CallResult PooledCall::errorResult(const boost::system::error_code& ec) const
     {
+        if (m_overBudget)
+            return makeResult(TransportOutcome::ConnectionLost, "too many bytes in the bodies of all calls");
         if (m_cancelled)
             return makeResult(TransportOutcome::Cancelled, "cancelled");
         if (ec == beast::error::timeout)
@@ -188,8 +295,6 @@
         if (connectError)
             co_return false;
         m_stream->socket().set_option(tcp::no_delay(true), ec);
-        if (m_request.tcpKeepAlive)
-            enableKeepAlive();
         co_return true;
     }
 
@@ -214,6 +319,8 @@
             m_message.set(bhttp::field::host, m_request.server.toString());
         for (const auto& it : request.headers)
             m_message.insert(it.name, it.value);
+        if (!m_identity.empty())
+            m_message.set(identityField, m_identity);
         m_message.keep_alive(true);
         m_message.body() = request.body;
         m_message.prepare_payload();
@@ -250,12 +357,16 @@
             parser.get().body().size = chunk.size();
             auto [ec, n] = co_await bhttp::async_read_some(*m_stream, m_buffer, parser, completionToken);
             const std::string_view received(chunk.data(), chunk.size() - parser.get().body().size);
-            if (streaming && !received.empty())
+            if (streaming && !received.empty()) {
                 m_callbacks.onData(received);
-            else
+            } else if (!received.empty()) {
                 body.append(received);
+                countBodyBytes(body.size(), received.size());
+            }
             if (ec && ec != bhttp::error::need_buffer)
                 co_return ec;
+            if (m_overBudget || body.size() > m_request.maxBodyBytes)
+                co_return bhttp::error::body_limit;
         }
         co_return boost::system::error_code();
     }
@@ -263,7 +374,8 @@
     net::awaitable<CallResult> PooledCall::read()
     {
         bhttp::response_parser<bhttp::buffer_body> parser;
-        parser.body_limit(maxResponseBytes);
+        parser.header_limit(Client::maxHeadBytes);
+        parser.body_limit(m_callbacks.onData ? maxStreamBytes : m_request.maxBodyBytes);
         auto [ec, n] = co_await bhttp::async_read_header(*m_stream, m_buffer, parser, completionToken);
         m_responseStarted = n > 0;
         if (ec)
@@ -272,15 +384,18 @@
         result.response.status = parser.get().result_int();
         for (const auto& it : parser.get())
             result.response.headers.push_back({ std::string(it.name_string()), std::string(it.value()) });
+        const auto own = isOwnResponse(result.response);
+        if (!own.value_or(true))
+            co_return makeResult(TransportOutcome::ConnectionLost, "the response to another request");
         if (m_callbacks.onHead)
             m_callbacks.onHead(result.response);
         const auto bodyError = co_await readBody(parser, result.response.body);
         if (bodyError)
             co_return errorResult(bodyError);
         if (parser.keep_alive() && m_buffer.size() == 0 && !m_cancelled && !m_writeIncomplete
-            && !m_request.newConnection) {
+            && !m_request.newConnection && own) {
             m_stream->expires_never();
-            m_idlePool->release(m_request.server, std::move(m_stream), m_clock.now());
+            m_state->idlePool.release(m_request.server, std::move(m_stream), m_clock.now());
         }
         co_return result;
     }
@@ -294,6 +409,8 @@
                 co_return makeResult(
                     m_sendStarted ? TransportOutcome::ConnectionLost : TransportOutcome::NotSent, "cannot connect");
         }
+        if (m_request.tcpKeepAlive)
+            enableKeepAlive();
         if (!m_sendStarted && (m_cancelled || m_clock.now() > m_request.sendBy))
             co_return makeResult(TransportOutcome::NotSent, "cancelled or past the send deadline");
         const bool written = co_await write();
@@ -316,29 +433,33 @@
         const bool unresponsive = !m_responseStarted && m_sendStarted
             && (result.outcome == TransportOutcome::TimedOut || result.outcome == TransportOutcome::Cancelled);
         if (stale || unresponsive)
-            m_idlePool->closeAll(m_request.server);
+            m_state->idlePool.closeAll(m_request.server);
         if (m_stream)
             m_stream->close();
+        m_state->bodyBudget.remove(*this);
         const auto callbacks = std::move(m_callbacks);
         callbacks.onDone(std::move(result));
     }
 
     class PooledClient final : public Client {
     public:
-        PooledClient(IoPool& pool, const Clock& clock)
+        PooledClient(IoPool& pool, const Clock& clock, const ClientOptions& options)
             : m_context(pool.context())
             , m_clock(clock)
+            , m_identifyRequests(options.identifyRequests)
+            , m_state(std::make_shared<ClientState>(options))
         {
         }
 
         std::shared_ptr<Call> start(CallRequest request, CallCallbacks callbacks) override
         {
             const bool canReuse = request.idempotent && !request.newConnection;
-            auto stream = canReuse ? m_idlePool->acquire(request.server, m_clock.now()) : nullptr;
+            auto stream = canReuse ? m_state->idlePool.acquire(request.server, m_clock.now()) : nullptr;
             net::any_io_executor strand
                 = stream ? stream->get_executor() : net::any_io_executor(net::make_strand(m_context));
-            auto call = std::make_shared<PooledCall>(
-                std::move(strand), std::move(stream), m_idlePool, m_clock, std::move(request), std::move(callbacks));
+            auto call = std::make_shared<PooledCall>(std::move(strand), std::move(stream), m_state, m_clock,
+                std::move(request), std::move(callbacks),
+                canReuse && m_identifyRequests ? std::to_string(++m_lastId) : std::string());
             // Posted so that no callback runs inside `start`.
             net::post(call->executor(), [call] {
                 net::co_spawn(
@@ -350,14 +471,16 @@
     private:
         net::io_context& m_context;
         const Clock& m_clock;
-        std::shared_ptr<IdleConnectionPool> m_idlePool = std::make_shared<IdleConnectionPool>();
+        bool m_identifyRequests;
+        std::atomic<std::uint64_t> m_lastId { 0 };
+        std::shared_ptr<ClientState> m_state;
     };
 
 } // namespace
 
-std::unique_ptr<Client> Client::create(IoPool& pool, const Clock& clock)
+std::unique_ptr<Client> Client::create(IoPool& pool, const Clock& clock, ClientOptions options)
 {
-    return std::make_unique<PooledClient>(pool, clock);
+    return std::make_unique<PooledClient>(pool, clock, options);
 }
 
 } // namespace foxtailwheel::http
--- a/src/foxtailwheel/http/HttpTest.cpp
+++ b/src/foxtailwheel/http/HttpTest.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 #include <future>
@@ -20,7 +21,8 @@
 
 /// A client and a server that echoes request bodies unless a handler is given.
 struct Fixture {
-    explicit Fixture(http::Handler handler = echo())
+    explicit Fixture(http::Handler handler = echo(), std::size_t threads = 2)
+        : pool(http::IoPool::create(threads))
     {
         http::ServerOptions options;
         options.listen = { "127.0.0.1", 0 };
@@ -69,7 +71,7 @@
     }
 
     std::unique_ptr<Clock> clock = systemClock();
-    std::unique_ptr<http::IoPool> pool = http::IoPool::create(2);
+    std::unique_ptr<http::IoPool> pool;
     std::unique_ptr<http::Client> client = http::Client::create(*pool, *clock);
     std::unique_ptr<http::Server> server;
 };
@@ -81,7 +83,7 @@
     Fixture it;
     for (int i = 0; i < 50; ++i)
         cr_assert_eq(it.call(std::to_string(i)).response.body, std::to_string(i));
-    cr_assert_eq(it.server->openConnections(), 1U);
+    cr_assert_eq(it.server->openConnections(), 1U, "%zu connections", it.server->openConnections());
 }
 
 Test(Http, opensANewConnectionForEachNonIdempotentCall)
@@ -208,6 +210,102 @@
     }
 }
 
+namespace {
+
+const std::string getRequest = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+
+std::string readResponse(tcp::socket& socket)
+{
+    std::string response;
+    boost::system::error_code ec;
+    net::read_until(socket, net::dynamic_buffer(response), "\r\n\r\n", ec);
+    return response;
+}
+
+} // namespace
+
+Test(HttpServer, plannedStopAnswersConnectionsInTheAcceptQueue)
+{
+    std::promise<void> blocked;
+    std::promise<void> unblock;
+    std::atomic<int> handled { 0 };
+    Fixture fixture(
+        [&](const http::Request&, const std::shared_ptr<http::Responder>& responder) {
+            if (++handled == 1) {
+                blocked.set_value();
+                unblock.get_future().wait();
+            }
+            responder->respond({ 200, {}, {} });
+        },
+        1);
+    net::io_context context;
+    std::vector<tcp::socket> sockets;
+    for (int i = 0; i < 20; ++i) {
+        sockets.emplace_back(context);
+        sockets.back().connect({ net::ip::make_address("127.0.0.1"), fixture.server->port() });
+        net::write(sockets.back(), net::buffer(getRequest));
+        if (i == 0)
+            blocked.get_future().wait();
+    }
+    fixture.server->disableKeepAlive();
+    fixture.server->stopAccepting();
+    unblock.set_value();
+    for (auto& it : sockets)
+        cr_assert(readResponse(it).starts_with("HTTP/1.1 200"));
+}
+
+Test(HttpServer, plannedStopAnswersPipelinedRequests)
+{
+    std::promise<void> blocked;
+    std::promise<void> unblock;
+    std::atomic<int> handled { 0 };
+    Fixture fixture([&](const http::Request&, const std::shared_ptr<http::Responder>& responder) {
+        if (++handled == 1) {
+            blocked.set_value();
+            unblock.get_future().wait();
+        }
+        responder->respond({ 200, {}, {} });
+    });
+    net::io_context context;
+    tcp::socket socket(context);
+    socket.connect({ net::ip::make_address("127.0.0.1"), fixture.server->port() });
+    net::write(socket, net::buffer(getRequest + getRequest + getRequest));
+    blocked.get_future().wait();
+    fixture.server->disableKeepAlive();
+    fixture.server->stopAccepting();
+    unblock.set_value();
+    std::string responses;
+    boost::system::error_code ec;
+    net::read(socket, net::dynamic_buffer(responses), ec);
+    int answered = 0;
+    for (auto at = responses.find("HTTP/1.1 200"); at != std::string::npos; at = responses.find("HTTP/1.1 200", at + 1))
+        ++answered;
+    cr_assert_eq(answered, 3);
+    cr_assert_eq(responses.find("Connection: close"), responses.rfind("Connection: close"), "only the last one closes");
+}
+
+Test(HttpServer, plannedStopClosesIdleConnectionsOnly)
+{
+    Fixture fixture;
+    net::io_context context;
+    tcp::socket idle(context);
+    tcp::socket sending(context);
+    for (auto* it : { &idle, &sending }) {
+        it->connect({ net::ip::make_address("127.0.0.1"), fixture.server->port() });
+        net::write(*it, net::buffer(getRequest));
+        cr_assert(readResponse(*it).starts_with("HTTP/1.1 200"));
+    }
+    net::write(sending, net::buffer(getRequest.substr(0, 10)));
+    std::this_thread::sleep_for(50ms);
+    fixture.server->stopAccepting();
+    fixture.server->closeIdleConnections(0ms);
+    char byte = 0;
+    boost::system::error_code ec;
+    cr_assert_eq(net::read(idle, net::buffer(&byte, 1), ec), 0U);
+    net::write(sending, net::buffer(getRequest.substr(10)));
+    cr_assert(readResponse(sending).starts_with("HTTP/1.1 200"));
+}
+
 Test(HttpServer, canBeDestroyedAfterItsIoPool)
 {
     for (int i = 0; i < 200; ++i) {
--- a/src/foxtailwheel/http/Server.cpp
+++ b/src/foxtailwheel/http/Server.cpp
@@ -1,5 +1,6 @@
 #include "foxtailwheel/http/Server.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -17,6 +18,7 @@
 #include <deque>
 #include <mutex>
 #include <optional>
+#include <vector>
 
 namespace foxtailwheel::http {
 
@@ -28,6 +30,8 @@
 
     constexpr auto completionToken = net::as_tuple(net::use_awaitable);
     constexpr int listenBacklog = 1024;
+    /// Pause after a connection could not be accepted, for example because the process has no free descriptor.
+    constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50);
 
     /// State that the server shares with its connections, some of which may outlive it.
     struct SharedState {
@@ -215,6 +219,8 @@
         Connection& operator=(const Connection&) = delete;
 
         net::awaitable<void> serve();
+        /// Closes the connection if it has been waiting for a request for at least `quietTime`.
+        void closeIfIdle(Duration quietTime);
 
     private:
         net::awaitable<std::optional<Request>> readRequest(bool& keepAlive, bool first);
@@ -227,6 +233,8 @@
         void watchForDisconnect();
         void startReadTimeout(Duration timeout);
         void cancelReadTimeout();
+        bool hasUnreadBytes();
+        bool mayStayOpen() { return hasUnreadBytes() || (!m_state->stopping && !m_state->keepAliveDisabled); }
 
         beast::tcp_stream m_stream;
         // The timeout of the stream would close the connection before an error response can be sent.
@@ -240,8 +248,27 @@
         std::shared_ptr<SharedState> m_state;
         std::weak_ptr<Exchange> m_currentExchange;
         bool m_watchingForDisconnect = false;
+        std::string m_requestId; ///< Identity of the current request; may be empty.
+        bool m_awaitingRequest = false;
+        std::chrono::steady_clock::time_point m_awaitingSince;
     };
 
+    void Connection::closeIfIdle(Duration quietTime)
+    {
+        net::post(m_stream.get_executor(), [self = shared_from_this(), quietTime] {
+            const bool quiet = std::chrono::steady_clock::now() - self->m_awaitingSince >= quietTime;
+            if (self->m_awaitingRequest && quiet && !self->hasUnreadBytes())
+                self->m_stream.cancel();
+        });
+    }
+
+    /// Returns true if bytes of another request have arrived.
+    bool Connection::hasUnreadBytes()
+    {
+        boost::system::error_code ec;
+        return m_buffer.size() > 0 || m_stream.socket().available(ec) > 0;
+    }
+
     /// Detects that the peer closes the connection while its request is being processed.
     void Connection::watchForDisconnect()
     {
@@ -315,8 +342,11 @@
         parser.header_limit(limits.maxHeaderBytes);
         parser.body_limit(limits.maxBodyBytes);
         startReadTimeout(first ? limits.headerTimeout : limits.idleTimeout);
+        m_awaitingRequest = true;
+        m_awaitingSince = std::chrono::steady_clock::now();
         auto [headerError, headerBytes]
             = co_await bhttp::async_read_header(m_stream, m_buffer, parser, completionToken);
+        m_awaitingRequest = false;
         if (headerError) {
             co_await sendReadError(headerError, false);
             co_return std::nullopt;
@@ -339,6 +369,8 @@
             std::move(message.body()) };
         for (const auto& it : message)
             request.headers.push_back({ std::string(it.name_string()), std::string(it.value()) });
+        if (m_options.identifyResponses)
+            m_requestId = findHeader(request.headers, identityField);
         co_return request;
     }
 
@@ -348,6 +380,8 @@
         bhttp::response<bhttp::string_body> message { static_cast<bhttp::status>(response.status), 11 };
         for (const auto& it : response.headers)
             message.insert(it.name, it.value);
+        if (!m_requestId.empty())
+            message.set(identityField, m_requestId);
         message.keep_alive(keepAlive);
         message.body() = std::move(response.body);
         message.prepare_payload();
@@ -362,6 +396,8 @@
         bhttp::response<bhttp::empty_body> message { static_cast<bhttp::status>(response.status), 11 };
         for (const auto& it : response.headers)
             message.insert(it.name, it.value);
+        if (!m_requestId.empty())
+            message.set(identityField, m_requestId);
         message.keep_alive(keepAlive);
         message.chunked(true);
         bhttp::response_serializer<bhttp::empty_body> serializer(message);
@@ -393,11 +429,11 @@
             auto part = co_await exchange->nextPart();
             switch (part.kind) {
             case ResponsePartKind::Complete:
-                keepAlive = keepAlive && !m_state->stopping && !m_state->keepAliveDisabled;
+                keepAlive = keepAlive && mayStayOpen();
                 sent = co_await sendComplete(std::move(part.response), keepAlive);
                 co_return sent&& keepAlive;
             case ResponsePartKind::Headers:
-                keepAlive = keepAlive && !m_state->stopping && !m_state->keepAliveDisabled;
+                keepAlive = keepAlive && mayStayOpen();
                 sent = co_await sendHeaders(std::move(part.response), keepAlive);
                 break;
             case ResponsePartKind::Chunk:
@@ -418,7 +454,7 @@
         boost::system::error_code ignored;
         m_stream.socket().set_option(tcp::no_delay(true), ignored);
         bool reusable = true;
-        for (bool first = true; reusable && !(m_state->stopping && !first); first = false) {
+        for (bool first = true; reusable && (first || !m_state->stopping || hasUnreadBytes()); first = false) {
             bool keepAlive = true;
             auto request = co_await readRequest(keepAlive, first);
             if (!request)
@@ -451,6 +487,8 @@
 
     boost::system::error_code open();
     net::awaitable<void> acceptLoop();
+    void startConnection(tcp::socket socket);
+    void acceptQueuedConnections();
 
     net::io_context& context;
     tcp::acceptor acceptor;
@@ -458,6 +496,9 @@
     std::shared_ptr<CurrentLimits> limits;
     Handler handler;
     std::shared_ptr<SharedState> state = std::make_shared<SharedState>();
+    std::mutex connectionsMutex;
+    std::vector<std::weak_ptr<Connection>> openConnections; ///< May contain connections that have ended.
+    std::size_t pruneAt = 64; ///< Size of `openConnections` at which those that have ended are removed.
 };
 
 boost::system::error_code Server::Impl::open()
@@ -477,19 +518,50 @@
 
 net::awaitable<void> Server::Impl::acceptLoop()
 {
+    net::steady_timer retryTimer(acceptor.get_executor());
     while (!state->stopping) {
         auto [ec, socket] = co_await acceptor.async_accept(net::make_strand(context), completionToken);
         if (ec == net::error::operation_aborted || ec == net::error::bad_descriptor)
             co_return;
-        if (ec || state->connections >= options.maxConnections)
+        if (!ec) {
+            startConnection(std::move(socket));
             continue;
-        const auto executor = socket.get_executor();
-        auto connection = std::make_shared<Connection>(std::move(socket), options, limits, handler, state);
-        // The connections refer to the options in this object, so their coroutines keep it alive.
-        net::co_spawn(
-            executor,
-            [connection, self = shared_from_this()]() -> net::awaitable<void> { co_await connection->serve(); },
-            net::detached);
+        }
+        retryTimer.expires_after(acceptRetryDelay);
+        co_await retryTimer.async_wait(completionToken);
+    }
+}
+
+void Server::Impl::startConnection(tcp::socket socket)
+{
+    if (state->connections >= options.maxConnections)
+        return;
+    const auto executor = socket.get_executor();
+    auto connection = std::make_shared<Connection>(std::move(socket), options, limits, handler, state);
+    {
+        const std::lock_guard lock(connectionsMutex);
+        if (openConnections.size() >= pruneAt) {
+            std::erase_if(openConnections, [](const auto& it) { return it.expired(); });
+            pruneAt = std::max<std::size_t>(64, 2 * openConnections.size());
+        }
+        openConnections.push_back(connection);
+    }
+    // The connections refer to the options in this object, so their coroutines keep it alive.
+    net::co_spawn(
+        executor, [connection, self = shared_from_this()]() -> net::awaitable<void> { co_await connection->serve(); },
+        net::detached);
+}
+
+/// Accepts the connections that clients have established already; closing the acceptor would reset them.
+void Server::Impl::acceptQueuedConnections()
+{
+    boost::system::error_code ec;
+    acceptor.non_blocking(true, ec);
+    while (!ec) {
+        tcp::socket socket(net::make_strand(context));
+        acceptor.accept(socket, ec);
+        if (!ec)
+            startConnection(std::move(socket));
     }
 }
 
@@ -526,10 +598,24 @@
     m_impl->state->stopping = true;
     net::post(m_impl->acceptor.get_executor(), [impl = m_impl] {
         boost::system::error_code ec;
+        impl->acceptQueuedConnections();
         impl->acceptor.close(ec);
     });
 }
 
+void Server::closeIdleConnections(Duration quietTime)
+{
+    std::vector<std::weak_ptr<Connection>> connections;
+    {
+        const std::lock_guard lock(m_impl->connectionsMutex);
+        connections = m_impl->openConnections;
+    }
+    for (const auto& it : connections) {
+        if (const auto connection = it.lock())
+            connection->closeIfIdle(quietTime);
+    }
+}
+
 void Server::disableKeepAlive()
 {
     m_impl->state->keepAliveDisabled = true;
--- a/src/foxtailwheel/peer/Handshake.cpp
+++ b/src/foxtailwheel/peer/Handshake.cpp
@@ -7,10 +7,11 @@
 
 namespace foxtailwheel::peer {
 
-Nonce generateNonce()
+std::optional<Nonce> generateNonce()
 {
     Nonce nonce {};
-    RAND_bytes(nonce.data(), static_cast<int>(nonce.size()));
+    if (RAND_bytes(nonce.data(), static_cast<int>(nonce.size())) != 1)
+        return std::nullopt;
     return nonce;
 }
 
--- a/src/foxtailwheel/peer/Message.cpp
+++ b/src/foxtailwheel/peer/Message.cpp
@@ -103,7 +103,8 @@
             return wrap(wire::Body::PiecesAsked,
                 wire::CreatePiecesAskedDirect(fbb, pack(fbb, sender), it.group.value(), it.service.value().c_str(),
                     &pieces, it.priority, microseconds(it.remainingTimeToTarget), microseconds(it.remainingTime),
-                    it.preferredZone.value().c_str(), microseconds(it.remainingTimeInZone), it.resultBytes));
+                    it.preferredZone.value().c_str(), microseconds(it.remainingTimeInZone), it.resultBytes,
+                    it.repeated));
         }
         flatbuffers::Offset<wire::Envelope> operator()(const serving::PieceRequestAck& it) const
         {
@@ -267,6 +268,7 @@
         out.preferredZone = AvailabilityZoneId(stringOrEmpty(request.zone()));
         out.remainingTimeInZone = std::chrono::microseconds(request.zone_us());
         out.resultBytes = request.result_bytes();
+        out.repeated = request.repeated();
         if (request.pieces() == nullptr)
             return out;
         for (const auto* it : *request.pieces()) {
@@ -369,6 +371,11 @@
         return !digest.sender.id.empty();
     }
 
+    bool hasSender(const membership::Member& sender)
+    {
+        return !sender.id.empty();
+    }
+
 } // namespace
 
 std::string encodeMessage(const Message& message)
@@ -396,19 +403,26 @@
         if (hasSender(out.digest))
             return Message(std::move(out));
     } else if (const auto* request = envelope->body_as_ConfigRequest()) {
-        return Message(ConfigRequest {
-            unpack(request->sender()), ConfigVersion(request->version()), ConfigVersion(request->have()) });
+        ConfigRequest out { unpack(request->sender()), ConfigVersion(request->version()),
+            ConfigVersion(request->have()) };
+        if (hasSender(out.sender))
+            return Message(std::move(out));
     } else if (const auto* reply = envelope->body_as_ConfigReply()) {
         return Message(ConfigReply { ConfigVersion(reply->version()), stringOrEmpty(reply->text()),
             stringOrEmpty(reply->hash()), unpack(reply->patches()) });
     } else if (const auto* demand = envelope->body_as_Demand()) {
-        return Message(Demand { unpack(demand->sender()), unpack(demand->rates()) });
+        Demand out { unpack(demand->sender()), unpack(demand->rates()) };
+        if (hasSender(out.sender))
+            return Message(std::move(out));
     } else if (const auto* allowance = envelope->body_as_Allowance()) {
         return Message(Allowance { unpack(allowance->rates()) });
     } else if (const auto* table = envelope->body_as_TableNews()) {
-        return Message(unpack(*table));
+        auto out = unpack(*table);
+        if (hasSender(out.sender))
+            return Message(std::move(out));
     } else if (auto pieceUpdate = unpackPieceUpdate(*envelope)) {
-        return std::move(*pieceUpdate);
+        if (hasSender(std::get<PieceUpdate>(*pieceUpdate).sender))
+            return std::move(*pieceUpdate);
     }
     return fail(Errc::ParseFailed, "peer message has an unknown type or no sender");
 }
--- a/src/foxtailwheel/peer/PeerTest.cpp
+++ b/src/foxtailwheel/peer/PeerTest.cpp
@@ -27,6 +27,7 @@
 
 std::vector<Message> makeMessages()
 {
+    const config::BackendServer server { BackendServerId("s"), "127.0.0.1", 9, AvailabilityZoneId("a") };
     membership::Digest digest { makeMember("x"), { makeMember("y"), makeMember("z") },
         { { BackendServerId("s"), true, 77 } } };
     return {
@@ -37,6 +38,20 @@
             ConfigVersion(8), "text", "hash", { { ConfigVersion(7), ConfigVersion(8), 3, 4, "m", "h" } } },
         peer::Demand { makeMember("x"), { { ClientAccountId("coop"), 1.5 } } },
         peer::Allowance { { { ClientAccountId("coop"), 2.5 } } },
+        peer::TableUpdate { makeMember("x"), "op", 5,
+            { store::FeedOutcome::Success, { { "a", "value" }, { "b", std::nullopt } }, 7, 11s } },
+        peer::PieceUpdate { makeMember("x"),
+            serving::PieceRequest { serving::PieceGroupId(3), ServiceId("portal"), { { "r", 1, 2, "k", { "h" } } }, 1,
+                -2ms, 3s, AvailabilityZoneId("a"), 4ms, 99, true } },
+        peer::PieceUpdate {
+            makeMember("x"), serving::PieceRequestAck { serving::PieceGroupId(3), { { 1ms, 2ms, 3ms, 4ms }, 5ms } } },
+        peer::PieceUpdate { makeMember("x"), serving::PieceRequestCancel { serving::PieceGroupId(3) } },
+        peer::PieceUpdate { makeMember("x"),
+            serving::PieceResults { serving::PieceGroupId(3), ServiceId("portal"),
+                { { 1, serving::ResultHandle { "h", server, ServiceId("portal") } },
+                    { 2, serving::PieceFailure::NoCapacity } },
+                { { 1ms, 2ms, 3ms, 4ms }, 5ms } } },
+        peer::PieceUpdate { makeMember("x"), serving::ReleaseResults { ServiceId("portal"), server, { "h", "g" } } },
     };
 }
 
@@ -97,6 +112,18 @@
     cr_assert_gt(rejected, 5000U);
 }
 
+Test(PeerMessage, messageWithoutSenderIsRejected)
+{
+    peer::PieceUpdate piece { makeMember(""), serving::PieceRequestCancel { serving::PieceGroupId(3) } };
+    cr_assert(!peer::decodeMessage(bytesOf(peer::encodeMessage(piece))).has_value());
+    peer::TableUpdate table { makeMember(""), "op", 5, { store::FeedOutcome::Success, {}, 7, 11s } };
+    cr_assert(!peer::decodeMessage(bytesOf(peer::encodeMessage(table))).has_value());
+    peer::Demand demand { makeMember(""), {} };
+    cr_assert(!peer::decodeMessage(bytesOf(peer::encodeMessage(demand))).has_value());
+    peer::ConfigRequest request { makeMember(""), ConfigVersion(8), ConfigVersion(7) };
+    cr_assert(!peer::decodeMessage(bytesOf(peer::encodeMessage(request))).has_value());
+}
+
 Test(PeerMessage, oversizedBytesAreRejected)
 {
     const std::string bytes(peer::maxMessageBytes + 1, 'x');
--- a/src/foxtailwheel/peer/Transport.cpp
+++ b/src/foxtailwheel/peer/Transport.cpp
@@ -102,6 +102,7 @@
         net::awaitable<bool> connect();
         net::awaitable<bool> performHandshake();
         void watchForDisconnect();
+        void reportLoss();
 
         Transport::DisconnectHandler m_onDisconnect;
         net::strand<net::io_context::executor_type> m_strand;
@@ -112,6 +113,7 @@
         std::deque<std::string> m_queue;
         std::size_t m_queuedBytes = 0;
         bool m_writing = false;
+        bool m_lossReported = false;
         std::chrono::steady_clock::time_point m_lastUsedAt {};
     };
 
@@ -147,8 +149,11 @@
         if (ec)
             co_return false;
         m_stream = std::make_unique<beast::tcp_stream>(m_strand);
+        m_lossReported = false;
         m_stream->expires_after(connectTimeout);
         auto [connectError] = co_await m_stream->async_connect(tcp::endpoint(address, m_to.port), completionToken);
+        if (connectError == net::error::connection_refused && m_onDisconnect && !m_counters->closing)
+            m_onDisconnect(m_to, DisconnectReason::Refused);
         if (connectError)
             co_return false;
         m_stream->socket().set_option(tcp::no_delay(true), ec);
@@ -168,16 +173,30 @@
         m_stream->socket().async_wait(tcp::socket::wait_read,
             [weak = weak_from_this(), stream = m_stream.get()](const boost::system::error_code& ec) {
                 const auto self = weak.lock();
-                if (!self || self->m_counters->closing || ec == net::error::operation_aborted
-                    || self->m_stream.get() != stream)
+                if (!self || ec == net::error::operation_aborted || self->m_stream.get() != stream)
                     return;
-                self->m_onDisconnect(self->m_to);
+                // Peers close connections that were idle for a while; no message can be lost then.
+                const bool idle = std::chrono::steady_clock::now() - self->m_lastUsedAt >= maxIdleTime;
+                // A write in progress fails and discards the stream.
+                self->m_stream->close();
+                if (!idle)
+                    self->reportLoss();
             });
     }
 
+    /// Reports the loss of an established connection, once.
+    void OutgoingConnection::reportLoss()
+    {
+        if (m_onDisconnect && !m_counters->closing && !std::exchange(m_lossReported, true))
+            m_onDisconnect(m_to, DisconnectReason::Lost);
+    }
+
     net::awaitable<bool> OutgoingConnection::performHandshake()
     {
-        const auto ownNonce = generateNonce();
+        const auto generated = generateNonce();
+        if (!generated)
+            co_return false;
+        const auto& ownNonce = *generated;
         std::array<std::uint8_t, protocolMagic.size() + proofBytes> hello {};
         std::copy(protocolMagic.begin(), protocolMagic.end(), hello.begin());
         std::copy(ownNonce.begin(), ownNonce.end(), hello.begin() + protocolMagic.size());
@@ -208,7 +227,10 @@
         while (!m_queue.empty()) {
             const auto now = std::chrono::steady_clock::now();
             // The peer closes idle connections, and a frame written after that would be lost without an error.
-            bool connected = m_stream != nullptr && isOpen(m_stream->socket()) && now - m_lastUsedAt < maxIdleTime;
+            const bool recentlyUsed = m_stream != nullptr && now - m_lastUsedAt < maxIdleTime;
+            bool connected = recentlyUsed && isOpen(m_stream->socket());
+            if (recentlyUsed && !connected)
+                reportLoss();
             m_lastUsedAt = now;
             if (!connected)
                 connected = co_await connect();
@@ -226,6 +248,7 @@
             if (ec) {
                 m_stream.reset();
                 ++m_counters->droppedFrames;
+                reportLoss();
                 continue;
             }
             ++m_counters->sentFrames;
@@ -275,7 +298,10 @@
         }
         Nonce peerNonce {};
         std::copy_n(hello.begin() + protocolMagic.size(), proofBytes, peerNonce.begin());
-        const auto ownNonce = generateNonce();
+        const auto generated = generateNonce();
+        if (!generated)
+            co_return false;
+        const auto& ownNonce = *generated;
         const auto ownProof = computeProof(m_key, "listener", ownNonce, peerNonce);
         std::array<std::uint8_t, 2 * proofBytes> response {};
         std::copy(ownNonce.begin(), ownNonce.end(), response.begin());
--- a/src/foxtailwheel/serving/EventStream.cpp
+++ b/src/foxtailwheel/serving/EventStream.cpp
@@ -1,15 +1,16 @@
 #include "foxtailwheel/serving/EventStream.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace foxtailwheel::serving {
 
 namespace {
 
-    /// Returns the position after the first blank line, or npos.
-    std::size_t endOfEvent(std::string_view text)
+    /// Returns the position after the first blank line whose preceding line ends at or after `from`, or npos.
+    std::size_t endOfEvent(std::string_view text, std::size_t from)
     {
-        for (std::size_t at = text.find('\n'); at != std::string_view::npos; at = text.find('\n', at + 1)) {
+        for (std::size_t at = text.find('\n', from); at != std::string_view::npos; at = text.find('\n', at + 1)) {
             if (text.substr(at + 1).starts_with('\n'))
                 return at + 2;
             if (text.substr(at + 1).starts_with("\r\n"))
@@ -18,6 +19,19 @@
         return std::string_view::npos;
     }
 
+    /// Returns true if a line other than a comment or a blank line is present.
+    bool containsField(std::string_view event)
+    {
+        while (!event.empty()) {
+            const auto end = event.find('\n');
+            const auto line = event.substr(0, end);
+            event = end == std::string_view::npos ? std::string_view() : event.substr(end + 1);
+            if (!line.empty() && line != "\r" && !line.starts_with(':'))
+                return true;
+        }
+        return false;
+    }
+
     /// Returns the number in the first `id:` line, or nothing if there is none or it is not a number.
     std::optional<std::uint64_t> parseEventId(std::string_view event)
     {
@@ -41,19 +55,29 @@
 
 std::vector<ServerSentEvent> EventSplitter::feed(std::string_view chunk)
 {
-    m_partialEvent.append(chunk);
     std::vector<ServerSentEvent> events;
+    if (m_oversized)
+        return events;
+    m_partialEvent.append(chunk);
+    const std::string_view text = m_partialEvent;
     std::size_t consumed = 0;
+    std::size_t searchFrom = m_searchFrom;
     for (;;) {
-        const auto rest = std::string_view(m_partialEvent).substr(consumed);
-        const auto n = endOfEvent(rest);
-        if (n == std::string_view::npos)
+        const auto end = endOfEvent(text, searchFrom);
+        if (end == std::string_view::npos)
             break;
-        const auto event = rest.substr(0, n);
-        events.push_back({ std::string(event), parseEventId(event) });
-        consumed += n;
+        const auto event = text.substr(consumed, end - consumed);
+        events.push_back({ std::string(event), parseEventId(event), containsField(event) });
+        consumed = end;
+        searchFrom = end;
     }
     m_partialEvent.erase(0, consumed);
+    // The blank line can still be completed after a trailing "\n" or "\n\r".
+    m_searchFrom = m_partialEvent.size() - std::min<std::size_t>(m_partialEvent.size(), 2);
+    if (m_partialEvent.size() > m_maxEventBytes) {
+        m_oversized = true;
+        std::string().swap(m_partialEvent);
+    }
     return events;
 }
 
--- a/src/foxtailwheel/serving/EventStreamTest.cpp
+++ b/src/foxtailwheel/serving/EventStreamTest.cpp
@@ -35,3 +35,46 @@
     cr_assert_eq(events.size(), 1);
     cr_assert(!events[0].id);
 }
+
+Test(EventSplitter, blankLineIsFoundAcrossChunksOfOneByte)
+{
+    EventSplitter splitter;
+    std::size_t events = 0;
+    for (const char it : std::string("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: comment\n\n"))
+        events += splitter.feed({ &it, 1 }).size();
+    cr_assert_eq(events, 3);
+    cr_assert(!splitter.hasPartialEvent());
+}
+
+Test(EventSplitter, commentsAreNotEventsWithFields)
+{
+    EventSplitter splitter;
+    const auto events = splitter.feed(": ping\n\ndata: a\n\n");
+    cr_assert_eq(events.back().bytes, "data: a\n\n");
+    cr_assert(events.back().hasFields);
+    cr_assert(!events.front().hasFields);
+}
+
+Test(EventSplitter, endlessEventIsNotKept)
+{
+    EventSplitter splitter(64U << 10U);
+    const std::string line = "data: x\n";
+    std::string chunk;
+    while (chunk.size() < (16U << 10U))
+        chunk += line;
+    for (int i = 0; i < 512; ++i) {
+        cr_assert(splitter.feed(chunk).empty());
+        cr_assert_leq(splitter.partialBytes(), 64U << 10U);
+    }
+    cr_assert(splitter.isOversized());
+    cr_assert(splitter.feed("\n\ndata: late\n\n").empty(), "no event follows an oversized one");
+}
+
+Test(EventSplitter, workIsLinearInTheBytes)
+{
+    // 8 MB within one event, in chunks of one line, takes a fraction of a second; with quadratic work it takes hours.
+    EventSplitter splitter(16U << 20U);
+    for (std::size_t i = 0; i < (8U << 20U) / 8; ++i)
+        cr_assert(splitter.feed("data: x\n").empty());
+    cr_assert_eq(splitter.feed("\n").size(), 1);
+}
--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -11,16 +11,16 @@
 
     /// Maximum calls that end without running before a request fails. Each of them adds load to the service.
     constexpr std::uint32_t maxUnexecutedCalls = 3;
-    /// Interval between attempts to find a usable server.
-    constexpr Duration serverRetryInterval = 25ms;
     /// Fraction of the latency target after which a hedged call is sent for a request without streaming.
     constexpr double hedgeDelayShare = 0.5;
     /// Fraction of the latency target after which a resumable stream without a first event fails over.
     constexpr double failoverDelayShare = 0.6;
     /// Minimum time without a first event before a stream fails over.
     constexpr Duration minFailoverDelay = 900ms;
-    /// Time without data after which a resumable stream fails over. Callers disconnect after two seconds.
-    constexpr Duration streamSilenceTimeout = 1100ms;
+    /// Minimum time without an event after which a resumable stream fails over. Callers disconnect after two seconds.
+    constexpr Duration minStreamSilence = 1100ms;
+    /// A stream is not silent before this multiple of the pause that its route allows.
+    constexpr double streamSilenceFactor = 2;
     /// Requests with less remaining time than this are not sent.
     constexpr Duration minRemainingTimeToSend = 5ms;
     /// A call counts as silent without a first event after this multiple of the route's usual time to the first byte,
@@ -137,7 +137,7 @@
         return;
     auto* openCall = run->findCall(call);
     openCall->headReceived = true;
-    run->lastDataAt = now;
+    run->lastEventAt = now;
     recordTimeToFirstByte(*run, *openCall, now);
     // The first event proves that the server has read its inputs.
     for (StageIndex i = 0; i < run->stages.size(); ++i)
@@ -150,7 +150,7 @@
     if (!std::exchange(run->headSent, true))
         out.emplace_back(SendResponseHead { run->id, std::move(head) });
     if (run->idempotent() && m_options.hedging)
-        setTimer(now + streamSilenceTimeout, { TimerKind::StreamSilence, run->id, call, {} });
+        setTimer(now + streamSilenceTimeout(*run), { TimerKind::StreamSilence, run->id, call, {} });
 }
 
 void RoutingForwarder::onResponseData(CallId call, std::string_view bytes, TimePoint now, ForwardActions& out)
@@ -158,9 +158,14 @@
     auto* run = findRunOfCall(call);
     if (run == nullptr || !run->headSent)
         return;
-    run->lastDataAt = now;
     std::string forwarded;
-    for (auto& event : run->eventSplitter.feed(bytes)) {
+    m_partialEventBytes -= run->eventSplitter.partialBytes();
+    const auto events = run->eventSplitter.feed(bytes);
+    m_partialEventBytes += run->eventSplitter.partialBytes();
+    for (const auto& event : events) {
+        // Comments and parts of events are no progress: a stalled stream can send them now and then.
+        if (event.hasFields)
+            run->lastEventAt = now;
         // A resuming server may repeat events that the caller has already received.
         if (event.id && run->lastEventId && *event.id <= *run->lastEventId)
             continue;
@@ -170,6 +175,47 @@
     }
     if (!forwarded.empty())
         out.emplace_back(SendResponseData { run->id, std::move(forwarded) });
+    breakOversizedStreams(*run, call, now, out);
+}
+
+/// Breaks the stream of a call if its event is too large, and the one with the largest incomplete event if those of all
+/// streams together are.
+void RoutingForwarder::breakOversizedStreams(ForwardRun& run, CallId call, TimePoint now, ForwardActions& out)
+{
+    if (run.eventSplitter.isOversized()) {
+        breakStream(run, call, now, out);
+        return;
+    }
+    if (m_partialEventBytes <= m_options.maxPartialEventBytes)
+        return;
+    const auto largest = std::max_element(m_runs.begin(), m_runs.end(), [](const auto& left, const auto& right) {
+        return left.second->eventSplitter.partialBytes() < right.second->eventSplitter.partialBytes();
+    });
+    auto& largestRun = *largest->second;
+    if (!largestRun.calls.empty())
+        breakStream(largestRun, largestRun.calls.front().id, now, out);
+}
+
+/// Ends a call whose bytes are no stream of events.
+void RoutingForwarder::breakStream(ForwardRun& run, CallId call, TimePoint now, ForwardActions& out)
+{
+    logDecision(run, "event_oversized",
+        { { "call", std::to_string(call.value()) },
+            { "after_ms", formatInteger(toMilliseconds(now - run.acceptedAt)) } });
+    clearPartialEvent(run);
+    closeCall(run, call, routing::CallOutcome::Failed, true, now, out);
+    onCallBroken(run, ForwardCallOutcome::Broken, now, out);
+}
+
+void RoutingForwarder::clearPartialEvent(ForwardRun& run)
+{
+    m_partialEventBytes -= run.eventSplitter.partialBytes();
+    run.eventSplitter = EventSplitter(m_options.maxEventBytes);
+}
+
+Duration RoutingForwarder::streamSilenceTimeout(const ForwardRun& run) const
+{
+    return std::max(minStreamSilence, fromSeconds(toSeconds(run.route->eventGapTarget) * streamSilenceFactor));
 }
 
 void RoutingForwarder::onCallEnd(
@@ -256,7 +302,7 @@
 /// Sends a request again. If its stage results were already released, the stages are run again first.
 void RoutingForwarder::resendRequest(ForwardRun& run, TimePoint now, ForwardActions& out)
 {
-    run.eventSplitter = {};
+    clearPartialEvent(run);
     const bool released
         = std::any_of(run.stages.begin(), run.stages.end(), [](const StageProgress& it) { return it.released; });
     if (released)
@@ -288,12 +334,17 @@
     closeRun(run, now, out);
 }
 
-/// Cancels a stream whose server is silent and resumes it, preferably on another server.
-void RoutingForwarder::failOverStream(ForwardRun& run, TimePoint now, ForwardActions& out)
+/// Cancels a stream whose server is silent and resumes it, preferably on another server. Returns false and leaves the
+/// stream as it is if the retry budget is used up: the server may only be slow.
+bool RoutingForwarder::failOverStream(ForwardRun& run, TimePoint now, ForwardActions& out)
 {
+    auto* state = m_directory.find(run.service);
+    if (state == nullptr || !state->retryBudget.tryAcquire(1, now))
+        return false;
     while (!run.calls.empty())
         closeCall(run, run.calls.front().id, routing::CallOutcome::Failed, true, now, out);
-    onCallBroken(run, ForwardCallOutcome::TimedOut, now, out);
+    resendRequest(run, now, out);
+    return true;
 }
 
 } // namespace foxtailwheel::serving
--- a/src/foxtailwheel/serving/ForwardRequests.cpp
+++ b/src/foxtailwheel/serving/ForwardRequests.cpp
@@ -132,6 +132,7 @@
     run.service = pickService(run);
     run.firstAttemptAt = now - timeSpentOnEarlierAttempts(run, now);
     run.lastEventId = run.request.lastEventId;
+    run.eventSplitter = EventSplitter(m_options.maxEventBytes);
     run.stages.resize(route.stages.size());
     for (StageIndex i = 0; i < run.stages.size(); ++i) {
         const auto n = i < run.request.pieceCounts.size() ? run.request.pieceCounts[i] : 0;
@@ -269,6 +270,7 @@
     }
     if (run.route != nullptr)
         cancelStages(run, now, out);
+    m_partialEventBytes -= run.eventSplitter.partialBytes();
     m_runs.erase(id);
 }
 
--- a/src/foxtailwheel/serving/ForwardRun.h
+++ b/src/foxtailwheel/serving/ForwardRun.h
@@ -51,7 +51,7 @@
     bool mayHaveRun = false;
     EventSplitter eventSplitter;
     std::optional<std::uint64_t> lastEventId; ///< Last event that was forwarded to the caller.
-    TimePoint lastDataAt;
+    TimePoint lastEventAt; ///< Time of the last event with fields, or of the head of the response.
     bool headSent = false;
 
     /// @brief Returns true if the request may be sent again after it may have run.
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -10,10 +10,8 @@
 
     /// Time without a usable server after which a request is rejected. Routes with a longer latency target use that.
     constexpr Duration serverWaitTimeout = 300ms;
-    /// Interval between attempts to find a usable server.
-    constexpr Duration serverRetryInterval = 25ms;
-    /// Time without data after which a resumable stream fails over. Callers disconnect after two seconds.
-    constexpr Duration streamSilenceTimeout = 1100ms;
+    /// Interval between attempts to fail over a silent stream while the retry budget is used up.
+    constexpr Duration failoverRetryInterval = 200ms;
 
 } // namespace
 
@@ -84,6 +82,13 @@
 {
     BrokerActions actions;
     m_broker.onConnectionLost(instance, now, actions);
+    applyBrokerActions(std::move(actions), now, out);
+}
+
+void RoutingForwarder::onPeerUnreachable(const InstanceId& instance, TimePoint now, ForwardActions& out)
+{
+    BrokerActions actions;
+    m_broker.onUnreachable(instance, now, actions);
     updateQueueShares(now);
     applyBrokerActions(std::move(actions), now, out);
 }
@@ -164,24 +169,30 @@
     case TimerKind::Hedge:
         if (call == nullptr || call->headReceived || run->possibleExecutions >= run->route->maxCallsPerRequest)
             return;
-        if (run->route->streaming)
-            failOverStream(*run, now, out);
-        else if (run->calls.size() == 1 && state->retryBudget.tryAcquire(1, now))
+        if (run->route->streaming) {
+            if (!failOverStream(*run, now, out))
+                setTimer(now + failoverRetryInterval, timer);
+        } else if (run->calls.size() == 1 && state->retryBudget.tryAcquire(1, now))
             trySend(*run, true, now, out);
         return;
     case TimerKind::StreamSilence:
-        if (call == nullptr || run->possibleExecutions >= run->route->maxCallsPerRequest)
-            return;
-        if (now - run->lastDataAt >= streamSilenceTimeout)
-            failOverStream(*run, now, out);
-        else
-            setTimer(run->lastDataAt + streamSilenceTimeout, timer);
+        if (call != nullptr && run->possibleExecutions < run->route->maxCallsPerRequest)
+            checkStreamSilence(*run, timer, now, out);
         return;
     case TimerKind::Dispatch:
         return;
     }
 }
 
+void RoutingForwarder::checkStreamSilence(ForwardRun& run, const Timer& timer, TimePoint now, ForwardActions& out)
+{
+    const auto silentAt = run.lastEventAt + streamSilenceTimeout(run);
+    if (now < silentAt)
+        setTimer(silentAt, timer);
+    else if (!failOverStream(run, now, out))
+        setTimer(now + failoverRetryInterval, timer);
+}
+
 void RoutingForwarder::onDeadline(ForwardRun& run, TimePoint now, ForwardActions& out)
 {
     fail(run, run.mayHaveRun ? ForwardOutcome::TimedOut : ForwardOutcome::TimedOutWaiting, now, out);
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -33,6 +33,10 @@
     out->version = version;
     out->routes = { route("safe", config::RetryMode::Allowed, false), route("book", config::RetryMode::Never, false),
         route("plan", config::RetryMode::Allowed, true), route("once", config::RetryMode::Never, true) };
+    auto slow = route("slow", config::RetryMode::Allowed, true);
+    slow.eventGapTarget = 2s;
+    slow.timeout = 300s;
+    out->routes.push_back(slow);
     auto staged = route("staged", config::RetryMode::Allowed, true);
     staged.stages = { { ServiceId("portal"), {}, 1000 }, { ServiceId("bill"), { 0 }, 100 } };
     out->routes.push_back(staged);
@@ -52,9 +56,8 @@
 }
 
 struct ForwarderFixture {
-    ForwarderFixture()
+    explicit ForwarderFixture(ForwarderOptions options = {})
     {
-        ForwarderOptions options;
         options.pools.self = InstanceId("i");
         options.pools.zone = AvailabilityZoneId("a");
         forwarder = Forwarder::create(options);
@@ -96,6 +99,19 @@
             [&](auto& out) { forwarder->onBatchEnd(batch.call, BatchOutcome::Answered, results, now, out); });
     }
 
+    /// Begins the stream of the request that was sent last.
+    CallId beginStream(TimePoint now)
+    {
+        const auto call = sent.back().call;
+        collectActions([&](auto& out) { forwarder->onResponseHead(call, { 200, {}, {} }, now, out); });
+        return call;
+    }
+
+    void receive(CallId call, std::string_view bytes, TimePoint now)
+    {
+        collectActions([&](auto& out) { forwarder->onResponseData(call, bytes, now, out); });
+    }
+
     void runTimers(TimePoint now)
     {
         collectActions([&](auto& out) { forwarder->onTimer(now, out); });
@@ -328,6 +344,108 @@
     cr_assert_eq(fixture.sent.size(), 2);
 }
 
+Test(Forwarder, slowStreamWithinTheAllowedPauseIsWhole)
+{
+    ForwarderFixture fixture;
+    fixture.submit("slow", start, 300s);
+    const auto call = fixture.beginStream(start + 100ms);
+    std::string expected;
+    auto now = start + 100ms;
+    for (int i = 1; i <= 120; ++i) {
+        now += 1800ms;
+        fixture.runTimers(now);
+        const auto event = "id: " + std::to_string(i) + "\ndata: a\n\n";
+        fixture.receive(call, event, now);
+        expected += event;
+    }
+    fixture.endCall(call, ForwardCallOutcome::Complete, now);
+    cr_assert(fixture.cancelled.empty());
+    cr_assert_eq(fixture.streamed, expected);
+    cr_assert_eq(fixture.outcomes.at(0), ForwardOutcome::Answered);
+}
+
+Test(Forwarder, stalledStreamThatSendsBytesOrCommentsFailsOver)
+{
+    for (const std::string bytes : { "d", ": still here\n\n" }) {
+        ForwarderFixture fixture;
+        fixture.submit("plan");
+        const auto call = fixture.beginStream(start + 100ms);
+        fixture.receive(call, "id: 1\ndata: a\n\n", start + 200ms);
+        for (auto now = start + 500ms; now <= start + 1500ms; now += 100ms) {
+            fixture.receive(call, bytes, now);
+            fixture.runTimers(now);
+        }
+        cr_assert_eq(fixture.cancelled.size(), 1);
+        cr_assert_eq(fixture.sent.size(), 2);
+        cr_assert_eq(*fixture.sent[1].lastEventId, 1);
+    }
+}
+
+Test(Forwarder, stalledStreamThatMayNotBeResumedEndsAtItsDeadline)
+{
+    ForwarderFixture fixture;
+    fixture.submit("once");
+    const auto call = fixture.beginStream(start + 100ms);
+    for (auto now = start + 200ms; now <= start + 8s; now += 100ms) {
+        fixture.receive(call, ": still here\n\n", now);
+        fixture.runTimers(now);
+    }
+    cr_assert_eq(fixture.cancelled.size(), 1);
+    cr_assert_eq(fixture.outcomes.at(0), ForwardOutcome::StreamBroken);
+}
+
+Test(Forwarder, silentStreamIsNotCutWithoutRetryBudget)
+{
+    ForwarderOptions options;
+    options.retryBudgetFraction = 0;
+    options.retryBudgetReserve = 0;
+    ForwarderFixture fixture(options);
+    fixture.submit("plan");
+    const auto call = fixture.beginStream(start + 100ms);
+    fixture.runTimers(start + 1300ms);
+    fixture.runTimers(start + 1600ms);
+    cr_assert(fixture.cancelled.empty(), "the stream cannot be resumed, so it must not be given up");
+    fixture.receive(call, "id: 1\ndata: a\n\n", start + 1700ms);
+    fixture.endCall(call, ForwardCallOutcome::Complete, start + 1800ms);
+    cr_assert_eq(fixture.outcomes.at(0), ForwardOutcome::Answered);
+}
+
+Test(Forwarder, endlessEventBreaksItsStreamOnly)
+{
+    ForwarderOptions options;
+    options.maxEventBytes = 10000;
+    ForwarderFixture fixture(options);
+    fixture.submit("once");
+    const auto sound = fixture.beginStream(start + 100ms);
+    fixture.submit("once");
+    const auto endless = fixture.beginStream(start + 100ms);
+    for (int i = 0; i < 20; ++i)
+        fixture.receive(endless, std::string(1000, 'x'), start + 200ms);
+    cr_assert_eq(fixture.outcomes.size(), 1);
+    cr_assert_eq(fixture.outcomes.at(0), ForwardOutcome::StreamBroken);
+    cr_assert_eq(fixture.cancelled.at(0), endless);
+    fixture.receive(sound, "id: 1\ndata: a\n\n", start + 300ms);
+    fixture.endCall(sound, ForwardCallOutcome::Complete, start + 400ms);
+    cr_assert_eq(fixture.outcomes.at(1), ForwardOutcome::Answered);
+}
+
+Test(Forwarder, incompleteEventsOfAllStreamsAreLimitedTogether)
+{
+    ForwarderOptions options;
+    options.maxPartialEventBytes = 20000;
+    ForwarderFixture fixture(options);
+    std::vector<CallId> calls;
+    for (int i = 0; i < 10; ++i) {
+        fixture.submit("once");
+        calls.push_back(fixture.beginStream(start + 100ms));
+    }
+    fixture.receive(calls[3], std::string(9000, 'x'), start + 200ms);
+    for (const auto it : calls)
+        fixture.receive(it, std::string(1500, 'x'), start + 300ms);
+    cr_assert_eq(fixture.cancelled.size(), 1);
+    cr_assert_eq(fixture.cancelled.at(0), calls[3], "the largest incomplete event is given up");
+}
+
 Test(Forwarder, stagesRunInOrderAndTheRequestGetsTheFinalResults)
 {
     ForwarderFixture fixture;
--- a/src/foxtailwheel/serving/PieceBroker.cpp
+++ b/src/foxtailwheel/serving/PieceBroker.cpp
@@ -24,9 +24,9 @@
     /// Time for which an instance that handed over its queue receives no further requests, until the membership update
     /// arrives here too.
     constexpr Duration handoverBackoff = 500ms;
-    /// Time for which an instance receives no requests after its connection ended, until membership shows whether it
+    /// Time for which an instance receives no requests after it refused a connection, until membership shows whether it
     /// was removed.
-    constexpr Duration connectionLossBackoff = 1s;
+    constexpr Duration unreachableBackoff = 1s;
     /// Time for which an instance acts as the owner after a request from another instance, even if its own membership
     /// view names another owner.
     constexpr Duration actingOwnerLifetime = 1s;
@@ -76,6 +76,12 @@
         return waits;
     }
 
+    PieceRequest makeRequest(const ServiceId& service, const PieceGroup& group, TimePoint now)
+    {
+        return { group.id, service, group.pieces, group.priority, group.targetTime - now, group.deadline - now,
+            group.preferredZone.value_or(AvailabilityZoneId()), group.crossZoneAfter - now, group.resultBytes };
+    }
+
     void appendResult(PieceResults& message, const QueuedGroup& group, const PieceDone& done)
     {
         message.group = group.requesterGroup;
@@ -109,6 +115,13 @@
     void resubmitOwnPieces(const ServiceId& service, BrokerActions results, TimePoint now, BrokerActions& out);
     InstanceId ownerOf(const ServiceId& service, TimePoint now) const;
     bool releaseLocally(const ReleaseResults& release, TimePoint now);
+    /// Finds a group of another instance in the local queues.
+    std::map<PieceGroupId, QueuedGroup>::iterator findQueued(const InstanceId& requester, PieceGroupId group)
+    {
+        return std::find_if(queuedGroups.begin(), queuedGroups.end(), [&](const auto& entry) {
+            return entry.second.requester == requester && entry.second.requesterGroup == group;
+        });
+    }
 
     InstanceId self;
     QueueLookup findQueue;
@@ -149,9 +162,7 @@
 void PieceBroker::Impl::sendToOwner(
     const InstanceId& owner, const ServiceId& service, PieceGroup group, TimePoint now, BrokerActions& out)
 {
-    PieceRequest message { group.id, service, group.pieces, group.priority, group.targetTime - now,
-        group.deadline - now, group.preferredZone.value_or(AvailabilityZoneId()), group.crossZoneAfter - now,
-        group.resultBytes };
+    auto message = makeRequest(service, group, now);
     const auto id = group.id;
     outgoingGroups[id] = { service, std::move(group), owner, now, now };
     out.emplace_back(SendToInstance { owner, std::move(message) });
@@ -236,6 +247,10 @@
     if (!request.preferredZone.empty())
         group.preferredZone = request.preferredZone;
     const PieceRequestAck ack { request.group, queueWaits(*queue, request.pieces.size(), now) };
+    if (request.repeated && findQueued(from, request.group) != queuedGroups.end()) {
+        out.emplace_back(SendToInstance { from, ack });
+        return;
+    }
     queuedGroups[group.id] = { from, request.group, request.service, request.pieces.size() };
     actingOwnerUntil[request.service] = now + actingOwnerLifetime;
     out.emplace_back(SendToInstance { from, ack });
@@ -255,9 +270,7 @@
 
 void PieceBroker::Impl::onCancel(const InstanceId& from, const PieceRequestCancel& cancel)
 {
-    const auto it = std::find_if(queuedGroups.begin(), queuedGroups.end(), [&](const auto& entry) {
-        return entry.second.requester == from && entry.second.requesterGroup == cancel.group;
-    });
+    const auto it = findQueued(from, cancel.group);
     if (it == queuedGroups.end())
         return;
     if (auto* queue = findQueue(it->second.service))
@@ -405,6 +418,20 @@
 }
 
 void PieceBroker::onConnectionLost(const InstanceId& instance, TimePoint now, BrokerActions& out)
+{
+    for (auto& [id, entry] : m_impl->outgoingGroups) {
+        if (entry.owner != instance)
+            continue;
+        entry.sentAt = now;
+        entry.lastMessageAt = now;
+        entry.acknowledged = false;
+        auto request = makeRequest(entry.service, entry.group, now);
+        request.repeated = true;
+        out.emplace_back(SendToInstance { instance, std::move(request) });
+    }
+}
+
+void PieceBroker::onUnreachable(const InstanceId& instance, TimePoint now, BrokerActions& out)
 {
     std::vector<PieceGroupId> lost;
     for (const auto& it : m_impl->outgoingGroups) {
@@ -412,7 +439,8 @@
             lost.push_back(it.first);
     }
     // An instance that restarts is reachable again within moments, as an owner with an empty queue.
-    m_impl->avoidedUntil[instance] = now + connectionLossBackoff;
+    auto& avoidedUntil = m_impl->avoidedUntil[instance];
+    avoidedUntil = std::max(avoidedUntil, now + unreachableBackoff);
     for (const auto id : lost) {
         auto entry = std::move(m_impl->outgoingGroups.at(id));
         m_impl->outgoingGroups.erase(id);
--- a/src/foxtailwheel/serving/PieceBrokerTest.cpp
+++ b/src/foxtailwheel/serving/PieceBrokerTest.cpp
@@ -246,7 +246,7 @@
     cr_assert(cluster.instances.at(id).broker->expectedWait(portal, 0, false, 1, start + 2s) == Duration {});
 }
 
-Test(PieceBroker, lostConnectionToTheOwnerResubmitsItsPiecesImmediately)
+Test(PieceBroker, unreachableOwnerIsReplacedImmediately)
 {
     Cluster cluster(3, 1);
     const auto owner = cluster.owner();
@@ -255,13 +255,50 @@
     cr_assert_eq(cluster.instances.at(owner).sent.size(), 1);
     cluster.disconnected.insert(owner);
     cluster.execute(id, start + 50ms,
-        [&](PieceBroker& broker, BrokerActions& out) { broker.onConnectionLost(owner, start + 50ms, out); });
+        [&](PieceBroker& broker, BrokerActions& out) { broker.onUnreachable(owner, start + 50ms, out); });
     const auto successor = cluster.instances.at(id).broker->ownerOf(portal, start + 50ms);
     cr_assert_neq(successor, owner);
     cluster.finishCalls(successor, start + 300ms);
     cr_assert_eq(cluster.instances.at(id).done.size(), 2);
 }
 
+Test(PieceBroker, lostConnectionDoesNotRunPiecesAgain)
+{
+    Cluster cluster(3, 1);
+    const auto owner = cluster.owner();
+    const auto id = cluster.nonOwner();
+    cluster.submit(id, 1, 2, start);
+    cluster.submit(id, 2, 2, start);
+    cluster.execute(id, start + 50ms,
+        [&](PieceBroker& broker, BrokerActions& out) { broker.onConnectionLost(owner, start + 50ms, out); });
+    cr_assert_eq(cluster.instances.at(id).broker->ownerOf(portal, start + 50ms), owner);
+    cluster.execute(
+        id, start + 350ms, [&](PieceBroker& broker, BrokerActions& out) { broker.onTimer(start + 350ms, out); });
+    for (int i = 1; i < 4; ++i) {
+        cluster.finishCalls(owner, start + i * 300ms);
+        cluster.execute(owner, start + i * 300ms,
+            [&](PieceBroker& broker, BrokerActions& out) { broker.dispatch(portal, start + i * 300ms, out); });
+    }
+    cr_assert_eq(cluster.instances.at(id).done.size(), 4, "each piece has one result");
+    cr_assert(cluster.instances.at(owner).sent.empty());
+    cr_assert_eq(cluster.instances.at(cluster.nonOwner(1)).lastCall, 0);
+}
+
+Test(PieceBroker, requestLostWithItsConnectionIsSentAgain)
+{
+    Cluster cluster(3, 1);
+    const auto owner = cluster.owner();
+    const auto id = cluster.nonOwner();
+    cluster.disconnected.insert(owner);
+    cluster.submit(id, 1, 2, start);
+    cluster.disconnected.clear();
+    cluster.execute(id, start + 5ms,
+        [&](PieceBroker& broker, BrokerActions& out) { broker.onConnectionLost(owner, start + 5ms, out); });
+    cr_assert_eq(cluster.instances.at(owner).sent.size(), 1);
+    cluster.finishCalls(owner, start + 250ms);
+    cr_assert_eq(cluster.instances.at(id).done.size(), 2);
+}
+
 Test(PieceBroker, longQueueDoesNotCauseReassignmentWhileHeartbeatsArrive)
 {
     Cluster cluster(3, 1);
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -10,6 +10,9 @@
 
 namespace foxtailwheel::serving {
 
+/// @brief Interval between attempts to find a usable server.
+constexpr Duration serverRetryInterval = std::chrono::milliseconds(25);
+
 /// @brief Formats a number for logs, truncated to an integer.
 std::string formatInteger(double n);
 
@@ -66,6 +69,7 @@
     void onPeerMessage(
         const InstanceId& from, const PieceMessage& message, TimePoint now, ForwardActions& out) override;
     void onPeerConnectionLost(const InstanceId& instance, TimePoint now, ForwardActions& out) override;
+    void onPeerUnreachable(const InstanceId& instance, TimePoint now, ForwardActions& out) override;
     void stopAccepting() override { m_accepting = false; }
     ForwardId allocateRequestId() override { return ForwardId(++m_lastRunId); }
     void submit(ForwardId id, ForwardRequest request, TimePoint now, ForwardActions& out) override;
@@ -133,7 +137,12 @@
     void onCallBroken(ForwardRun& run, ForwardCallOutcome outcome, TimePoint now, ForwardActions& out);
     void resendRequest(ForwardRun& run, TimePoint now, ForwardActions& out);
     void onResponseComplete(ForwardRun& run, http::Response response, TimePoint now, ForwardActions& out);
-    void failOverStream(ForwardRun& run, TimePoint now, ForwardActions& out);
+    bool failOverStream(ForwardRun& run, TimePoint now, ForwardActions& out);
+    Duration streamSilenceTimeout(const ForwardRun& run) const;
+    void checkStreamSilence(ForwardRun& run, const Timer& timer, TimePoint now, ForwardActions& out);
+    void clearPartialEvent(ForwardRun& run);
+    void breakOversizedStreams(ForwardRun& run, CallId call, TimePoint now, ForwardActions& out);
+    void breakStream(ForwardRun& run, CallId call, TimePoint now, ForwardActions& out);
 
     void refuse(ForwardRun& run, ForwardOutcome outcome, Duration retryAfter, TimePoint now, ForwardActions& out);
     void finishStream(ForwardRun& run, ForwardOutcome outcome, TimePoint now, ForwardActions& out);
@@ -153,6 +162,7 @@
     std::unordered_map<CallId, ForwardId> m_calls;
     std::unordered_map<CallId, ServiceId> m_batchCalls;
     std::unordered_map<PieceGroupId, StageRef> m_groups;
+    std::size_t m_partialEventBytes = 0; ///< Of all runs.
     std::multimap<TimePoint, Timer> m_timers;
     std::unordered_map<std::string, CallerTimeout> m_callerTimeouts; ///< By route.
     std::unordered_map<std::string, SmoothedLatency>
--- a/src/foxtailwheel/store/CircuitBreaker.cpp
+++ b/src/foxtailwheel/store/CircuitBreaker.cpp
@@ -37,7 +37,8 @@
         return;
     }
     ++m_consecutiveFailures;
-    if (!isOpen())
+    // Calls that started before the breaker opened fail together with the one that opened it.
+    if (!isOpen() || now < m_retryAt)
         return;
     m_backoff = m_backoff == Duration {} ? initialBackoff : std::min(m_backoff * 2, maxBackoff);
     m_retryAt = now + fromSeconds(toSeconds(m_backoff) * (0.5 + m_random.uniform() / 2));
--- a/src/foxtailwheel/telemetry/LineWriter.cpp
+++ b/src/foxtailwheel/telemetry/LineWriter.cpp
@@ -71,6 +71,8 @@
             written += static_cast<std::size_t>(n);
         } else if (errno != EINTR) {
             // For example, the reader has closed its end. There is no other channel to report the error on.
+            m_dropped += static_cast<std::uint64_t>(
+                std::count(m_buffer.begin() + static_cast<std::ptrdiff_t>(written), m_buffer.end(), '\n'));
             written = m_buffer.size();
         }
     }
--- a/src/foxtailwheel/telemetry/LineWriterTest.cpp
+++ b/src/foxtailwheel/telemetry/LineWriterTest.cpp
@@ -51,6 +51,18 @@
     cr_assert_eq(pipe.read(), expected);
 }
 
+Test(LineWriter, countsLinesLostToAWriteError)
+{
+    const int fd = open("/dev/full", O_WRONLY);
+    cr_assert_geq(fd, 0);
+    telemetry::LineWriter writer(fd, 1U << 16U);
+    for (int i = 0; i < 10; ++i)
+        writer.add("event=e");
+    writer.flush();
+    cr_assert_eq(writer.droppedLines(), 10);
+    close(fd);
+}
+
 Test(LineWriter, dropsLinesInsteadOfBlockingOnAStalledReader)
 {
     const Pipe pipe;
