Programs check their options, stand-ins play each kind of fault, metrics of batch calls exist

Change: each is a clear error with exit code 2; respondWithFault plays all seven kinds; foxtailwheel_batches_total and foxtailwheel_batch_pieces_total are counted. Measured: tests eachKindOfFaultIsPlayed and invalidUsageReturnsUsageCode pass; each wrong option tried by hand.

--- a/src/foxtailwheel/apps/foxtailwheel-load.cpp
+++ b/src/foxtailwheel/apps/foxtailwheel-load.cpp
@@ -7,6 +7,7 @@
 #include "foxtailwheel/standin/Backend.h"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <condition_variable>
 #include <cxxopts.hpp>
@@ -322,8 +323,30 @@
     return 0;
 }
 
+/// Returns what is wrong with the options; empty if nothing is.
+std::string findOptionError(const cxxopts::ParseResult& args)
+{
+    constexpr std::array<std::string_view, 4> modes { "check", "sustain", "latency", "throughput" };
+    const auto mode = args["mode"].as<std::string>();
+    if (std::find(modes.begin(), modes.end(), mode) == modes.end())
+        return "--mode: '" + mode + "' is none of check, sustain, latency and throughput";
+    if (args["requests"].as<std::uint64_t>() == 0 || args["seconds"].as<unsigned>() == 0
+        || args["at-once"].as<std::size_t>() == 0 || !(args["rate"].as<double>() > 0))
+        return "--requests, --seconds, --rate and --at-once must be positive";
+    if (args.count("credential") == 0)
+        return "--credential is missing";
+    config::Endpoint backend;
+    if (mode == "latency" && !config::parseEndpoint(args["direct"].as<std::string>(), backend))
+        return "--direct: '" + args["direct"].as<std::string>() + "' is not an address IP:PORT";
+    return {};
+}
+
 int run(const cxxopts::ParseResult& args)
 {
+    if (const auto error = findOptionError(args); !error.empty()) {
+        std::cerr << "foxtailwheel-load: " << error << "\n";
+        return 2;
+    }
     std::vector<config::Endpoint> callerEndpoints;
     for (const auto& it : args["callers"].as<std::vector<std::string>>()) {
         config::Endpoint endpoint;
--- a/src/foxtailwheel/apps/foxtailwheel-standins.cpp
+++ b/src/foxtailwheel/apps/foxtailwheel-standins.cpp
@@ -8,23 +8,53 @@
 #include <cxxopts.hpp>
 #include <iostream>
 #include <mutex>
+#include <stdexcept>
 
 namespace {
 
 using namespace foxtailwheel;
 using StandIns = std::vector<std::unique_ptr<standin::StandIn>>;
 
-config::Endpoint toEndpoint(const std::string& text)
+constexpr unsigned maxThreads = 64;
+
+/// An option has a value that cannot be used.
+class OptionError : public std::runtime_error {
+public:
+    using std::runtime_error::runtime_error;
+};
+
+config::Endpoint endpointOption(const cxxopts::ParseResult& args, const std::string& name)
 {
+    const auto text = args[name].as<std::string>();
     config::Endpoint endpoint;
-    config::parseEndpoint(text, endpoint);
+    if (!config::parseEndpoint(text, endpoint))
+        throw OptionError("--" + name + ": '" + text + "' is not an address IP:PORT");
     return endpoint;
 }
 
 Duration durationOption(const cxxopts::ParseResult& args, const std::string& name)
 {
-    const auto d = config::parseDuration(args[name].as<std::string>());
-    return d.has_value() ? d.value() : Duration {};
+    const auto text = args[name].as<std::string>();
+    const auto d = config::parseDuration(text);
+    if (!d.has_value())
+        throw OptionError("--" + name + ": '" + text + "' is not a duration such as 5ms or 2s");
+    return d.value();
+}
+
+double rateOption(const cxxopts::ParseResult& args, const std::string& name)
+{
+    const auto rate = args[name].as<double>();
+    if (!(rate > 0))
+        throw OptionError("--" + name + ": the rate must be positive");
+    return rate;
+}
+
+unsigned threadsOption(const cxxopts::ParseResult& args)
+{
+    const auto threads = args["threads"].as<unsigned>();
+    if (threads == 0 || threads > maxThreads)
+        throw OptionError("--threads: between 1 and " + std::to_string(maxThreads));
+    return threads;
 }
 
 /// Adds a stand-in that started; prints the error and returns false if it did not start.
@@ -83,24 +113,22 @@
 int run(const cxxopts::ParseResult& args)
 {
     const auto clock = systemClock();
-    const auto pool = http::IoPool::create(args["threads"].as<unsigned>());
+    const auto pool = http::IoPool::create(threadsOption(args));
     StandIns standIns;
     bool started = true;
     if (args.count("table") > 0)
         started = started
             && addStandIn(standin::startTable(*pool, *clock,
-                              { toEndpoint(args["table"].as<std::string>()), args["reads"].as<double>(),
-                                  args["writes"].as<double>() }),
+                              { endpointOption(args, "table"), rateOption(args, "reads"), rateOption(args, "writes") }),
                 standIns);
     if (args.count("list") > 0)
         started = started
-            && addStandIn(standin::startInstanceList(*pool, *clock, toEndpoint(args["list"].as<std::string>()),
-                              durationOption(args, "list-lag")),
+            && addStandIn(standin::startInstanceList(
+                              *pool, *clock, endpointOption(args, "list"), durationOption(args, "list-lag")),
                 standIns);
     if (args.count("weights") > 0)
         started = started
-            && addStandIn(
-                standin::startWeightStore(*pool, *clock, toEndpoint(args["weights"].as<std::string>()), 1), standIns);
+            && addStandIn(standin::startWeightStore(*pool, *clock, endpointOption(args, "weights"), 1), standIns);
     if (args.count("declarations") > 0)
         started = started && startBackends(*pool, args, standIns);
     if (started) {
@@ -135,7 +163,7 @@
             return 0;
         }
         return run(args);
-    } catch (const cxxopts::exceptions::exception& ex) {
+    } catch (const std::exception& ex) {
         std::cerr << "foxtailwheel-standins: " << ex.what() << "\n";
         return 2;
     }
--- a/src/foxtailwheel/cli/Commands.cpp
+++ b/src/foxtailwheel/cli/Commands.cpp
@@ -303,7 +303,7 @@
     {
         const auto timeout = config::parseDuration(m_args["wait-limit"].as<std::string>());
         const auto startTime = std::chrono::steady_clock::now();
-        const auto deadline = startTime + (timeout.has_value() ? timeout.value() : Duration(10s));
+        const auto deadline = startTime + timeout.value();
         std::string laggingInstances;
         while (std::chrono::steady_clock::now() < deadline) {
             const auto response = client.send({ "GET", "/v1/status", {}, {} }, operatorTimeout);
@@ -607,6 +607,10 @@
             err << "foxtailwheel: --output must be table or json\n";
             return ExitCode::Usage;
         }
+        if (!config::parseDuration(parsed["wait-limit"].as<std::string>()).has_value()) {
+            err << "foxtailwheel: --wait-limit must be a duration such as 500ms or 10s\n";
+            return ExitCode::Usage;
+        }
         return CommandRunner(parsed, out, err).run();
     } catch (const cxxopts::exceptions::exception& ex) {
         err << "foxtailwheel: " << ex.what() << "\n";
--- a/src/foxtailwheel/cli/CommandsTest.cpp
+++ b/src/foxtailwheel/cli/CommandsTest.cpp
@@ -52,6 +52,7 @@
     cr_assert(run({ "status" }).err.find("--operators") != std::string::npos);
     cr_assert(run({ "status", "--output", "xml" }).code == ExitCode::Usage);
     cr_assert(run({ "config", "check", "/nowhere/at/all" }).code == ExitCode::Usage);
+    cr_assert(run({ "status", "--wait-limit", "soon" }).code == ExitCode::Usage);
 }
 
 Test(Commands, configCheckReportsEveryError)
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -229,6 +229,10 @@
             { "server", batch.server.id.value() }, { "pieces", std::to_string(batch.pieces.size()) },
             { "after_ms", std::to_string(static_cast<long>(toMilliseconds(clock.now() - sentAt))) },
             { "end", std::string(toString(decoded.outcome)) }, { "detail", result.detail } });
+    const telemetry::Labels labels { { "service", batch.service.value() },
+        { "end", std::string(toString(decoded.outcome)) } };
+    metrics.increment("foxtailwheel_batches_total", labels);
+    metrics.increment("foxtailwheel_batch_pieces_total", labels, static_cast<double>(batch.pieces.size()));
     serving::ForwardActions actions;
     forwarder->onBatchEnd(batch.call, decoded.outcome, decoded.results, clock.now(), actions);
     executeAll(std::move(actions));
--- a/src/foxtailwheel/standin/InstanceList.cpp
+++ b/src/foxtailwheel/standin/InstanceList.cpp
@@ -1,3 +1,4 @@
+#include "FaultyResponse.h"
 #include "foxtailwheel/base/Json.h"
 #include "foxtailwheel/http/Server.h"
 #include "foxtailwheel/limits/TokenBucket.h"
@@ -21,8 +22,9 @@
 
     class InstanceListStandIn final : public StandIn {
     public:
-        InstanceListStandIn(const Clock& clock, Duration propagationDelay)
-            : m_clock(clock)
+        InstanceListStandIn(http::IoPool& pool, const Clock& clock, Duration propagationDelay)
+            : m_pool(pool)
+            , m_clock(clock)
             , m_propagationDelay(propagationDelay)
         {
         }
@@ -37,9 +39,11 @@
             TimePoint lastSeen;
         };
 
+        http::Response execute(const Request& request);
         http::Response listInstances();
         void registerInstance(const Request& request);
 
+        http::IoPool& m_pool;
         const Clock& m_clock;
         Duration m_propagationDelay;
         std::mutex m_mutex;
@@ -84,27 +88,27 @@
             responder->respond({ m_faults.setFromJson(request.body) ? 200U : 400U, {}, {} });
             return;
         }
-        if (m_faults.nextFault()) {
-            responder->respond({ 503, {}, "unavailable" });
-            return;
-        }
-        if (request.method == "GET" && request.path() == "/v1/instances") {
-            responder->respond(listInstances());
-            return;
-        }
+        if (const auto fault = m_faults.nextFault())
+            respondWithFault(m_pool, responder, *fault, [this, &request] { return execute(request); });
+        else
+            responder->respond(execute(request));
+    }
+
+    http::Response InstanceListStandIn::execute(const Request& request)
+    {
+        if (request.method == "GET" && request.path() == "/v1/instances")
+            return listInstances();
         if (request.method == "PUT" && request.path().starts_with("/v1/instances/")) {
             registerInstance(request);
-            responder->respond({ 200, {}, "{}" });
-            return;
+            return { 200, {}, "{}" };
         }
         if (request.method == "PUT" && request.path().starts_with("/v1/leaving-servers/")) {
             const std::string id(request.path().substr(std::string_view("/v1/leaving-servers/").size()));
             const std::lock_guard lock(m_mutex);
             m_leavingServers.emplace(id, m_clock.now());
-            responder->respond({ 200, {}, "{}" });
-            return;
+            return { 200, {}, "{}" };
         }
-        responder->respond({ 404, {}, "no such path" });
+        return { 404, {}, "no such path" };
     }
 
     /// Serves weight downloads up to a rate limit and refuses the rest.
@@ -136,7 +140,7 @@
 Result<std::unique_ptr<StandIn>> startInstanceList(
     http::IoPool& pool, const Clock& clock, config::Endpoint listen, Duration propagationDelay)
 {
-    auto list = std::make_unique<InstanceListStandIn>(clock, propagationDelay);
+    auto list = std::make_unique<InstanceListStandIn>(pool, clock, propagationDelay);
     http::ServerOptions options;
     options.listen = std::move(listen);
     auto* raw = list.get();
--- a/src/foxtailwheel/standin/Table.cpp
+++ b/src/foxtailwheel/standin/Table.cpp
@@ -1,3 +1,4 @@
+#include "FaultyResponse.h"
 #include "foxtailwheel/base/Json.h"
 #include "foxtailwheel/http/Server.h"
 #include "foxtailwheel/limits/TokenBucket.h"
@@ -29,8 +30,9 @@
 
     class TableStandIn final : public StandIn {
     public:
-        TableStandIn(const Clock& clock, const TableOptions& options)
-            : m_clock(clock)
+        TableStandIn(http::IoPool& pool, const Clock& clock, const TableOptions& options)
+            : m_pool(pool)
+            , m_clock(clock)
             , m_reads(options.readsPerSecond, options.readsPerSecond, clock.now())
             , m_writes(options.writesPerSecond, options.writesPerSecond, clock.now())
         {
@@ -40,11 +42,13 @@
         void setServer(std::unique_ptr<http::Server> server) { m_server = std::move(server); }
 
     private:
+        http::Response execute(const Request& request);
         http::Response transact(const std::string& body);
         http::Response scan(const Request& request);
         http::Response read(const Request& request);
         bool admit(bool isWrite);
 
+        http::IoPool& m_pool;
         const Clock& m_clock;
         std::mutex m_mutex;
         limits::TokenBucket m_reads;
@@ -125,36 +129,31 @@
             responder->respond({ m_faults.setFromJson(request.body) ? 200U : 400U, {}, {} });
             return;
         }
-        const auto fault = m_faults.nextFault();
+        if (const auto fault = m_faults.nextFault())
+            respondWithFault(m_pool, responder, *fault, [this, &request] { return execute(request); });
+        else
+            responder->respond(execute(request));
+    }
+
+    http::Response TableStandIn::execute(const Request& request)
+    {
         const bool isWrite = request.path() == "/v1/transact";
-        if (fault && fault->kind == FaultKind::CloseBefore) {
-            responder->abort();
-            return;
-        }
-        if (fault && fault->kind == FaultKind::Silent)
-            return;
-        if ((fault && fault->kind == FaultKind::Refuse) || !admit(isWrite)) {
-            responder->respond({ 503, {}, "unavailable" });
-            return;
-        }
-        http::Response response { 404, {}, "no such path" };
+        if (!admit(isWrite))
+            return { 503, {}, "unavailable" };
         if (isWrite)
-            response = transact(request.body);
-        else if (request.path() == "/v1/row")
-            response = read(request);
-        else if (request.path() == "/v1/rows")
-            response = scan(request);
-        if (fault && fault->kind == FaultKind::CloseAfter)
-            responder->abort();
-        else
-            responder->respond(std::move(response));
+            return transact(request.body);
+        if (request.path() == "/v1/row")
+            return read(request);
+        if (request.path() == "/v1/rows")
+            return scan(request);
+        return { 404, {}, "no such path" };
     }
 
 } // namespace
 
 Result<std::unique_ptr<StandIn>> startTable(http::IoPool& pool, const Clock& clock, const TableOptions& options)
 {
-    auto table = std::make_unique<TableStandIn>(clock, options);
+    auto table = std::make_unique<TableStandIn>(pool, clock, options);
     http::ServerOptions serverOptions;
     serverOptions.listen = options.listen;
     serverOptions.maxBodyBytes = 64U << 20U;
