--- a/src/foxtailwheel/control/TableFollower.cpp
+++ b/src/foxtailwheel/control/TableFollower.cpp
@@ -45,6 +45,12 @@
     void onResponse(store::FeedResult result, TimePoint sentAt, std::uint64_t baseVersion);
     bool applyRows(std::vector<store::FeedRow> rows);
     void onUnavailable();
+    void forward(const TableUpdate& update);
+    bool isPolling() const { return role == FollowRole::Poller; }
+    Duration silenceTimeout() const
+    {
+        return role == FollowRole::Relay ? options.relaySilenceTimeout : options.silenceTimeout;
+    }
 
     store::ChangeFeed& feed;
     const Clock& clock;
@@ -57,7 +63,9 @@
     StoreClockBound bound;
     std::uint64_t version = 0;
     bool synced = false; ///< The table was read completely and no change was missed since.
-    bool polling = true;
+    FollowRole role = FollowRole::Poller;
+    Duration lastForwardedStamp {}; ///< Store's time of the last update that was forwarded.
+    std::uint64_t lastForwardedVersion = 0;
     bool callPending = false; ///< A call is in progress or scheduled.
     bool watching = false;
     TimePoint lastUpdateAt;
@@ -74,7 +82,7 @@
     // A follower that does not poll only catches up, so its call does not wait for a change.
     // While the store is unavailable, short calls in quick succession detect its recovery early.
     const bool unavailable = !table.available && table.lastUnavailableAt != TimePoint {};
-    const auto wait = polling && !unavailable ? options.maxWait : Duration {};
+    const auto wait = isPolling() && !unavailable ? options.maxWait : Duration {};
     const auto timeout = unavailable && synced ? options.probeTimeout : options.responseTimeout;
     if (!synced)
         feed.readAll(options.table, now + timeout, std::move(done));
@@ -95,9 +103,9 @@
 /// example when servers start.
 void TableFollower::Impl::scheduleNext(bool hasChanges)
 {
-    if ((polling || !synced) && hasChanges)
+    if ((isPolling() || !synced) && hasChanges)
         pollAfter(options.coalesceDelay);
-    else if (polling || !synced)
+    else if (isPolling() || !synced)
         poll();
     else
         watchForSilence();
@@ -107,19 +115,18 @@
 {
     if (std::exchange(watching, true))
         return;
-    runAfter(std::max<Duration>(lastUpdateAt + options.silenceTimeout - clock.now(), Duration {}),
-        [weak = weak_from_this()] {
-            const auto self = weak.lock();
-            if (!self)
-                return;
-            self->watching = false;
-            if (self->callPending)
-                return;
-            if (self->polling || self->clock.now() - self->lastUpdateAt >= self->options.silenceTimeout)
-                self->poll();
-            else
-                self->watchForSilence();
-        });
+    runAfter(std::max<Duration>(lastUpdateAt + silenceTimeout() - clock.now(), Duration {}), [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        self->watching = false;
+        if (self->callPending)
+            return;
+        if (self->isPolling() || self->clock.now() - self->lastUpdateAt >= self->silenceTimeout())
+            self->poll();
+        else
+            self->watchForSilence();
+    });
 }
 
 void TableFollower::Impl::onUpdate(const TableUpdate& update)
@@ -140,9 +147,24 @@
     table.asOf = std::max(table.asOf, *asOf);
     const bool rowsChanged = applyRows(update.changes.rows);
     version = std::max(version, update.changes.version);
+    if (role == FollowRole::Relay)
+        forward(update);
     onChange(table, rowsChanged);
 }
 
+/// Forwards an update. A relay does so only if it is newer than the last one: two instances that both act as the relay
+/// of a zone would forward it to each other for ever.
+void TableFollower::Impl::forward(const TableUpdate& update)
+{
+    const auto stamp = update.changes.storeTime;
+    const bool isNewer = stamp > lastForwardedStamp || update.changes.version > lastForwardedVersion;
+    if (!publish || (role == FollowRole::Relay && !isNewer))
+        return;
+    lastForwardedStamp = stamp;
+    lastForwardedVersion = update.changes.version;
+    publish(update);
+}
+
 bool TableFollower::Impl::applyRows(std::vector<store::FeedRow> rows)
 {
     if (!synced) {
@@ -170,8 +192,8 @@
     table.lastUnavailableAt = now;
     if (std::exchange(table.available, false))
         onChange(table, false);
-    // A follower that does not poll leaves probing to the polling instance, and calls only as often as without updates.
-    const auto retryDelay = polling || !synced ? options.retryDelay : options.silenceTimeout / 2;
+    // A follower that does not poll leaves probing to the poller, and calls only as often as without updates.
+    const auto retryDelay = isPolling() || !synced ? options.retryDelay : silenceTimeout() / 2;
     pollAfter(retryDelay + fromSeconds(toSeconds(retryDelay) * random.uniform()));
 }
 
@@ -191,8 +213,8 @@
         table.recoveredAt = clock.now();
     lastUpdateAt = clock.now();
     table.asOf = std::max(table.asOf, bound.observe(sentAt, result.storeTime));
-    if (publish && polling && synced)
-        publish({ options.table, baseVersion, result });
+    if (role != FollowRole::Member && synced)
+        forward({ options.table, baseVersion, result });
     // An update from another instance may have arrived before this response although the store sent it later.
     const bool outdated = synced && result.version < version;
     const bool rowsChanged = !outdated && applyRows(std::move(result.rows));
@@ -216,9 +238,9 @@
     m_impl->poll();
 }
 
-void TableFollower::setPolling(bool polling)
+void TableFollower::setRole(FollowRole role)
 {
-    if (std::exchange(m_impl->polling, polling) == polling || !polling)
+    if (std::exchange(m_impl->role, role) == role || role != FollowRole::Poller)
         return;
     if (!m_impl->callPending && m_impl->synced)
         m_impl->poll();
