--- a/include/foxtailwheel/control/TableFollower.h
+++ b/include/foxtailwheel/control/TableFollower.h
@@ -73,7 +73,7 @@
     TableFollower& operator=(const TableFollower&) = delete;
 
     void start();
-    /// @brief Sets the role; a follower starts as the poller.
+    /// @brief Sets the role; a follower starts as a member, which reads the table and waits for updates.
     void setRole(FollowRole role);
     /// @brief Handles an update from another instance.
     void onUpdate(const TableUpdate& update);
--- a/include/foxtailwheel/daemon/PeerLink.h
+++ b/include/foxtailwheel/daemon/PeerLink.h
@@ -26,7 +26,8 @@
     std::function<void(const InstanceId& instance)> onConnectionLost; ///< Requests sent to it may be lost.
     std::function<void(const InstanceId& instance)> onUnreachable; ///< It refuses connections: its process has ended.
     std::function<void(const control::TableUpdate& update)> onTableUpdate;
-    std::function<void(control::FollowRole)> onRoleChanged; ///< Role in following the store's tables.
+    std::function<void(control::FollowRole)> onRoleChanged; ///< Role in following the store's tables; `Member` until
+                                                            ///< the members are known.
 };
 
 /// @brief Connection of this instance to the others: membership by gossip, and messages about pieces.
--- a/src/foxtailwheel/control/TableFollower.cpp
+++ b/src/foxtailwheel/control/TableFollower.cpp
@@ -63,7 +63,7 @@
     StoreClockBound bound;
     std::uint64_t version = 0;
     bool synced = false; ///< The table was read completely and no change was missed since.
-    FollowRole role = FollowRole::Poller;
+    FollowRole role = FollowRole::Member;
     Duration lastForwardedStamp {}; ///< Store's time of the last update that was forwarded.
     std::uint64_t lastForwardedVersion = 0;
     bool callPending = false; ///< A call is in progress or scheduled.
--- a/src/foxtailwheel/control/TableFollowerTest.cpp
+++ b/src/foxtailwheel/control/TableFollowerTest.cpp
@@ -56,6 +56,7 @@
             [this](Duration d, std::function<void()> work) { scheduled.emplace_back(d, std::move(work)); },
             [this](const control::TableReplica&, bool rowsChanged) { changes += rowsChanged ? 1 : 0; },
             [this](const TableUpdate& it) { forwarded.push_back(it); });
+        follower->setRole(control::FollowRole::Poller);
         follower->start();
     }
 
@@ -92,6 +93,17 @@
     cr_assert_eq(fixture.forwarded.size(), 1, "changes are forwarded, the initial read is not");
 }
 
+Test(TableFollower, doesNotPollBeforeItsRoleIsKnown)
+{
+    Fixture fixture;
+    fixture.follower->setRole(control::FollowRole::Member);
+    fixture.feed.respond(Fixture::rows(5, { { "config", "one" } }));
+    cr_assert(fixture.feed.calls.empty());
+    fixture.follower->setRole(control::FollowRole::Poller);
+    cr_assert_eq(fixture.feed.calls.front().after, 5);
+    cr_assert(fixture.feed.calls.front().wait == 1500ms);
+}
+
 Test(TableFollower, coalescesChangesInQuickSuccession)
 {
     Fixture fixture;
--- a/src/foxtailwheel/daemon/PeerLink.cpp
+++ b/src/foxtailwheel/daemon/PeerLink.cpp
@@ -79,7 +79,7 @@
     std::vector<InstanceId> owners;
     std::set<InstanceId> unavailable;
     std::vector<InstanceId> relays; ///< One of each zone.
-    control::FollowRole role = control::FollowRole::Poller;
+    control::FollowRole role = control::FollowRole::Member;
 };
 
 void PeerLink::Impl::tick()
--- a/src/foxtailwheel/daemon/PeerLinkTest.cpp
+++ b/src/foxtailwheel/daemon/PeerLinkTest.cpp
@@ -77,7 +77,7 @@
     std::atomic<int> connectionsLost { 0 };
     std::atomic<int> refusals { 0 };
     std::atomic<int> updates { 0 };
-    std::atomic<control::FollowRole> role { control::FollowRole::Poller };
+    std::atomic<control::FollowRole> role { control::FollowRole::Member };
 };
 
 template <class Condition> bool eventually(Condition condition, Duration within = 10s)
