--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -159,6 +159,9 @@
     bool admissionControl = true; ///< Disabled only to measure the effect of early rejection.
     bool affinity = true; ///< Disabled only to measure the effect of cached prompts.
     bool hedging = true; ///< Hedged calls and failover of silent streams; disabled only to measure their effect.
+    /// @brief Groups of pieces are numbered from here. Processes of the same instance need ranges that do not overlap:
+    /// owners may still send results for groups of a process that has ended.
+    std::uint64_t firstGroupId = 1;
     std::size_t maxEventBytes = std::size_t { 256 } << 10U; ///< A stream with a larger event is broken.
     /// @brief Bytes of incomplete events of all streams together; above it, the stream with the largest one is broken.
     std::size_t maxPartialEventBytes = std::size_t { 16 } << 20U;
--- a/src/foxtailwheel/serving/ForwardStages.cpp
+++ b/src/foxtailwheel/serving/ForwardStages.cpp
@@ -129,7 +129,7 @@
         return;
     }
     auto& progress = run.stages[stage];
-    progress.group = PieceGroupId(++m_lastGroupId);
+    progress.group = PieceGroupId(m_nextGroupId++);
     m_groups[progress.group] = { run.id, stage };
     auto group = makeGroup(run, stage, now);
     logDecision(run, "pieces_asked",
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -134,6 +134,8 @@
                 streamed += bytes->bytes;
             else if (auto* ended = std::get_if<EndResponse>(&it))
                 outcomes.push_back(ended->outcome);
+            else if (auto* message = std::get_if<SendToInstance>(&it))
+                messages.push_back(*message);
             else if (auto* release = std::get_if<ReleaseResults>(&it))
                 released.insert(released.end(), release->handles.begin(), release->handles.end());
         }
@@ -152,6 +154,7 @@
     std::string streamed;
     std::vector<ForwardOutcome> outcomes;
     std::vector<std::string> released;
+    std::vector<SendToInstance> messages;
 };
 
 } // namespace
@@ -468,6 +471,41 @@
     cr_assert_eq(fixture.released.size(), 5, "the first event proves that the inputs were read");
 }
 
+Test(Forwarder, resultsForAProcessThatHasEndedAreNotTaken)
+{
+    const InstanceId owner("o");
+    const auto startProcess = [&owner](std::uint64_t firstGroupId) {
+        ForwarderOptions options;
+        options.firstGroupId = firstGroupId;
+        auto fixture = std::make_unique<ForwarderFixture>(options);
+        fixture->collectActions([&](auto& out) {
+            fixture->forwarder->setMembers({ InstanceId("i"), owner }, { owner }, {}, start, out);
+        });
+        fixture->pieces = { 1, 1 };
+        fixture->submit("staged");
+        return fixture;
+    };
+    const auto deliver = [&owner](ForwarderFixture& fixture, const PieceRequest& request, const std::string& handle) {
+        PieceResults results { request.group, request.service, {}, {} };
+        results.pieces.push_back({ 0, ResultHandle { handle, server("p1", "portal").server, request.service } });
+        fixture.collectActions(
+            [&](auto& out) { fixture.forwarder->onPeerMessage(owner, results, start + 100ms, out); });
+    };
+    const auto ended = startProcess(1000);
+    const auto restarted = startProcess(2000);
+    const auto oldRequest = std::get<PieceRequest>(ended->messages.at(0).message);
+    const auto newRequest = std::get<PieceRequest>(restarted->messages.at(0).message);
+    restarted->messages.clear();
+    deliver(*restarted, oldRequest, "of another request");
+    cr_assert(std::none_of(restarted->messages.begin(), restarted->messages.end(),
+        [](const auto& it) { return std::holds_alternative<PieceRequest>(it.message); }));
+    deliver(*restarted, newRequest, "own");
+    const auto next = std::find_if(restarted->messages.begin(), restarted->messages.end(),
+        [](const auto& it) { return std::holds_alternative<PieceRequest>(it.message); });
+    cr_assert(next != restarted->messages.end());
+    cr_assert_eq(std::get<PieceRequest>(next->message).pieces.at(0).inputs, std::vector<std::string> { "own" });
+}
+
 Test(Forwarder, stageRunsInTheZoneOfItsInputs)
 {
     ForwarderFixture fixture;
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -54,6 +54,7 @@
         , m_broker(
               m_options.pools.self, [this](const ServiceId& id) { return findQueue(id); }, m_options.decisionLog)
         , m_random(m_options.pools.seed)
+        , m_nextGroupId(m_options.firstGroupId)
     {
     }
 
@@ -171,7 +172,7 @@
     TimePoint m_credentialsConfirmedAt {};
     std::uint64_t m_lastRunId = 0;
     std::uint64_t m_lastCallId = 0;
-    std::uint64_t m_lastGroupId = 0;
+    std::uint64_t m_nextGroupId;
 };
 
 } // namespace foxtailwheel::serving
