Revert: one instance polls the store for all zones; an instance does not poll before its role is known

Version 11 was acknowledged at 2.895, front- ahmedabad-b-10 handled a request by version 7 at 6.8, the bound is 3 s. With one poller in each zone only instances that are cut from their own zone's poller depend on that.

--- a/include/foxtailwheel/control/TableFollower.h
+++ b/include/foxtailwheel/control/TableFollower.h
@@ -12,13 +12,6 @@
 
 namespace foxtailwheel::control {
 
-/// @brief How an instance learns of changes.
-enum class FollowRole {
-    Poller, ///< Polls the store and forwards its responses to the relays and to its own zone.
-    Relay, ///< Receives updates from the poller and forwards them to its zone.
-    Member, ///< Receives updates from the relay of its zone.
-};
-
 /// @brief Options of a follower.
 struct TableFollowerOptions {
     std::string table;
@@ -27,9 +20,8 @@
     Duration probeTimeout = std::chrono::milliseconds(500); ///< Response timeout while the store is unavailable.
     Duration retryDelay = std::chrono::milliseconds(250); ///< Minimum delay after a failure; jitter can double it.
     Duration coalesceDelay = std::chrono::milliseconds(100); ///< Delay after a change, to return several in one call.
-    Duration silenceTimeout {}; ///< Time without updates after which a member calls the store itself.
-    /// @brief The same for a relay; shorter, so that its call serves the members too.
-    Duration relaySilenceTimeout {};
+    Duration
+        silenceTimeout {}; ///< Time without updates after which a follower that does not poll calls the store itself.
     std::uint64_t seed = 1;
 };
 
@@ -53,9 +45,8 @@
 
 /// @brief Replicates a table of the store: reads it completely, then long-polls for changes.
 ///
-/// If several instances follow the same table, one of them polls and forwards the changes to the others, through one
-/// relay in each zone. Those call the store only if updates stop or one was missed. Not thread-safe: calls and the
-/// feed's callbacks run on one thread.
+/// If several instances follow the same table, one of them polls and forwards the changes to the others, which call the
+/// store only if updates stop or one was missed. Not thread-safe: calls and the feed's callbacks run on one thread.
 class TableFollower {
 public:
     using OnChange = std::function<void(const TableReplica&, bool rowsChanged)>;
@@ -73,8 +64,8 @@
     TableFollower& operator=(const TableFollower&) = delete;
 
     void start();
-    /// @brief Sets the role; a follower starts as a member, which reads the table and waits for updates.
-    void setRole(FollowRole role);
+    /// @brief Sets whether this follower polls the store or receives updates from another instance.
+    void setPolling(bool polling);
     /// @brief Handles an update from another instance.
     void onUpdate(const TableUpdate& update);
     const TableReplica& table() const;
--- a/include/foxtailwheel/daemon/PeerLink.h
+++ b/include/foxtailwheel/daemon/PeerLink.h
@@ -26,8 +26,7 @@
     std::function<void(const InstanceId& instance)> onConnectionLost; ///< Requests sent to it may be lost.
     std::function<void(const InstanceId& instance)> onUnreachable; ///< It refuses connections: its process has ended.
     std::function<void(const control::TableUpdate& update)> onTableUpdate;
-    std::function<void(control::FollowRole)> onRoleChanged; ///< Role in following the store's tables; `Member` until
-                                                            ///< the members are known.
+    std::function<void(bool)> onPollerChanged; ///< Whether this instance polls the store for its zone.
 };
 
 /// @brief Connection of this instance to the others: membership by gossip, and messages about pieces.
@@ -45,9 +44,8 @@
     void addIfUnknown(const std::vector<membership::Member>& members);
     /// @brief Sends a message about pieces; drops it if the instance is unknown or unreachable.
     void send(const InstanceId& to, const serving::PieceMessage& message);
-    /// @brief Forwards a store response to the other live instances of this zone, and as the poller to the relays of
-    /// the other zones.
-    void forward(const control::TableUpdate& update);
+    /// @brief Forwards a store response to the other live instances of this zone.
+    void sendToZone(const control::TableUpdate& update);
     /// @brief Announces to the other instances that this one is leaving.
     void leave();
     /// @brief Returns all known instances.
--- a/src/foxtailwheel/control/TableFollower.cpp
+++ b/src/foxtailwheel/control/TableFollower.cpp
@@ -45,12 +45,6 @@
     void onResponse(store::FeedResult result, TimePoint sentAt, std::uint64_t baseVersion);
     bool applyRows(std::vector<store::FeedRow> rows);
     void onUnavailable();
-    void forward(const TableUpdate& update);
-    bool isPolling() const { return role == FollowRole::Poller; }
-    Duration silenceTimeout() const
-    {
-        return role == FollowRole::Relay ? options.relaySilenceTimeout : options.silenceTimeout;
-    }
 
     store::ChangeFeed& feed;
     const Clock& clock;
@@ -63,9 +57,7 @@
     StoreClockBound bound;
     std::uint64_t version = 0;
     bool synced = false; ///< The table was read completely and no change was missed since.
-    FollowRole role = FollowRole::Member;
-    Duration lastForwardedStamp {}; ///< Store's time of the last update that was forwarded.
-    std::uint64_t lastForwardedVersion = 0;
+    bool polling = true;
     bool callPending = false; ///< A call is in progress or scheduled.
     bool watching = false;
     TimePoint lastUpdateAt;
@@ -82,7 +74,7 @@
     // A follower that does not poll only catches up, so its call does not wait for a change.
     // While the store is unavailable, short calls in quick succession detect its recovery early.
     const bool unavailable = !table.available && table.lastUnavailableAt != TimePoint {};
-    const auto wait = isPolling() && !unavailable ? options.maxWait : Duration {};
+    const auto wait = polling && !unavailable ? options.maxWait : Duration {};
     const auto timeout = unavailable && synced ? options.probeTimeout : options.responseTimeout;
     if (!synced)
         feed.readAll(options.table, now + timeout, std::move(done));
@@ -103,9 +95,9 @@
 /// example when servers start.
 void TableFollower::Impl::scheduleNext(bool hasChanges)
 {
-    if ((isPolling() || !synced) && hasChanges)
+    if ((polling || !synced) && hasChanges)
         pollAfter(options.coalesceDelay);
-    else if (isPolling() || !synced)
+    else if (polling || !synced)
         poll();
     else
         watchForSilence();
@@ -115,18 +107,19 @@
 {
     if (std::exchange(watching, true))
         return;
-    runAfter(std::max<Duration>(lastUpdateAt + silenceTimeout() - clock.now(), Duration {}), [weak = weak_from_this()] {
-        const auto self = weak.lock();
-        if (!self)
-            return;
-        self->watching = false;
-        if (self->callPending)
-            return;
-        if (self->isPolling() || self->clock.now() - self->lastUpdateAt >= self->silenceTimeout())
-            self->poll();
-        else
-            self->watchForSilence();
-    });
+    runAfter(std::max<Duration>(lastUpdateAt + options.silenceTimeout - clock.now(), Duration {}),
+        [weak = weak_from_this()] {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            self->watching = false;
+            if (self->callPending)
+                return;
+            if (self->polling || self->clock.now() - self->lastUpdateAt >= self->options.silenceTimeout)
+                self->poll();
+            else
+                self->watchForSilence();
+        });
 }
 
 void TableFollower::Impl::onUpdate(const TableUpdate& update)
@@ -147,24 +140,9 @@
     table.asOf = std::max(table.asOf, *asOf);
     const bool rowsChanged = applyRows(update.changes.rows);
     version = std::max(version, update.changes.version);
-    if (role == FollowRole::Relay)
-        forward(update);
     onChange(table, rowsChanged);
 }
 
-/// Forwards an update. A relay does so only if it is newer than the last one: two instances that both act as the relay
-/// of a zone would forward it to each other for ever.
-void TableFollower::Impl::forward(const TableUpdate& update)
-{
-    const auto stamp = update.changes.storeTime;
-    const bool isNewer = stamp > lastForwardedStamp || update.changes.version > lastForwardedVersion;
-    if (!publish || (role == FollowRole::Relay && !isNewer))
-        return;
-    lastForwardedStamp = stamp;
-    lastForwardedVersion = update.changes.version;
-    publish(update);
-}
-
 bool TableFollower::Impl::applyRows(std::vector<store::FeedRow> rows)
 {
     if (!synced) {
@@ -192,8 +170,8 @@
     table.lastUnavailableAt = now;
     if (std::exchange(table.available, false))
         onChange(table, false);
-    // A follower that does not poll leaves probing to the poller, and calls only as often as without updates.
-    const auto retryDelay = isPolling() || !synced ? options.retryDelay : silenceTimeout() / 2;
+    // A follower that does not poll leaves probing to the polling instance, and calls only as often as without updates.
+    const auto retryDelay = polling || !synced ? options.retryDelay : options.silenceTimeout / 2;
     pollAfter(retryDelay + fromSeconds(toSeconds(retryDelay) * random.uniform()));
 }
 
@@ -213,8 +191,8 @@
         table.recoveredAt = clock.now();
     lastUpdateAt = clock.now();
     table.asOf = std::max(table.asOf, bound.observe(sentAt, result.storeTime));
-    if (role != FollowRole::Member && synced)
-        forward({ options.table, baseVersion, result });
+    if (publish && polling && synced)
+        publish({ options.table, baseVersion, result });
     // An update from another instance may have arrived before this response although the store sent it later.
     const bool outdated = synced && result.version < version;
     const bool rowsChanged = !outdated && applyRows(std::move(result.rows));
@@ -238,9 +216,9 @@
     m_impl->poll();
 }
 
-void TableFollower::setRole(FollowRole role)
+void TableFollower::setPolling(bool polling)
 {
-    if (std::exchange(m_impl->role, role) == role || role != FollowRole::Poller)
+    if (std::exchange(m_impl->polling, polling) == polling || !polling)
         return;
     if (!m_impl->callPending && m_impl->synced)
         m_impl->poll();
--- a/src/foxtailwheel/control/TableFollowerTest.cpp
+++ b/src/foxtailwheel/control/TableFollowerTest.cpp
@@ -49,14 +49,12 @@
         options.table = "op";
         options.maxWait = 1500ms;
         options.silenceTimeout = 2s;
-        options.relaySilenceTimeout = 1700ms;
         clock.set(TimePoint(1h));
         follower = std::make_unique<TableFollower>(
             feed, clock, options,
             [this](Duration d, std::function<void()> work) { scheduled.emplace_back(d, std::move(work)); },
             [this](const control::TableReplica&, bool rowsChanged) { changes += rowsChanged ? 1 : 0; },
             [this](const TableUpdate& it) { forwarded.push_back(it); });
-        follower->setRole(control::FollowRole::Poller);
         follower->start();
     }
 
@@ -93,17 +91,6 @@
     cr_assert_eq(fixture.forwarded.size(), 1, "changes are forwarded, the initial read is not");
 }
 
-Test(TableFollower, doesNotPollBeforeItsRoleIsKnown)
-{
-    Fixture fixture;
-    fixture.follower->setRole(control::FollowRole::Member);
-    fixture.feed.respond(Fixture::rows(5, { { "config", "one" } }));
-    cr_assert(fixture.feed.calls.empty());
-    fixture.follower->setRole(control::FollowRole::Poller);
-    cr_assert_eq(fixture.feed.calls.front().after, 5);
-    cr_assert(fixture.feed.calls.front().wait == 1500ms);
-}
-
 Test(TableFollower, coalescesChangesInQuickSuccession)
 {
     Fixture fixture;
@@ -148,7 +135,7 @@
 {
     Fixture fixture;
     fixture.feed.respond(Fixture::rows(5, { { "a", "1" } }, 10s));
-    fixture.follower->setRole(control::FollowRole::Member);
+    fixture.follower->setPolling(false);
     fixture.feed.respond(Fixture::rows(5, {}, 11s));
     cr_assert(fixture.feed.calls.empty());
     for (std::uint64_t i = 0; i < 5; ++i) {
@@ -162,58 +149,11 @@
     cr_assert_gt(fixture.follower->table().asOf, TimePoint(1h) + 6s);
 }
 
-Test(TableFollower, relayForwardsEachUpdateOnce)
-{
-    Fixture fixture;
-    fixture.feed.respond(Fixture::rows(5, { { "a", "1" } }, 10s));
-    fixture.follower->setRole(control::FollowRole::Relay);
-    fixture.feed.respond(Fixture::rows(5, {}, 11s));
-    fixture.forwarded.clear();
-    const TableUpdate change { "op", 5, Fixture::rows(6, { { "a", "2" } }, 12s) };
-    const TableUpdate confirmation { "op", 6, Fixture::rows(6, {}, 13s) };
-    for (int i = 0; i < 3; ++i) {
-        fixture.follower->onUpdate(change);
-        fixture.follower->onUpdate(confirmation);
-    }
-    cr_assert_eq(fixture.forwarded.size(), 2);
-    cr_assert(fixture.forwarded.at(0) == change);
-    cr_assert(fixture.forwarded.at(1) == confirmation);
-    cr_assert(fixture.feed.calls.empty());
-}
-
-Test(TableFollower, relayCallsTheStoreForItsZoneIfThePollerIsSilent)
-{
-    Fixture fixture;
-    fixture.feed.respond(Fixture::rows(5, { { "a", "1" } }, 10s));
-    fixture.follower->setRole(control::FollowRole::Relay);
-    fixture.feed.respond(Fixture::rows(5, {}, 11s));
-    fixture.forwarded.clear();
-    fixture.runScheduled(1700ms);
-    cr_assert_eq(fixture.feed.calls.size(), 1, "a relay does not wait as long as a member");
-    cr_assert_eq(fixture.feed.calls.front().wait, Duration {});
-    fixture.feed.respond(Fixture::rows(7, { { "a", "2" } }, 13s));
-    cr_assert_eq(fixture.forwarded.size(), 1);
-    cr_assert(fixture.feed.calls.empty(), "it waits for the poller again");
-}
-
-Test(TableFollower, memberDoesNotForward)
-{
-    Fixture fixture;
-    fixture.feed.respond(Fixture::rows(5, { { "a", "1" } }, 10s));
-    fixture.follower->setRole(control::FollowRole::Member);
-    fixture.feed.respond(Fixture::rows(5, {}, 11s));
-    fixture.forwarded.clear();
-    fixture.follower->onUpdate({ "op", 5, Fixture::rows(6, { { "a", "2" } }, 12s) });
-    fixture.runScheduled(2s);
-    fixture.feed.respond(Fixture::rows(7, { { "a", "3" } }, 15s));
-    cr_assert(fixture.forwarded.empty());
-}
-
 Test(TableFollower, callsTheStoreIfUpdatesStop)
 {
     Fixture fixture;
     fixture.feed.respond(Fixture::rows(5, {}));
-    fixture.follower->setRole(control::FollowRole::Member);
+    fixture.follower->setPolling(false);
     fixture.feed.respond(Fixture::rows(5, {}));
     fixture.runScheduled(2s);
     cr_assert_eq(fixture.feed.calls.size(), 1);
@@ -224,7 +164,7 @@
 {
     Fixture fixture;
     fixture.feed.respond(Fixture::rows(5, { { "a", "1" } }));
-    fixture.follower->setRole(control::FollowRole::Member);
+    fixture.follower->setPolling(false);
     fixture.feed.respond(Fixture::rows(5, {}));
     fixture.follower->onUpdate({ "op", 8, Fixture::rows(9, { { "b", "2" } }) });
     cr_assert_eq(fixture.follower->table().rows.count("b"), 0, "an update with a gap must not be applied");
--- a/src/foxtailwheel/daemon/PeerLink.cpp
+++ b/src/foxtailwheel/daemon/PeerLink.cpp
@@ -5,8 +5,6 @@
 #include "foxtailwheel/telemetry/Log.h"
 
 #include <algorithm>
-#include <array>
-#include <map>
 
 namespace foxtailwheel::daemon {
 
@@ -16,6 +14,8 @@
 
     /// Resolution of the membership timers; the shortest membership timeout is 200 ms.
     constexpr Duration tickPeriod = 100ms;
+    /// Instances of a zone that poll the store and forward its responses to the others.
+    constexpr std::size_t pollersPerZone = 1;
     /// Instances with at least this share of the cores of the largest one may own services.
     constexpr float minOwnerCoresRatio = 0.75F;
 
@@ -33,25 +33,6 @@
         return candidates;
     }
 
-    /// Returns the instance of each zone that forwards changes of the store's tables there.
-    std::vector<membership::Member> tableRelays(const std::vector<membership::Member>& members)
-    {
-        std::map<AvailabilityZoneId, std::vector<membership::Member>> zones;
-        for (const auto& it : members) {
-            if (it.state == membership::MemberState::Alive)
-                zones[it.zone].push_back(it);
-        }
-        std::vector<membership::Member> relays;
-        for (const auto& [zone, zoneMembers] : zones) {
-            const auto ids = membership::owners("poller/" + zone.value(), zoneMembers, 1);
-            for (const auto& it : zoneMembers) {
-                if (!ids.empty() && it.id == ids.front())
-                    relays.push_back(it);
-            }
-        }
-        return relays;
-    }
-
 } // namespace
 
 struct PeerLink::Impl : std::enable_shared_from_this<PeerLink::Impl> {
@@ -67,7 +48,7 @@
     void execute(const membership::MembershipActions& actions);
     void onMessage(const peer::Message& message);
     void updateMembers();
-    void updateRole();
+    void updatePoller();
     void onDisconnect(const config::Endpoint& address, peer::DisconnectReason reason);
 
     http::IoPool& pool;
@@ -78,8 +59,7 @@
     std::vector<InstanceId> live;
     std::vector<InstanceId> owners;
     std::set<InstanceId> unavailable;
-    std::vector<InstanceId> relays; ///< One of each zone.
-    control::FollowRole role = control::FollowRole::Member;
+    bool isPoller = true;
 };
 
 void PeerLink::Impl::tick()
@@ -129,28 +109,23 @@
     telemetry::logInfo(
         "members_changed", { { "live", std::to_string(live.size()) }, { "gone", std::to_string(unavailable.size()) } });
     callbacks.onMembersChanged(live, owners, unavailable);
-    updateRole();
+    updatePoller();
 }
 
-/// Each zone has one relay, and one of the relays polls the store for all zones.
-void PeerLink::Impl::updateRole()
+void PeerLink::Impl::updatePoller()
 {
     const auto& self = membership.self();
-    const auto newRelays = tableRelays(membership.members());
-    relays.clear();
-    for (const auto& it : newRelays)
-        relays.push_back(it.id);
-    const auto pollers = membership::owners("poller", newRelays, 1);
-    auto newRole = control::FollowRole::Member;
-    if (pollers.empty() || pollers.front() == self.id)
-        newRole = control::FollowRole::Poller;
-    else if (std::find(relays.begin(), relays.end(), self.id) != relays.end())
-        newRole = control::FollowRole::Relay;
-    if (std::exchange(role, newRole) == newRole)
+    std::vector<membership::Member> zoneMembers;
+    for (const auto& it : membership.members()) {
+        if (it.state == membership::MemberState::Alive && it.zone == self.zone)
+            zoneMembers.push_back(it);
+    }
+    const auto pollers = membership::owners("poller/" + self.zone.value(), zoneMembers, pollersPerZone);
+    const bool shouldPoll = pollers.empty() || std::find(pollers.begin(), pollers.end(), self.id) != pollers.end();
+    if (std::exchange(isPoller, shouldPoll) == shouldPoll)
         return;
-    constexpr std::array<std::string_view, 3> names { "poller", "relay", "member" };
-    telemetry::logInfo("follow_role_changed", { { "role", std::string(names.at(static_cast<std::size_t>(newRole))) } });
-    callbacks.onRoleChanged(newRole);
+    telemetry::logInfo("poller_changed", { { "asking", shouldPoll ? "1" : "0" } });
+    callbacks.onPollerChanged(shouldPoll);
 }
 
 void PeerLink::Impl::onDisconnect(const config::Endpoint& address, peer::DisconnectReason reason)
@@ -221,15 +196,13 @@
     }
 }
 
-void PeerLink::forward(const control::TableUpdate& update)
+void PeerLink::sendToZone(const control::TableUpdate& update)
 {
     const auto& self = m_impl->membership.self();
     const peer::TableUpdate message { self, update.table, update.baseVersion, update.changes };
-    const bool toRelays = m_impl->role == control::FollowRole::Poller;
     for (const auto& it : m_impl->membership.members()) {
         const bool isLive = it.state == membership::MemberState::Alive || it.state == membership::MemberState::Suspect;
-        const bool isRelay = std::find(m_impl->relays.begin(), m_impl->relays.end(), it.id) != m_impl->relays.end();
-        if (isLive && it.id != self.id && (it.zone == self.zone || (toRelays && isRelay)))
+        if (isLive && it.zone == self.zone && it.id != self.id)
             m_impl->transport->send(it.endpoint, message);
     }
 }
--- a/src/foxtailwheel/daemon/PeerLinkTest.cpp
+++ b/src/foxtailwheel/daemon/PeerLinkTest.cpp
@@ -1,6 +1,5 @@
 #include "foxtailwheel/daemon/PeerLink.h"
 
-#include <algorithm>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -21,20 +20,20 @@
         .port();
 }
 
-membership::Member makeMember(const std::string& name, const std::string& zone)
+membership::Member makeMember(const std::string& name)
 {
     membership::Member member;
     member.id = InstanceId(name);
     member.endpoint = { "127.0.0.1", freePort() };
-    member.zone = AvailabilityZoneId(zone);
+    member.zone = AvailabilityZoneId("a");
     member.cores = 1;
     return member;
 }
 
 /// An instance's link; the events that it reports are counted.
 struct Peer {
-    explicit Peer(const std::string& name, const std::string& zone = "a")
-        : self(makeMember(name, zone))
+    explicit Peer(const std::string& name)
+        : self(makeMember(name))
     {
     }
 
@@ -46,12 +45,8 @@
         callbacks.onPieceMessage = [this](const InstanceId&, const serving::PieceMessage&) { ++messages; };
         callbacks.onConnectionLost = [this](const InstanceId&) { ++connectionsLost; };
         callbacks.onUnreachable = [this](const InstanceId&) { ++refusals; };
-        callbacks.onTableUpdate = [this](const control::TableUpdate& update) {
-            ++updates;
-            if (role == control::FollowRole::Relay)
-                link->forward(update);
-        };
-        callbacks.onRoleChanged = [this](control::FollowRole newRole) { role = newRole; };
+        callbacks.onTableUpdate = [](const control::TableUpdate&) {};
+        callbacks.onPollerChanged = [](bool) {};
         auto opened = daemon::PeerLink::open(*pool, *clock, self, "key", 1, std::move(callbacks));
         cr_assert(opened.has_value());
         link = std::move(opened.value());
@@ -76,8 +71,6 @@
     std::atomic<int> messages { 0 };
     std::atomic<int> connectionsLost { 0 };
     std::atomic<int> refusals { 0 };
-    std::atomic<int> updates { 0 };
-    std::atomic<control::FollowRole> role { control::FollowRole::Member };
 };
 
 template <class Condition> bool eventually(Condition condition, Duration within = 10s)
@@ -123,33 +116,3 @@
     cr_assert_eq(requester.connectionsLost, 0);
     requester.pool->stop();
 }
-
-Test(PeerLink, updatesOfThePollerReachEveryInstanceThroughOneRelayInEachZone)
-{
-    std::vector<std::unique_ptr<Peer>> peers;
-    for (const std::string zone : { "a", "b", "c" }) {
-        for (const std::string number : { "1", "2", "3" })
-            peers.push_back(std::make_unique<Peer>(zone + number, zone));
-    }
-    std::vector<membership::Member> members;
-    for (const auto& it : peers) {
-        it->open();
-        members.push_back(it->self);
-    }
-    for (const auto& it : peers)
-        it->run([&] { it->link->addIfUnknown(members); });
-    const auto count = [&](control::FollowRole role) {
-        return std::count_if(peers.begin(), peers.end(), [role](const auto& it) { return it->role == role; });
-    };
-    cr_assert(eventually([&] {
-        return count(control::FollowRole::Poller) == 1 && count(control::FollowRole::Relay) == 2
-            && std::all_of(peers.begin(), peers.end(), [](const auto& it) { return it->liveInstances == 9; });
-    }));
-    const auto poller = std::find_if(
-        peers.begin(), peers.end(), [](const auto& it) { return it->role == control::FollowRole::Poller; });
-    (*poller)->run([&] { (*poller)->link->forward({ "op", 5, { store::FeedOutcome::Success, {}, 6, 10s } }); });
-    for (const auto& it : peers)
-        cr_assert(eventually([&] { return it == *poller || it->updates == 1; }));
-    for (const auto& it : peers)
-        it->pool->stop();
-}
