Durations of peer messages are limited when they are read

Cause: with all message types in the mutation test, the undefined-behaviour sanitizer found an overflow of microseconds to nanoseconds in a mutated message (truncatedOrMutatedBytesAreRejectedOrDecoded). Change: they are limited to 2^52 us. Measured: the nine peer tests pass under the sanitizers.

--- a/src/foxtailwheel/peer/Message.cpp
+++ b/src/foxtailwheel/peer/Message.cpp
@@ -8,6 +8,13 @@
 
 namespace {
 
+    /// Converts a duration of a message; one that no instance sends is limited, as it would overflow in nanoseconds.
+    Duration boundedMicroseconds(std::int64_t us)
+    {
+        constexpr std::int64_t maxMicroseconds = std::int64_t { 1 } << 52U;
+        return std::chrono::microseconds(std::clamp(us, -maxMicroseconds, maxMicroseconds));
+    }
+
     using flatbuffers::FlatBufferBuilder;
     using membership::Ack;
     using membership::Digest;
@@ -263,10 +270,10 @@
         out.group = serving::PieceGroupId(request.group());
         out.service = ServiceId(stringOrEmpty(request.service()));
         out.priority = request.priority();
-        out.remainingTimeToTarget = std::chrono::microseconds(request.goal_us());
-        out.remainingTime = std::chrono::microseconds(request.left_us());
+        out.remainingTimeToTarget = boundedMicroseconds(request.goal_us());
+        out.remainingTime = boundedMicroseconds(request.left_us());
         out.preferredZone = AvailabilityZoneId(stringOrEmpty(request.zone()));
-        out.remainingTimeInZone = std::chrono::microseconds(request.zone_us());
+        out.remainingTimeInZone = boundedMicroseconds(request.zone_us());
         out.resultBytes = request.result_bytes();
         out.repeated = request.repeated();
         if (request.pieces() == nullptr)
@@ -289,8 +296,8 @@
         serving::QueueWaits waits;
         const auto n = message.waits_us() == nullptr ? 0 : message.waits_us()->size();
         for (flatbuffers::uoffset_t i = 0; i < std::min<std::size_t>(n, waits.byPriority.size()); ++i)
-            waits.byPriority.at(i) = std::chrono::microseconds(message.waits_us()->Get(i));
-        waits.late = std::chrono::microseconds(message.late_us());
+            waits.byPriority.at(i) = boundedMicroseconds(message.waits_us()->Get(i));
+        waits.late = boundedMicroseconds(message.late_us());
         return waits;
     }
 
@@ -337,7 +344,7 @@
         TableUpdate out { unpack(update.sender()), stringOrEmpty(update.table()), update.after(), {} };
         out.changes.outcome = store::FeedOutcome::Success;
         out.changes.version = update.version();
-        out.changes.storeTime = std::chrono::microseconds(update.store_us());
+        out.changes.storeTime = boundedMicroseconds(update.store_us());
         if (update.rows() == nullptr)
             return out;
         for (const auto* it : *update.rows()) {
