--- a/include/foxtailwheel/http/Server.h
+++ b/include/foxtailwheel/http/Server.h
@@ -68,8 +68,8 @@
     /// completed, and their connections are closed afterwards.
     void stopAccepting();
     /// @brief Closes the connections that have been waiting for a request for at least `quietTime` and have received
-    /// no byte of it.
-    void closeIdleConnections(Duration quietTime);
+    /// no byte of it. The default leaves time for a request that is on its way.
+    void closeIdleConnections(Duration quietTime = std::chrono::milliseconds(200));
     /// @brief Sends `Connection: close` with every response from now on; new connections are still accepted.
     void disableKeepAlive();
     /// @brief Applies new limits to subsequent requests; the other `ServerOptions` do not change.
--- a/include/foxtailwheel/serving/EventStream.h
+++ b/include/foxtailwheel/serving/EventStream.h
@@ -20,8 +20,10 @@
 /// the bytes, whatever the chunk size.
 class EventSplitter {
 public:
+    static constexpr std::size_t defaultMaxEventBytes = std::size_t { 256 } << 10U;
+
     /// @param maxEventBytes Size above which an incomplete event counts as oversized.
-    explicit EventSplitter(std::size_t maxEventBytes = std::size_t { 256 } << 10U)
+    explicit EventSplitter(std::size_t maxEventBytes = defaultMaxEventBytes)
         : m_maxEventBytes(maxEventBytes)
     {
     }
--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -7,6 +7,7 @@
 #include "foxtailwheel/routing/ServerPool.h"
 #include "foxtailwheel/serving/BatchQueue.h"
 #include "foxtailwheel/serving/DecisionLog.h"
+#include "foxtailwheel/serving/EventStream.h"
 #include "foxtailwheel/serving/PieceBroker.h"
 
 #include <cstdint>
@@ -162,7 +163,7 @@
     /// @brief Groups of pieces are numbered from here. Processes of the same instance need ranges that do not overlap:
     /// owners may still send results for groups of a process that has ended.
     std::uint64_t firstGroupId = 1;
-    std::size_t maxEventBytes = std::size_t { 256 } << 10U; ///< A stream with a larger event is broken.
+    std::size_t maxEventBytes = EventSplitter::defaultMaxEventBytes; ///< A stream with a larger event is broken.
     /// @brief Bytes of incomplete events of all streams together; above it, the stream with the largest one is broken.
     std::size_t maxPartialEventBytes = std::size_t { 16 } << 20U;
     DecisionLog decisionLog; ///< May be empty.
--- a/src/foxtailwheel/backend/EngineProtocol.cpp
+++ b/src/foxtailwheel/backend/EngineProtocol.cpp
@@ -2,6 +2,7 @@
 
 #include "foxtailwheel/backend/JsonProtocol.h"
 #include "foxtailwheel/base/Json.h"
+#include "foxtailwheel/serving/EventStream.h"
 
 namespace foxtailwheel::backend {
 
@@ -11,6 +12,7 @@
 
     constexpr std::size_t maxEventBytes = 1U << 20U;
     constexpr std::uint64_t defaultMaxTokens = 64;
+    constexpr std::string_view dataField = "data: ";
 
     /// Decodes server-sent events of the completions API.
     class CompletionsDecoder final : public StreamDecoder {
@@ -20,7 +22,7 @@
     private:
         void parseEvent(const std::string& data, std::vector<StreamEvent>& events);
 
-        std::string m_buffer;
+        serving::EventSplitter m_splitter { maxEventBytes };
         std::uint64_t m_totalTokens = 0;
         bool m_finished = false;
     };
@@ -28,16 +30,13 @@
     std::vector<StreamEvent> CompletionsDecoder::feed(std::string_view chunk)
     {
         std::vector<StreamEvent> events;
-        m_buffer.append(chunk);
-        std::size_t at = 0;
-        for (auto end = m_buffer.find("\n\n"); end != std::string::npos; end = m_buffer.find("\n\n", at)) {
-            const auto event = m_buffer.substr(at, end - at);
-            at = end + 2;
-            if (event.starts_with("data: "))
-                parseEvent(event.substr(6), events);
+        for (const auto& it : m_splitter.feed(chunk)) {
+            std::string_view event = it.bytes;
+            event.remove_suffix(event.size() - (event.find_last_not_of("\r\n") + 1));
+            if (event.starts_with(dataField))
+                parseEvent(std::string(event.substr(dataField.size())), events);
         }
-        m_buffer.erase(0, at);
-        if (m_buffer.size() > maxEventBytes)
+        if (m_splitter.isOversized())
             events.emplace_back(pipeline::CallFailure::Truncated);
         return events;
     }
--- a/src/foxtailwheel/daemon/Instance.cpp
+++ b/src/foxtailwheel/daemon/Instance.cpp
@@ -32,9 +32,6 @@
     constexpr std::size_t leaseContendersPerPool = 2;
     constexpr Duration instanceListTimeout = 1s;
     constexpr Duration drainCheckPeriod = 20ms;
-    /// Time for which a connection without a request stays open after this instance has stopped listening: a request
-    /// may be on its way.
-    constexpr Duration connectionQuietTime = 200ms;
 
     serving::DispatcherOptions dispatcherOptions(const config::Settings& settings, std::uint64_t seed)
     {
@@ -357,7 +354,7 @@
 
     void InstanceImpl::checkDrained(TimePoint deadline)
     {
-        m_callerServer->closeIdleConnections(connectionQuietTime);
+        m_callerServer->closeIdleConnections();
         const bool idle = m_callerApi.inProgress() == 0 && m_callerServer->openConnections() == 0
             && m_dispatcher->status().runs == 0 && m_claimStore->pendingRecords() == 0;
         if (idle && process(LifecycleEvent::DrainCompleted)) {
--- a/src/foxtailwheel/http/Client.cpp
+++ b/src/foxtailwheel/http/Client.cpp
@@ -207,6 +207,7 @@
         void setStreamDeadline(TimePoint at);
 
         void end();
+        void cancelStream();
         void countBodyBytes(std::size_t bodyBytes, std::size_t received);
         std::optional<bool> isOwnResponse(const Response& head) const;
 
@@ -230,16 +231,18 @@
     void PooledCall::cancel()
     {
         m_cancelled = true;
-        net::post(m_strand, [self = shared_from_this()] {
-            if (self->m_stream)
-                self->m_stream->cancel();
-        });
+        cancelStream();
     }
 
     /// Ends the call because the bodies of all calls exceed their limit.
     void PooledCall::end()
     {
         m_overBudget = true;
+        cancelStream();
+    }
+
+    void PooledCall::cancelStream()
+    {
         net::post(m_strand, [self = shared_from_this()] {
             if (self->m_stream)
                 self->m_stream->cancel();
--- a/src/foxtailwheel/http/EndlessResponseTest.cpp
+++ b/src/foxtailwheel/http/EndlessResponseTest.cpp
@@ -1,14 +1,11 @@
+#include "RawServer.h"
 #include "foxtailwheel/base/File.h"
 #include "foxtailwheel/http/Client.h"
 
-#include <atomic>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 #include <future>
-#include <thread>
 
 using namespace foxtailwheel;
 using namespace std::chrono_literals;
@@ -16,7 +13,6 @@
 namespace {
 
 namespace net = boost::asio;
-using net::ip::tcp;
 
 /// Bytes that the kernel may hold between the server and the client.
 constexpr std::size_t maxSocketBytes = std::size_t { 16 } << 20U;
@@ -37,39 +33,14 @@
     {
         while (m_repeated.size() < (std::size_t { 16 } << 10U))
             m_repeated += m_repeated;
-        m_acceptThread = std::thread([this] { accept(); });
     }
-    ~EndlessServer()
-    {
-        m_stopping = true;
-        net::io_context context;
-        tcp::socket socket(context);
-        boost::system::error_code ec;
-        socket.connect({ net::ip::make_address("127.0.0.1"), port() }, ec);
-        m_acceptThread.join();
-        for (auto& it : m_threads)
-            it.join();
-    }
-    EndlessServer(const EndlessServer&) = delete;
-    EndlessServer& operator=(const EndlessServer&) = delete;
 
-    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+    std::uint16_t port() const { return m_server.port(); }
     /// Bytes that the client or the kernel has taken, over all connections.
     std::size_t sentBytes() const { return m_sentBytes; }
 
 private:
-    void accept()
-    {
-        for (;;) {
-            auto socket = std::make_shared<tcp::socket>(m_context);
-            m_acceptor.accept(*socket);
-            if (m_stopping)
-                return;
-            m_threads.emplace_back([this, socket] { serve(*socket); });
-        }
-    }
-
-    void serve(tcp::socket& socket)
+    void serve(http::RawServer::Socket& socket)
     {
         boost::system::error_code ec;
         std::string request;
@@ -83,12 +54,8 @@
 
     std::string m_prefix;
     std::string m_repeated;
-    net::io_context m_context;
-    tcp::acceptor m_acceptor { m_context, { net::ip::make_address("127.0.0.1"), 0 } };
-    std::atomic<bool> m_stopping { false };
     std::atomic<std::size_t> m_sentBytes { 0 };
-    std::vector<std::thread> m_threads;
-    std::thread m_acceptThread;
+    http::RawServer m_server { [this](http::RawServer::Socket& socket) { serve(socket); } };
 };
 
 struct ClientFixture {
--- a/src/foxtailwheel/http/LateCopyTest.cpp
+++ b/src/foxtailwheel/http/LateCopyTest.cpp
@@ -1,13 +1,10 @@
+#include "RawServer.h"
 #include "foxtailwheel/http/Client.h"
 
-#include <atomic>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 #include <future>
-#include <thread>
 
 using namespace foxtailwheel;
 using namespace std::chrono_literals;
@@ -15,7 +12,6 @@
 namespace {
 
 namespace net = boost::asio;
-using net::ip::tcp;
 
 /// Server that answers each request with its target and, when it has read the next request of a connection, sends the
 /// previous answer once more before the own one.
@@ -23,40 +19,14 @@
 public:
     explicit CopyingServer(bool identifies)
         : m_identifies(identifies)
-        , m_thread([this] { run(); })
     {
     }
-    ~CopyingServer()
-    {
-        m_stopping = true;
-        net::io_context context;
-        tcp::socket socket(context);
-        boost::system::error_code ec;
-        socket.connect({ net::ip::make_address("127.0.0.1"), port() }, ec);
-        m_thread.join();
-        for (auto& it : m_threads)
-            it.join();
-    }
-    CopyingServer(const CopyingServer&) = delete;
-    CopyingServer& operator=(const CopyingServer&) = delete;
 
-    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
-    int connections() const { return m_connections; }
+    std::uint16_t port() const { return m_server.port(); }
+    int connections() const { return m_server.connections(); }
 
 private:
-    void run()
-    {
-        for (;;) {
-            auto socket = std::make_shared<tcp::socket>(m_context);
-            m_acceptor.accept(*socket);
-            if (m_stopping)
-                return;
-            ++m_connections;
-            m_threads.emplace_back([this, socket] { serve(*socket); });
-        }
-    }
-
-    void serve(tcp::socket& socket) const
+    void serve(http::RawServer::Socket& socket) const
     {
         std::string received;
         std::string previous;
@@ -80,12 +50,7 @@
     }
 
     bool m_identifies;
-    net::io_context m_context;
-    tcp::acceptor m_acceptor { m_context, { net::ip::make_address("127.0.0.1"), 0 } };
-    std::atomic<bool> m_stopping { false };
-    std::atomic<int> m_connections { 0 };
-    std::vector<std::thread> m_threads;
-    std::thread m_thread;
+    http::RawServer m_server { [this](http::RawServer::Socket& socket) { serve(socket); } };
 };
 
 /// Calls the server with targets that differ, one after another, and returns the results.
--- a/src/foxtailwheel/http/Server.cpp
+++ b/src/foxtailwheel/http/Server.cpp
@@ -234,7 +234,7 @@
         void startReadTimeout(Duration timeout);
         void cancelReadTimeout();
         bool hasUnreadBytes();
-        bool mayStayOpen() { return hasUnreadBytes() || (!m_state->stopping && !m_state->keepAliveDisabled); }
+        bool mayStayOpen() { return (!m_state->stopping && !m_state->keepAliveDisabled) || hasUnreadBytes(); }
 
         beast::tcp_stream m_stream;
         // The timeout of the stream would close the connection before an error response can be sent.
--- a/src/foxtailwheel/peer/Message.cpp
+++ b/src/foxtailwheel/peer/Message.cpp
@@ -373,11 +373,6 @@
         return std::nullopt;
     }
 
-    bool hasSender(const Digest& digest)
-    {
-        return !digest.sender.id.empty();
-    }
-
     bool hasSender(const membership::Member& sender)
     {
         return !sender.id.empty();
@@ -403,11 +398,11 @@
     const auto* envelope = wire::GetEnvelope(bytes.data());
     if (const auto* it = envelope->body_as_Ping()) {
         Ping ping { it->sequence(), InstanceId(stringOrEmpty(it->target())), unpack(it->digest()) };
-        if (hasSender(ping.digest))
+        if (hasSender(ping.digest.sender))
             return Message(std::move(ping));
     } else if (const auto* ack = envelope->body_as_Ack()) {
         Ack out { ack->sequence(), InstanceId(stringOrEmpty(ack->target())), unpack(ack->digest()) };
-        if (hasSender(out.digest))
+        if (hasSender(out.digest.sender))
             return Message(std::move(out));
     } else if (const auto* request = envelope->body_as_ConfigRequest()) {
         ConfigRequest out { unpack(request->sender()), ConfigVersion(request->version()),
--- a/src/foxtailwheel/serving/EventStream.cpp
+++ b/src/foxtailwheel/serving/EventStream.cpp
@@ -2,11 +2,14 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace foxtailwheel::serving {
 
 namespace {
 
+    constexpr std::string_view idField = "id:";
+
     /// Returns the position after the first blank line whose preceding line ends at or after `from`, or npos.
     std::size_t endOfEvent(std::string_view text, std::size_t from)
     {
@@ -19,36 +22,31 @@
         return std::string_view::npos;
     }
 
-    /// Returns true if a line other than a comment or a blank line is present.
-    bool containsField(std::string_view event)
+    /// Returns the number of an `id:` line, or nothing if it is not a number.
+    std::optional<std::uint64_t> parseId(std::string_view line)
     {
-        while (!event.empty()) {
-            const auto end = event.find('\n');
-            const auto line = event.substr(0, end);
-            event = end == std::string_view::npos ? std::string_view() : event.substr(end + 1);
-            if (!line.empty() && line != "\r" && !line.starts_with(':'))
-                return true;
-        }
-        return false;
+        line.remove_prefix(idField.size());
+        if (line.starts_with(' '))
+            line.remove_prefix(1);
+        std::uint64_t id = 0;
+        const auto [rest, ec] = std::from_chars(line.data(), line.data() + line.size(), id);
+        return ec == std::errc() ? std::optional(id) : std::nullopt;
     }
 
-    /// Returns the number in the first `id:` line, or nothing if there is none or it is not a number.
-    std::optional<std::uint64_t> parseEventId(std::string_view event)
+    /// Reads the lines of an event; only its first `id:` line counts.
+    ServerSentEvent parseEvent(std::string_view event)
     {
+        ServerSentEvent out { std::string(event), std::nullopt, false };
+        bool hasId = false;
         while (!event.empty()) {
             const auto end = event.find('\n');
-            auto line = event.substr(0, end);
+            const auto line = event.substr(0, end);
             event = end == std::string_view::npos ? std::string_view() : event.substr(end + 1);
-            if (!line.starts_with("id:"))
-                continue;
-            line.remove_prefix(3);
-            if (line.starts_with(' '))
-                line.remove_prefix(1);
-            std::uint64_t id = 0;
-            const auto [rest, ec] = std::from_chars(line.data(), line.data() + line.size(), id);
-            return ec == std::errc() ? std::optional(id) : std::nullopt;
+            out.hasFields = out.hasFields || (!line.empty() && line != "\r" && !line.starts_with(':'));
+            if (line.starts_with(idField) && !std::exchange(hasId, true))
+                out.id = parseId(line);
         }
-        return std::nullopt;
+        return out;
     }
 
 } // namespace
@@ -66,8 +64,7 @@
         const auto end = endOfEvent(text, searchFrom);
         if (end == std::string_view::npos)
             break;
-        const auto event = text.substr(consumed, end - consumed);
-        events.push_back({ std::string(event), parseEventId(event), containsField(event) });
+        events.push_back(parseEvent(text.substr(consumed, end - consumed)));
         consumed = end;
         searchFrom = end;
     }
--- a/src/foxtailwheel/standin/Backend.cpp
+++ b/src/foxtailwheel/standin/Backend.cpp
@@ -1,5 +1,6 @@
 #include "foxtailwheel/standin/Backend.h"
 
+#include "FaultyResponse.h"
 #include "foxtailwheel/base/Hash.h"
 #include "foxtailwheel/base/Json.h"
 #include "foxtailwheel/http/Server.h"
@@ -115,19 +116,13 @@
         call->fault = m_faults.nextFault();
         call->responder = responder;
         call->request = std::move(request);
-        if (call->fault && call->fault->kind == FaultKind::CloseBefore) {
-            responder->abort();
-            return;
-        }
-        if (call->fault && call->fault->kind == FaultKind::Refuse) {
+        const auto kind = call->fault ? call->fault->kind : FaultKind::Late;
+        if (kind == FaultKind::Refuse)
             responder->respond({ 503, { { "X-Not-Started", "1" } }, "busy" });
-            return;
-        }
-        if (call->fault && call->fault->kind == FaultKind::Fail) {
-            responder->respond({ 500, {}, "failed" });
-            return;
-        }
-        enqueueOrStart(call);
+        else if (kind == FaultKind::CloseBefore || kind == FaultKind::Fail)
+            respondWithFault(m_pool, responder, *call->fault, {});
+        else
+            enqueueOrStart(call);
     }
 
     bool BackendStandIn::handleAdmin(const Request& request, const std::shared_ptr<Responder>& responder)
@@ -194,17 +189,12 @@
 
     void BackendStandIn::finishUnary(const CallPtr& call)
     {
-        const auto kind = call->fault ? call->fault->kind : FaultKind::Late;
         http::Response response { 200, loadHeaders(), makeResponseBody(call->request) };
-        if (kind == FaultKind::CloseAfter) {
-            call->responder->abort();
-        } else if (kind == FaultKind::CloseMiddle) {
-            call->responder->beginStream({ 200, response.headers, {} });
-            call->responder->write(response.body.substr(0, response.body.size() / 2));
-            call->responder->abort();
-        } else if (kind != FaultKind::Silent) {
+        const bool late = call->fault && call->fault->kind == FaultKind::Late;
+        if (call->fault && !late)
+            respondWithFault(m_pool, call->responder, *call->fault, [&response] { return response; });
+        else
             call->responder->respond(std::move(response));
-        }
         releaseSlot();
     }
 
