--- a/include/foxtailwheel/control/TableFollower.h
+++ b/include/foxtailwheel/control/TableFollower.h
@@ -32,6 +32,7 @@
     TimePoint lastUnavailableAt; ///< Time at which the store was last found unavailable; unset for never.
     TimePoint recoveredAt; ///< Time at which the store recovered after that.
     bool available = false;
+    bool forwarded = false; ///< The last change came from another instance, not from the store.
 };
 
 /// @brief A response of the store, forwarded by the instance that received it.
--- a/src/foxtailwheel/control/TableFollower.cpp
+++ b/src/foxtailwheel/control/TableFollower.cpp
@@ -139,6 +139,7 @@
     lastUpdateAt = clock.now();
     table.asOf = std::max(table.asOf, *asOf);
     const bool rowsChanged = applyRows(update.changes.rows);
+    table.forwarded = true;
     version = std::max(version, update.changes.version);
     onChange(table, rowsChanged);
 }
@@ -196,6 +197,7 @@
     // An update from another instance may have arrived before this response although the store sent it later.
     const bool outdated = synced && result.version < version;
     const bool rowsChanged = !outdated && applyRows(std::move(result.rows));
+    table.forwarded = false;
     const bool wasSynced = std::exchange(synced, true);
     version = std::max(version, result.version);
     onChange(table, rowsChanged);
--- a/src/foxtailwheel/http/Client.cpp
+++ b/src/foxtailwheel/http/Client.cpp
@@ -393,8 +393,11 @@
         if (m_callbacks.onHead)
             m_callbacks.onHead(result.response);
         const auto bodyError = co_await readBody(parser, result.response.body);
-        if (bodyError)
-            co_return errorResult(bodyError);
+        if (bodyError) {
+            auto failure = errorResult(bodyError);
+            failure.detail += " after " + std::to_string(result.response.body.size()) + " bytes of the body";
+            co_return failure;
+        }
         if (parser.keep_alive() && m_buffer.size() == 0 && !m_cancelled && !m_writeIncomplete
             && !m_request.newConnection && own) {
             m_stream->expires_never();
