Responses of the store that keep arriving are not given up

Callers saw: requests handled by old versions for up to 22 s on single instances. Cause: a call to the store had one deadline for the whole response, 1.2 s, and 500 ms after a failure. A configuration of 275 KB takes a third of a second on a free link of 10 Mbit/s and more beside other traffic; once a call had failed, the shorter limit was never enough, and the instance had lost the store until its link was idle. Change: the deadline is for the head; a body may take 7 s while no pause exceeds one second. Tests: StoreClient/responseThatKeepsArrivingIsNotGivenUp failed before; responseThatStopsArrivingIsGivenUp.

--- a/include/foxtailwheel/http/Client.h
+++ b/include/foxtailwheel/http/Client.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace foxtailwheel::http {
 
@@ -26,6 +27,12 @@
     std::string detail; ///< Error description for logs.
 };
 
+/// @brief Time that the body of a response may take after its head was received in time.
+struct BodyTime {
+    Duration total {};
+    Duration maxPause {}; ///< Between two parts of the body.
+};
+
 /// @brief Parameters of a call.
 struct CallRequest {
     config::Endpoint server;
@@ -35,6 +42,8 @@
     bool idempotent = true; ///< A non-idempotent call uses a new connection and is never retried.
     bool newConnection = false; ///< Neither reuses an idle connection nor returns its own to the pool.
     bool tcpKeepAlive = false; ///< Enables TCP keep-alive probes, for calls whose response is slow to arrive.
+    /// @brief If set, only the head has to be received by `deadline`.
+    std::optional<BodyTime> bodyTime {};
     std::uint64_t maxBodyBytes = std::uint64_t { 8 } << 20U; ///< A larger body ends the call with `ConnectionLost`.
 };
 
--- a/include/foxtailwheel/store/ChangeFeed.h
+++ b/include/foxtailwheel/store/ChangeFeed.h
@@ -42,8 +42,10 @@
 
     virtual ~ChangeFeed() = default;
     /// @brief Reads all rows of a table as of a single version.
+    /// @param deadline Time by which each response must have begun; large ones may take longer while they arrive.
     virtual void readAll(const std::string& table, TimePoint deadline, Callback done) = 0;
     /// @brief Long-polls for changes after version `after`; returns after `wait` if there are none.
+    /// @param deadline Time by which the response must have begun; a large one may take longer while it arrives.
     virtual void waitForChanges(
         const std::string& table, std::uint64_t after, Duration wait, TimePoint deadline, Callback done)
         = 0;
--- a/src/foxtailwheel/http/Client.cpp
+++ b/src/foxtailwheel/http/Client.cpp
@@ -355,9 +355,13 @@
     {
         std::string chunk(readChunkBytes, '\0');
         const bool streaming = m_callbacks.onData && parser.get().result_int() == 200;
+        const auto& bodyTime = m_request.bodyTime;
+        const auto bodyDeadline = bodyTime ? m_clock.now() + bodyTime->total : m_request.deadline;
         while (!parser.is_done()) {
             parser.get().body().data = chunk.data();
             parser.get().body().size = chunk.size();
+            if (bodyTime)
+                setStreamDeadline(std::min(bodyDeadline, m_clock.now() + bodyTime->maxPause));
             auto [ec, n] = co_await bhttp::async_read_some(*m_stream, m_buffer, parser, completionToken);
             const std::string_view received(chunk.data(), chunk.size() - parser.get().body().size);
             if (streaming && !received.empty()) {
