Changes of large rows are forwarded as deltas, and announced if they would fill the link

Cause: the instance that polls the store for its zone sent each version as a whole to every member. A configuration of 1,550 routes has 275 KB: 4 s of a link of 10 Mbit/s for 18 members, while versions came every 0.33 s. They queued in its connections, heartbeats behind them, instances took one another for dead, pollers changed and called the store at once. Class of fault: a cost that grows with the size of a row times the number of receivers, without a limit. Change: TextDelta; rows of over 1 KB are forwarded as the change against the version before, checked by the hash of the result. A change announced during a call is read after it.

--- a/include/foxtailwheel/control/TableFollower.h
+++ b/include/foxtailwheel/control/TableFollower.h
@@ -44,6 +44,10 @@
     friend bool operator==(const TableUpdate&, const TableUpdate&) = default;
 };
 
+/// @brief Returns the update as it is sent to `receivers` instances. If it is larger than `maxBytes` in all, it only
+/// announces its version, and each receiver reads the changes from the store.
+TableUpdate limitUpdate(const TableUpdate& update, std::size_t receivers, std::size_t maxBytes);
+
 /// @brief Replicates a table of the store: reads it completely, then long-polls for changes.
 ///
 /// If several instances follow the same table, one of them polls and forwards the changes to the others, which call the
--- a/include/foxtailwheel/daemon/PeerLink.h
+++ b/include/foxtailwheel/daemon/PeerLink.h
@@ -29,13 +29,20 @@
     std::function<void(bool)> onPollerChanged; ///< Whether this instance polls the store for its zone.
 };
 
+/// @brief Options of a peer link.
+struct PeerLinkOptions {
+    std::string key; ///< Shared secret of all instances.
+    std::uint64_t seed = 1;
+    /// @brief Bytes of a store response, over all receivers, above which it is announced instead of forwarded.
+    std::size_t maxForwardedBytes = std::size_t { 1 } << 20U;
+};
+
 /// @brief Connection of this instance to the others: membership by gossip, and messages about pieces.
 class PeerLink {
 public:
     /// @param self Id, listen address, zone and cores of this instance; the incarnation is set from the wall clock.
-    /// @param key Shared secret of all instances.
     static Result<std::unique_ptr<PeerLink>> open(http::IoPool& pool, const Clock& clock, membership::Member self,
-        std::string key, std::uint64_t seed, PeerLinkCallbacks callbacks);
+        PeerLinkOptions options, PeerLinkCallbacks callbacks);
     ~PeerLink();
     PeerLink(const PeerLink&) = delete;
     PeerLink& operator=(const PeerLink&) = delete;
@@ -44,7 +51,7 @@
     void addIfUnknown(const std::vector<membership::Member>& members);
     /// @brief Sends a message about pieces; drops it if the instance is unknown or unreachable.
     void send(const InstanceId& to, const serving::PieceMessage& message);
-    /// @brief Forwards a store response to the other live instances of this zone.
+    /// @brief Forwards a store response to the other live instances of this zone, or only announces it if it is large.
     void sendToZone(const control::TableUpdate& update);
     /// @brief Announces to the other instances that this one is leaving.
     void leave();
--- a/include/foxtailwheel/peer/Messages_generated.h
+++ b/include/foxtailwheel/peer/Messages_generated.h
@@ -71,6 +71,8 @@
 struct ResultsReleased;
 struct ResultsReleasedBuilder;
 
+struct Copy;
+
 struct Row;
 struct RowBuilder;
 
@@ -198,6 +200,35 @@
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Copy FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t offset_;
+  uint64_t size_;
+  uint64_t new_bytes_;
+
+ public:
+  Copy()
+      : offset_(0),
+        size_(0),
+        new_bytes_(0) {
+  }
+  Copy(uint64_t _offset, uint64_t _size, uint64_t _new_bytes)
+      : offset_(flatbuffers::EndianScalar(_offset)),
+        size_(flatbuffers::EndianScalar(_size)),
+        new_bytes_(flatbuffers::EndianScalar(_new_bytes)) {
+  }
+  uint64_t offset() const {
+    return flatbuffers::EndianScalar(offset_);
+  }
+  uint64_t size() const {
+    return flatbuffers::EndianScalar(size_);
+  }
+  uint64_t new_bytes() const {
+    return flatbuffers::EndianScalar(new_bytes_);
+  }
+};
+FLATBUFFERS_STRUCT_END(Copy, 24);
+
 struct Member FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef MemberBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1896,7 +1927,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_KEY = 4,
     VT_VALUE = 6,
-    VT_DELETED = 8
+    VT_DELETED = 8,
+    VT_COPIES = 10,
+    VT_HASH = 12
   };
   const flatbuffers::String *key() const {
     return GetPointer<const flatbuffers::String *>(VT_KEY);
@@ -1907,6 +1940,12 @@
   bool deleted() const {
     return GetField<uint8_t>(VT_DELETED, 0) != 0;
   }
+  const flatbuffers::Vector<const foxtailwheel::peer::wire::Copy *> *copies() const {
+    return GetPointer<const flatbuffers::Vector<const foxtailwheel::peer::wire::Copy *> *>(VT_COPIES);
+  }
+  uint64_t hash() const {
+    return GetField<uint64_t>(VT_HASH, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_KEY) &&
@@ -1914,6 +1953,9 @@
            VerifyOffset(verifier, VT_VALUE) &&
            verifier.VerifyVector(value()) &&
            VerifyField<uint8_t>(verifier, VT_DELETED, 1) &&
+           VerifyOffset(verifier, VT_COPIES) &&
+           verifier.VerifyVector(copies()) &&
+           VerifyField<uint64_t>(verifier, VT_HASH, 8) &&
            verifier.EndTable();
   }
 };
@@ -1931,6 +1973,12 @@
   void add_deleted(bool deleted) {
     fbb_.AddElement<uint8_t>(Row::VT_DELETED, static_cast<uint8_t>(deleted), 0);
   }
+  void add_copies(flatbuffers::Offset<flatbuffers::Vector<const foxtailwheel::peer::wire::Copy *>> copies) {
+    fbb_.AddOffset(Row::VT_COPIES, copies);
+  }
+  void add_hash(uint64_t hash) {
+    fbb_.AddElement<uint64_t>(Row::VT_HASH, hash, 0);
+  }
   explicit RowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1946,8 +1994,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> key = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0,
-    bool deleted = false) {
+    bool deleted = false,
+    flatbuffers::Offset<flatbuffers::Vector<const foxtailwheel::peer::wire::Copy *>> copies = 0,
+    uint64_t hash = 0) {
   RowBuilder builder_(_fbb);
+  builder_.add_hash(hash);
+  builder_.add_copies(copies);
   builder_.add_value(value);
   builder_.add_key(key);
   builder_.add_deleted(deleted);
@@ -1958,14 +2010,19 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *key = nullptr,
     const std::vector<uint8_t> *value = nullptr,
-    bool deleted = false) {
+    bool deleted = false,
+    const std::vector<foxtailwheel::peer::wire::Copy> *copies = nullptr,
+    uint64_t hash = 0) {
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
+  auto copies__ = copies ? _fbb.CreateVectorOfStructs<foxtailwheel::peer::wire::Copy>(*copies) : 0;
   return foxtailwheel::peer::wire::CreateRow(
       _fbb,
       key__,
       value__,
-      deleted);
+      deleted,
+      copies__,
+      hash);
 }
 
 struct TableNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/include/foxtailwheel/store/ChangeFeed.h
+++ b/include/foxtailwheel/store/ChangeFeed.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "foxtailwheel/base/TextDelta.h"
 #include "foxtailwheel/base/Units.h"
 
 #include <cstdint>
@@ -14,6 +15,8 @@
 struct FeedRow {
     std::string key;
     std::optional<std::string> value; ///< Empty if the row was deleted.
+    /// @brief Replaces `value` in updates between instances: the change of a large row. Never set by the store.
+    std::optional<TextDelta> delta {};
 
     friend bool operator==(const FeedRow&, const FeedRow&) = default;
 };
--- a/src/foxtailwheel/control/TableFollower.cpp
+++ b/src/foxtailwheel/control/TableFollower.cpp
@@ -4,6 +4,65 @@
 
 namespace foxtailwheel::control {
 
+namespace {
+
+    /// Smaller rows are forwarded as a whole.
+    constexpr std::size_t minDeltaRowBytes = 1024;
+
+    std::size_t encodedSize(const store::FeedRow& row)
+    {
+        return row.key.size() + (row.delta ? row.delta->encodedSize() : row.value ? row.value->size() : 0);
+    }
+
+    /// Replaces large rows by their change against `before`, where that is smaller.
+    store::FeedResult withDeltas(store::FeedResult result, const std::map<std::string, std::string>& before)
+    {
+        for (auto& it : result.rows) {
+            const auto row = before.find(it.key);
+            if (!it.value || it.value->size() < minDeltaRowBytes || row == before.end())
+                continue;
+            auto delta = makeDelta(row->second, *it.value);
+            if (delta.encodedSize() >= it.value->size())
+                continue;
+            it.delta = std::move(delta);
+            it.value.reset();
+        }
+        return result;
+    }
+
+    /// Replaces deltas by the rows that they lead to; empty if one was made for a different row.
+    std::optional<std::vector<store::FeedRow>> withoutDeltas(
+        std::vector<store::FeedRow> rows, const std::map<std::string, std::string>& before)
+    {
+        for (auto& it : rows) {
+            if (!it.delta)
+                continue;
+            const auto row = before.find(it.key);
+            auto value = row == before.end() ? Result<std::string>(fail(Errc::Conflict, "the row is unknown"))
+                                             : applyDelta(row->second, *it.delta);
+            if (!value)
+                return std::nullopt;
+            it.value = std::move(value.value());
+            it.delta.reset();
+        }
+        return rows;
+    }
+
+} // namespace
+
+TableUpdate limitUpdate(const TableUpdate& update, std::size_t receivers, std::size_t maxBytes)
+{
+    std::size_t n = 0;
+    for (const auto& it : update.changes.rows)
+        n += encodedSize(it);
+    if (n * receivers <= maxBytes)
+        return update;
+    // A receiver of an older version misses the changes up to the base version.
+    TableUpdate announcement { update.table, update.changes.version, update.changes };
+    announcement.changes.rows.clear();
+    return announcement;
+}
+
 TimePoint StoreClockBound::observe(TimePoint sentAt, Duration stamp)
 {
     // A stamp that decreases comes from a different clock, because the store was replaced.
@@ -42,6 +101,7 @@
     void scheduleNext(bool hasChanges);
     void watchForSilence();
     void onUpdate(const TableUpdate& update);
+    void onMissedChanges(std::uint64_t newerVersion);
     void onResponse(store::FeedResult result, TimePoint sentAt, std::uint64_t baseVersion);
     bool applyRows(std::vector<store::FeedRow> rows);
     void onUnavailable();
@@ -56,6 +116,7 @@
     TableReplica table;
     StoreClockBound bound;
     std::uint64_t version = 0;
+    std::uint64_t announcedVersion = 0; ///< Newest version of which another instance knows.
     bool synced = false; ///< The table was read completely and no change was missed since.
     bool polling = true;
     bool callPending = false; ///< A call is in progress or scheduled.
@@ -95,7 +156,8 @@
 /// example when servers start.
 void TableFollower::Impl::scheduleNext(bool hasChanges)
 {
-    if ((polling || !synced) && hasChanges)
+    const bool outdated = version < announcedVersion;
+    if (outdated || ((polling || !synced) && hasChanges))
         pollAfter(options.coalesceDelay);
     else if (polling || !synced)
         poll();
@@ -122,15 +184,25 @@
         });
 }
 
+/// Changes were missed or not forwarded: they are read from the store, after a call that is already in progress.
+void TableFollower::Impl::onMissedChanges(std::uint64_t newerVersion)
+{
+    announcedVersion = std::max(announcedVersion, newerVersion);
+    if (!callPending)
+        poll();
+}
+
 void TableFollower::Impl::onUpdate(const TableUpdate& update)
 {
-    if (!synced || update.changes.version <= version) {
-        // The same version contains no new changes, but confirms that the table was current at the store's time.
-        if (!synced || update.changes.version < version)
-            return;
-    } else if (update.baseVersion > version) {
-        if (!callPending)
-            poll();
+    if (!synced || update.changes.version < version)
+        return;
+    // The same version contains no new changes, but confirms that the table was current at the store's time.
+    const bool isConfirmation = update.changes.version == version;
+    const bool hasGap = !isConfirmation && update.baseVersion > version;
+    auto rows
+        = isConfirmation || hasGap ? std::vector<store::FeedRow>() : withoutDeltas(update.changes.rows, table.rows);
+    if (hasGap || !rows) {
+        onMissedChanges(update.changes.version);
         return;
     }
     const auto asOf = bound.observeForwarded(update.changes.storeTime);
@@ -138,9 +210,9 @@
         return;
     lastUpdateAt = clock.now();
     table.asOf = std::max(table.asOf, *asOf);
-    const bool rowsChanged = applyRows(update.changes.rows);
-    table.forwarded = true;
-    version = std::max(version, update.changes.version);
+    const bool rowsChanged = applyRows(std::move(*rows));
+    table.forwarded = rowsChanged || table.forwarded;
+    version = update.changes.version;
     onChange(table, rowsChanged);
 }
 
@@ -193,11 +265,11 @@
     lastUpdateAt = clock.now();
     table.asOf = std::max(table.asOf, bound.observe(sentAt, result.storeTime));
     if (publish && polling && synced)
-        publish({ options.table, baseVersion, result });
+        publish({ options.table, baseVersion, withDeltas(result, table.rows) });
     // An update from another instance may have arrived before this response although the store sent it later.
     const bool outdated = synced && result.version < version;
     const bool rowsChanged = !outdated && applyRows(std::move(result.rows));
-    table.forwarded = false;
+    table.forwarded = !rowsChanged && table.forwarded;
     const bool wasSynced = std::exchange(synced, true);
     version = std::max(version, result.version);
     onChange(table, rowsChanged);
--- a/src/foxtailwheel/control/TableFollowerTest.cpp
+++ b/src/foxtailwheel/control/TableFollowerTest.cpp
@@ -179,6 +179,61 @@
     cr_assert_eq(fixture.follower->table().rows.at("a"), "new");
 }
 
+// A poller forwarded each version of a large configuration as a whole, which filled its link for seconds: members took
+// it late, and heartbeats waited behind it.
+Test(TableFollower, changeOfALargeRowIsForwardedAsDelta)
+{
+    Fixture poller;
+    Fixture member;
+    std::string before(200000, '.');
+    for (std::size_t i = 0; i < before.size(); i += 40)
+        before.replace(i, 8, std::to_string(10000000 + i));
+    auto after = before;
+    after.replace(100, 10, "changed").replace(150000, 3, "and here");
+    for (auto* it : { &poller, &member })
+        it->feed.respond(Fixture::rows(5, { { "config", before } }));
+    poller.feed.respond(Fixture::rows(7, { { "config", after } }));
+    const auto& update = poller.forwarded.back();
+    cr_assert(control::limitUpdate(update, 100, 200000) == update, "a hundred members get it for the size of the row");
+    member.follower->onUpdate(update);
+    cr_assert_eq(member.follower->table().rows.at("config"), after);
+}
+
+Test(TableFollower, deltaForAnotherRowIsReadFromTheStore)
+{
+    Fixture poller;
+    Fixture member;
+    poller.feed.respond(Fixture::rows(5, { { "config", std::string(5000, 'a') } }));
+    member.feed.respond(Fixture::rows(6, { { "config", std::string(5000, 'b') } }));
+    member.follower->setPolling(false);
+    member.feed.respond(Fixture::rows(6, {}));
+    poller.feed.respond(Fixture::rows(7, { { "config", std::string(5000, 'a') + "c" } }));
+    member.follower->onUpdate(poller.forwarded.back());
+    cr_assert_eq(member.follower->table().rows.at("config"), std::string(5000, 'b'));
+    cr_assert_eq(member.feed.calls.front().after, 6);
+}
+
+Test(TableFollower, announcedChangeIsReadFromTheStore)
+{
+    Fixture fixture;
+    fixture.feed.respond(Fixture::rows(5, { { "a", "1" } }));
+    fixture.follower->setPolling(false);
+    fixture.feed.respond(Fixture::rows(5, {}));
+    const TableUpdate large { "op", 5, Fixture::rows(8, { { "a", std::string(3000, 'x') } }, 12s) };
+    const auto announcement = control::limitUpdate(large, 18, 50000);
+    cr_assert(announcement.changes.rows.empty());
+    fixture.follower->onUpdate(announcement);
+    cr_assert_eq(fixture.feed.calls.size(), 1);
+    cr_assert_eq(fixture.feed.calls.front().after, 5);
+    fixture.follower->onUpdate({ "op", 8, Fixture::rows(9, { { "a", "3" } }, 13s) });
+    fixture.feed.respond(Fixture::rows(8, { { "a", "2" } }, 12s));
+    fixture.runScheduled(100ms);
+    cr_assert_eq(fixture.feed.calls.front().after, 8, "a change that was missed during the call is read as well");
+    fixture.feed.respond(Fixture::rows(9, { { "a", "3" } }, 13s));
+    cr_assert(fixture.feed.calls.empty());
+    cr_assert_eq(fixture.follower->table().rows.at("a"), "3");
+}
+
 Test(TableFollower, ignoresResponseOlderThanAnUpdate)
 {
     Fixture fixture;
--- a/src/foxtailwheel/daemon/PeerLink.cpp
+++ b/src/foxtailwheel/daemon/PeerLink.cpp
@@ -36,10 +36,11 @@
 } // namespace
 
 struct PeerLink::Impl : std::enable_shared_from_this<PeerLink::Impl> {
-    Impl(http::IoPool& p, const Clock& c, membership::Member self, std::uint64_t seed, PeerLinkCallbacks cb)
+    Impl(http::IoPool& p, const Clock& c, membership::Member self, const PeerLinkOptions& options, PeerLinkCallbacks cb)
         : pool(p)
         , clock(c)
-        , membership(std::move(self), {}, seed)
+        , membership(std::move(self), {}, options.seed)
+        , maxForwardedBytes(options.maxForwardedBytes)
         , callbacks(std::move(cb))
     {
     }
@@ -54,6 +55,7 @@
     http::IoPool& pool;
     const Clock& clock;
     membership::Membership membership;
+    std::size_t maxForwardedBytes;
     PeerLinkCallbacks callbacks;
     std::unique_ptr<peer::Transport> transport;
     std::vector<InstanceId> live;
@@ -163,14 +165,14 @@
 }
 
 Result<std::unique_ptr<PeerLink>> PeerLink::open(http::IoPool& pool, const Clock& clock, membership::Member self,
-    std::string key, std::uint64_t seed, PeerLinkCallbacks callbacks)
+    PeerLinkOptions options, PeerLinkCallbacks callbacks)
 {
     self.incarnation = Incarnation(static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count()));
     const auto address = self.endpoint;
-    auto impl = std::make_shared<Impl>(pool, clock, std::move(self), seed, std::move(callbacks));
+    auto impl = std::make_shared<Impl>(pool, clock, std::move(self), options, std::move(callbacks));
     // Both handlers run on strands of the pool's single thread.
     auto transport = peer::Transport::listen(
-        pool, address, std::move(key), [impl = impl.get()](const peer::Message& message) { impl->onMessage(message); },
+        pool, address, options.key, [impl = impl.get()](const peer::Message& message) { impl->onMessage(message); },
         [impl = impl.get()](const config::Endpoint& peerAddress, peer::DisconnectReason reason) {
             impl->onDisconnect(peerAddress, reason);
         });
@@ -199,12 +201,16 @@
 void PeerLink::sendToZone(const control::TableUpdate& update)
 {
     const auto& self = m_impl->membership.self();
-    const peer::TableUpdate message { self, update.table, update.baseVersion, update.changes };
+    std::vector<config::Endpoint> receivers;
     for (const auto& it : m_impl->membership.members()) {
         const bool isLive = it.state == membership::MemberState::Alive || it.state == membership::MemberState::Suspect;
         if (isLive && it.zone == self.zone && it.id != self.id)
-            m_impl->transport->send(it.endpoint, message);
+            receivers.push_back(it.endpoint);
     }
+    const auto limited = control::limitUpdate(update, receivers.size(), m_impl->maxForwardedBytes);
+    const peer::TableUpdate message { self, limited.table, limited.baseVersion, limited.changes };
+    for (const auto& it : receivers)
+        m_impl->transport->send(it, message);
 }
 
 void PeerLink::leave()
--- a/src/foxtailwheel/daemon/PeerLinkTest.cpp
+++ b/src/foxtailwheel/daemon/PeerLinkTest.cpp
@@ -47,7 +47,7 @@
         callbacks.onUnreachable = [this](const InstanceId&) { ++refusals; };
         callbacks.onTableUpdate = [](const control::TableUpdate&) {};
         callbacks.onPollerChanged = [](bool) {};
-        auto opened = daemon::PeerLink::open(*pool, *clock, self, "key", 1, std::move(callbacks));
+        auto opened = daemon::PeerLink::open(*pool, *clock, self, { "key", 1 }, std::move(callbacks));
         cr_assert(opened.has_value());
         link = std::move(opened.value());
     }
--- a/src/foxtailwheel/peer/Message.cpp
+++ b/src/foxtailwheel/peer/Message.cpp
@@ -157,9 +157,15 @@
         {
             std::vector<flatbuffers::Offset<wire::Row>> rows;
             for (const auto& row : it.changes.rows) {
-                const auto& value = row.value.value_or(std::string());
+                const auto value = row.delta ? row.delta->added : row.value.value_or(std::string());
                 const auto bytes = fbb.CreateVector(reinterpret_cast<const std::uint8_t*>(value.data()), value.size());
-                rows.push_back(wire::CreateRow(fbb, fbb.CreateString(row.key), bytes, !row.value));
+                std::vector<wire::Copy> copies;
+                if (row.delta) {
+                    for (const auto& copy : row.delta->copies)
+                        copies.emplace_back(copy.offset, copy.size, copy.newBytes);
+                }
+                rows.push_back(wire::CreateRow(fbb, fbb.CreateString(row.key), bytes, !row.value && !row.delta,
+                    fbb.CreateVectorOfStructs(copies), row.delta ? row.delta->hash : 0));
             }
             return wrap(wire::Body::TableNews,
                 wire::CreateTableNewsDirect(fbb, pack(fbb, it.sender), it.table.c_str(), it.baseVersion,
@@ -339,6 +345,14 @@
         return out;
     }
 
+    TextDelta unpackDelta(const flatbuffers::Vector<const wire::Copy*>& copies, std::string added, std::uint64_t hash)
+    {
+        TextDelta delta { {}, std::move(added), hash };
+        for (const auto* it : copies)
+            delta.copies.push_back({ it->offset(), it->size(), it->new_bytes() });
+        return delta;
+    }
+
     TableUpdate unpack(const wire::TableNews& update)
     {
         TableUpdate out { unpack(update.sender()), stringOrEmpty(update.table()), update.after(), {} };
@@ -349,9 +363,11 @@
             return out;
         for (const auto* it : *update.rows()) {
             store::FeedRow row { stringOrEmpty(it->key()), std::nullopt };
-            if (!it->deleted())
-                row.value
-                    = it->value() == nullptr ? std::string() : std::string(it->value()->begin(), it->value()->end());
+            auto value = it->value() == nullptr ? std::string() : std::string(it->value()->begin(), it->value()->end());
+            if (it->copies() != nullptr && it->copies()->size() > 0)
+                row.delta = unpackDelta(*it->copies(), std::move(value), it->hash());
+            else if (!it->deleted())
+                row.value = std::move(value);
             out.changes.rows.push_back(std::move(row));
         }
         return out;
