The age of a copy, not the time since an update, decides when a member calls the store

Callers could see requests handled by an old configuration while updates that had been queued for seconds kept arriving. Change: the timer runs from the time at which the copy was current by the store's clock. Test: TableFollower/delayedUpdatesDoNotPostponeTheCallToTheStore failed before.

--- a/include/foxtailwheel/control/TableFollower.h
+++ b/include/foxtailwheel/control/TableFollower.h
@@ -20,8 +20,7 @@
     Duration probeTimeout = std::chrono::milliseconds(500); ///< Response timeout while the store is unavailable.
     Duration retryDelay = std::chrono::milliseconds(250); ///< Minimum delay after a failure; jitter can double it.
     Duration coalesceDelay = std::chrono::milliseconds(100); ///< Delay after a change, to return several in one call.
-    Duration
-        silenceTimeout {}; ///< Time without updates after which a follower that does not poll calls the store itself.
+    Duration silenceTimeout {}; ///< Age of the copy at which a follower that does not poll calls the store itself.
     std::uint64_t seed = 1;
 };
 
--- a/src/foxtailwheel/control/TableFollower.cpp
+++ b/src/foxtailwheel/control/TableFollower.cpp
@@ -121,7 +121,6 @@
     bool polling = true;
     bool callPending = false; ///< A call is in progress or scheduled.
     bool watching = false;
-    TimePoint lastUpdateAt;
 };
 
 void TableFollower::Impl::poll()
@@ -165,19 +164,20 @@
         watchForSilence();
 }
 
+/// An update that was delayed on its way does not make the copy newer, so the age of the copy decides.
 void TableFollower::Impl::watchForSilence()
 {
     if (std::exchange(watching, true))
         return;
-    runAfter(std::max<Duration>(lastUpdateAt + options.silenceTimeout - clock.now(), Duration {}),
-        [weak = weak_from_this()] {
+    runAfter(
+        std::max<Duration>(table.asOf + options.silenceTimeout - clock.now(), Duration {}), [weak = weak_from_this()] {
             const auto self = weak.lock();
             if (!self)
                 return;
             self->watching = false;
             if (self->callPending)
                 return;
-            if (self->polling || self->clock.now() - self->lastUpdateAt >= self->options.silenceTimeout)
+            if (self->polling || self->clock.now() - self->table.asOf >= self->options.silenceTimeout)
                 self->poll();
             else
                 self->watchForSilence();
@@ -208,7 +208,6 @@
     const auto asOf = bound.observeForwarded(update.changes.storeTime);
     if (!asOf)
         return;
-    lastUpdateAt = clock.now();
     table.asOf = std::max(table.asOf, *asOf);
     const bool rowsChanged = applyRows(std::move(*rows));
     table.forwarded = rowsChanged || table.forwarded;
@@ -262,7 +261,6 @@
     }
     if (!std::exchange(table.available, true))
         table.recoveredAt = clock.now();
-    lastUpdateAt = clock.now();
     table.asOf = std::max(table.asOf, bound.observe(sentAt, result.storeTime));
     if (publish && polling && synced)
         publish({ options.table, baseVersion, withDeltas(result, table.rows) });
--- a/src/foxtailwheel/control/TableFollowerTest.cpp
+++ b/src/foxtailwheel/control/TableFollowerTest.cpp
@@ -160,6 +160,20 @@
     cr_assert_eq(fixture.feed.calls.front().wait, Duration {});
 }
 
+// Updates that had been queued for seconds counted as news when they arrived, so a member with an old copy waited on.
+Test(TableFollower, delayedUpdatesDoNotPostponeTheCallToTheStore)
+{
+    Fixture fixture;
+    fixture.feed.respond(Fixture::rows(5, { { "a", "1" } }, 10s));
+    fixture.follower->setPolling(false);
+    fixture.feed.respond(Fixture::rows(5, {}, 10s));
+    fixture.clock.advance(1900ms);
+    fixture.follower->onUpdate({ "op", 5, Fixture::rows(6, { { "a", "2" } }, 10100ms) });
+    fixture.runScheduled(200ms);
+    cr_assert_eq(fixture.feed.calls.size(), 1, "the copy is 2 s old");
+    cr_assert_eq(fixture.feed.calls.front().after, 6);
+}
+
 Test(TableFollower, callsTheStoreAfterAMissedUpdate)
 {
     Fixture fixture;
