--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -2,6 +2,8 @@
 #include "foxtailwheel/base/Hash.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 
 namespace foxtailwheel::serving {
 
@@ -30,6 +32,19 @@
     /// Assumed time to the first byte until measurements are available.
     constexpr Duration initialTimeToFirstByte = 150ms;
 
+    /// Returns the ids of all parts but the last, which belongs to one request only.
+    std::string formatSharedParts(const std::vector<PromptPart>& prompt)
+    {
+        std::string text;
+        for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
+            std::array<char, 20> id {};
+            std::snprintf(
+                id.data(), id.size(), "%s%llx", i == 0 ? "" : ",", static_cast<unsigned long long>(prompt[i].id));
+            text += id.data();
+        }
+        return text;
+    }
+
 } // namespace
 
 /// Returns the key by which related requests are sent to the same server. Related prompts share all parts except the
@@ -229,7 +244,9 @@
         logDecision(*run, "call_failed",
             { { "call", std::to_string(call.value()) }, { "end", std::string(toString(outcome)) },
                 { "status", std::to_string(response.status) },
-                { "after_ms", formatInteger(toMilliseconds(now - run->acceptedAt)) } });
+                { "after_ms", formatInteger(toMilliseconds(now - run->acceptedAt)) },
+                { "head", headReceived ? "1" : "0" }, { "last_event", std::to_string(run->lastEventId.value_or(0)) },
+                { "parts", formatSharedParts(run->request.prompt) } });
     switch (outcome) {
     case ForwardCallOutcome::Complete:
         closeCall(*run, call, response.status >= 500 ? routing::CallOutcome::Failed : routing::CallOutcome::Success,
