--- a/include/foxtailwheel/daemon/PeerLink.h
+++ b/include/foxtailwheel/daemon/PeerLink.h
@@ -42,7 +42,7 @@
 public:
     /// @param self Id, listen address, zone and cores of this instance; the incarnation is set from the wall clock.
     static Result<std::unique_ptr<PeerLink>> open(http::IoPool& pool, const Clock& clock, membership::Member self,
-        PeerLinkOptions options, PeerLinkCallbacks callbacks);
+        const PeerLinkOptions& options, PeerLinkCallbacks callbacks);
     ~PeerLink();
     PeerLink(const PeerLink&) = delete;
     PeerLink& operator=(const PeerLink&) = delete;
--- a/src/foxtailwheel/base/TextDeltaTest.cpp
+++ b/src/foxtailwheel/base/TextDeltaTest.cpp
@@ -13,7 +13,7 @@
     for (std::size_t i = 0; i < n; ++i)
         text += R"({"name":"route-)" + std::to_string(i) + R"(","host":"h.example","prefix":"/)"
             + std::to_string(i * 7919)
-            + R"(/","kind":"safe","timeoutMs":600,"goalMs":150,"maxAttempts":2,"priority":2,"service":"desk"},)";
+            + R"(/","kind":"safe","timeout":600,"goal":150,"attempts":2,"priority":2,"service":"desk"},)";
     return text + "]}";
 }
 
--- a/src/foxtailwheel/daemon/PeerLink.cpp
+++ b/src/foxtailwheel/daemon/PeerLink.cpp
@@ -165,7 +165,7 @@
 }
 
 Result<std::unique_ptr<PeerLink>> PeerLink::open(http::IoPool& pool, const Clock& clock, membership::Member self,
-    PeerLinkOptions options, PeerLinkCallbacks callbacks)
+    const PeerLinkOptions& options, PeerLinkCallbacks callbacks)
 {
     self.incarnation = Incarnation(static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count()));
     const auto address = self.endpoint;
