Parts of prompts on which servers crash are found and blocked on all instances

Callers saw: one server after the other crashed; requests beside those that crash them were cut or waited. Cause: a crash was charged to the server alone, so the next request with the same part of a prompt went to the next one. Change: a stream that ends between its head and its first event is a crash record for the shared parts of its prompt; three at different times block a part, unless another part, which the request lacks, was in all of them. An answer that begins clears its parts. Records are rows of the store that all instances follow, so restarted ones know them. Ruled out: records by messages between instances only (a restarted or cut instance lacks them); times by each instance's arrival (a restarted one learns all at once and would count them as one crash: a test showed it).

--- a/include/foxtailwheel/daemon/ForwardService.h
+++ b/include/foxtailwheel/daemon/ForwardService.h
@@ -55,6 +55,10 @@
     void onPeerUnreachable(const InstanceId& instance);
     /// @brief Sets the function that sends messages to other instances.
     void setSendToInstance(std::function<void(const InstanceId&, const serving::PieceMessage&)> send);
+    /// @brief Sets the function that shares crash records with all instances.
+    void setShareCrashRecords(std::function<void(const serving::CrashRecordUpdate&)> share);
+    /// @brief Replaces the crash records that the instances share.
+    void setCrashRecords(const std::vector<serving::CrashRecord>& records);
     /// @brief Rejects all new requests; requests in progress continue.
     void stopAccepting();
     serving::ForwarderStatus status() const;
--- /dev/null
+++ b/include/foxtailwheel/serving/CrashingParts.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "foxtailwheel/base/Ids.h"
+#include "foxtailwheel/base/Units.h"
+#include "foxtailwheel/serving/Prompt.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace foxtailwheel::serving {
+
+/// @brief Record that a server crashed as it began to answer a request whose prompt has a part.
+struct CrashRecord {
+    PromptPartId part;
+    BackendServerId server;
+    std::uint32_t number = 1; ///< Tells the crashes of the same server apart.
+    WallTime at {}; ///< By the clock of the instance that recorded it.
+
+    friend bool operator==(const CrashRecord&, const CrashRecord&) = default;
+};
+
+/// @brief Change of the crash records that all instances share.
+struct CrashRecordUpdate {
+    std::vector<CrashRecord> added;
+    std::vector<CrashRecord> removed;
+};
+
+/// @brief Finds the parts of prompts on which servers crash, and blocks requests with them for a time.
+///
+/// A server that crashes breaks all its calls, but only for a call whose response had just begun does that say much
+/// about its prompt. All shared parts of that prompt are recorded as suspects. A response that begins to arrive clears
+/// the parts of its prompt. A part with several crashes at different times is blocked, unless another part that was
+/// present in all of them may be the cause and is not in the prompt.
+///
+/// Ages are counted from when this instance learned of a crash; times of records are only compared with one another, so
+/// the clocks of instances need not agree. Not thread-safe.
+class CrashingParts {
+public:
+    /// @brief Number of crashes from which a part is blocked.
+    static constexpr std::size_t minCrashes = 3;
+    /// @brief Crashes within this time count once: servers that fail together have another cause than one prompt.
+    static constexpr Duration simultaneousWindow = std::chrono::milliseconds(300);
+
+    /// @param epoch Time of day at `TimePoint {}`.
+    explicit CrashingParts(WallTime epoch = {})
+        : m_epoch(epoch)
+    {
+    }
+
+    /// @brief A call broke after the head of its response and before the first event.
+    CrashRecordUpdate onCrash(const std::vector<PromptPart>& prompt, const BackendServerId& server, TimePoint now);
+    /// @brief The first event of a response has arrived.
+    CrashRecordUpdate onAnswerBegan(const std::vector<PromptPart>& prompt, TimePoint now);
+    /// @brief Replaces the records by those that the instances share. Own changes that are not among them yet persist.
+    void setRecords(const std::vector<CrashRecord>& records, TimePoint now);
+    /// @brief Returns the time for which requests with this prompt are blocked; empty if they are not.
+    std::optional<Duration> blockedFor(const std::vector<PromptPart>& prompt, TimePoint now) const;
+
+private:
+    /// Server and number of a crash.
+    using CrashId = std::pair<BackendServerId, std::uint32_t>;
+    struct Crash {
+        TimePoint learnedAt;
+        WallTime at;
+    };
+    using Crashes = std::map<CrashId, Crash>;
+
+    struct OwnChange {
+        std::optional<Crash> crash; ///< Empty for a record that was removed.
+        TimePoint changedAt;
+    };
+
+    std::uint32_t numberOf(const BackendServerId& server, TimePoint now) const;
+    bool isOnlySuspect(PromptPartId part, const std::vector<PromptPart>& prompt) const;
+    void remove(PromptPartId part, const CrashId& id);
+    void removeOwn(const CrashRecord& record, TimePoint now, CrashRecordUpdate& out);
+    void removeExpired(TimePoint now, CrashRecordUpdate& out);
+
+    WallTime m_epoch;
+    std::map<PromptPartId, Crashes> m_crashes;
+    std::map<std::pair<PromptPartId, CrashId>, OwnChange> m_ownChanges;
+};
+
+} // namespace foxtailwheel::serving
--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -6,6 +6,7 @@
 #include "foxtailwheel/http/Message.h"
 #include "foxtailwheel/routing/ServerPool.h"
 #include "foxtailwheel/serving/BatchQueue.h"
+#include "foxtailwheel/serving/CrashingParts.h"
 #include "foxtailwheel/serving/DecisionLog.h"
 #include "foxtailwheel/serving/EventStream.h"
 #include "foxtailwheel/serving/PieceBroker.h"
@@ -23,12 +24,6 @@
 /// @brief Number of a caller's request that is forwarded, unique within a process.
 using ForwardId = StrongNumber<struct ForwardTag>;
 
-/// @brief One part of a prompt. Requests with the same leading parts can reuse the same cached state.
-struct PromptPart {
-    std::uint64_t id = 0;
-    std::uint32_t tokens = 0;
-};
-
 /// @brief A caller's request for a route.
 struct ForwardRequest {
     std::string attemptId; ///< Attempt id that the caller chose.
@@ -85,6 +80,7 @@
     NoServer,
     Overloaded,
     StageFailed,
+    CrashesServers, ///< The prompt has a part on which servers crash.
     NotStarted, ///< The backend servers reported that they did not start the request.
     BackendFailed, ///< The request may have run.
     TimedOut, ///< The request may have run.
@@ -123,9 +119,9 @@
     ForwardOutcome outcome = ForwardOutcome::Answered;
 };
 
-/// @brief Action that the forwarder's owner must execute.
+/// @brief Action that the forwarder's owner must execute. A `CrashRecordUpdate` is shared with all instances.
 using ForwardAction = std::variant<SendUpstreamRequest, CancelUpstreamRequest, SendBatch, SendToInstance,
-    ReleaseResults, SendResponse, SendResponseHead, SendResponseData, EndResponse>;
+    ReleaseResults, SendResponse, SendResponseHead, SendResponseData, EndResponse, CrashRecordUpdate>;
 using ForwardActions = std::vector<ForwardAction>;
 
 /// @brief Outcome of one call for a caller's request.
@@ -163,6 +159,7 @@
     /// @brief Groups of pieces are numbered from here. Processes of the same instance need ranges that do not overlap:
     /// owners may still send results for groups of a process that has ended.
     std::uint64_t firstGroupId = 1;
+    WallTime epoch {}; ///< Time of day at `TimePoint {}`, for records that instances share.
     std::size_t maxEventBytes = EventSplitter::defaultMaxEventBytes; ///< A stream with a larger event is broken.
     /// @brief Bytes of incomplete events of all streams together; above it, the stream with the largest one is broken.
     std::size_t maxPartialEventBytes = std::size_t { 16 } << 20U;
@@ -193,6 +190,8 @@
     virtual void setServers(const std::vector<AnnouncedServer>& servers, TimePoint now, ForwardActions& out) = 0;
     /// @brief Records that the active credentials were confirmed as current at `asOf`.
     virtual void confirmCredentials(TimePoint asOf) = 0;
+    /// @brief Replaces the crash records that the instances share.
+    virtual void setCrashRecords(const std::vector<CrashRecord>& records, TimePoint now) = 0;
     /// @brief Sets the live instances.
     /// @param live All live instances, this one included.
     /// @param owners The live instances that may own services.
--- a/include/foxtailwheel/store/ChangeFeed.h
+++ b/include/foxtailwheel/store/ChangeFeed.h
@@ -54,13 +54,14 @@
         = 0;
 };
 
-/// @brief Writes single rows unconditionally.
+/// @brief Writes rows unconditionally.
 class RowWriter {
 public:
     virtual ~RowWriter() = default;
-    /// @brief Writes a row; `done` receives true if the store acknowledged the write.
-    virtual void put(const std::string& table, const std::string& key, const std::string& value, TimePoint deadline,
-        std::function<void(bool)> done)
+    /// @brief Writes rows of a table at once; rows without a value are removed. `done` receives true if the store
+    /// acknowledged the write.
+    virtual void write(
+        const std::string& table, const std::vector<FeedRow>& rows, TimePoint deadline, std::function<void(bool)> done)
         = 0;
 };
 
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -62,6 +62,7 @@
     void execute(serving::SendResponseHead& reply);
     void execute(serving::SendResponseData& reply);
     void execute(serving::EndResponse& reply);
+    void execute(serving::CrashRecordUpdate& update);
     void onHead(CallId id, const http::Response& head);
     void onData(CallId id, std::string_view bytes);
     void onDone(CallId id, http::CallResult result);
@@ -82,6 +83,7 @@
     std::unordered_map<CallId, ActiveCall> calls;
     std::map<config::Endpoint, std::vector<std::string>> pendingReleases; ///< Handles by backend server.
     std::function<void(const InstanceId&, const serving::PieceMessage&)> sendToInstance;
+    std::function<void(const serving::CrashRecordUpdate&)> shareCrashRecords;
     TimePoint timerAt = TimePoint::max();
 };
 
@@ -320,6 +322,12 @@
     endSession(reply.request, reply.outcome);
 }
 
+void ForwardService::Impl::execute(serving::CrashRecordUpdate& update)
+{
+    if (shareCrashRecords)
+        shareCrashRecords(update);
+}
+
 namespace {
 
     /// Writes a decision of the forwarder to the process log.
@@ -420,6 +428,16 @@
     m_impl->sendToInstance = std::move(send);
 }
 
+void ForwardService::setShareCrashRecords(std::function<void(const serving::CrashRecordUpdate&)> share)
+{
+    m_impl->shareCrashRecords = std::move(share);
+}
+
+void ForwardService::setCrashRecords(const std::vector<serving::CrashRecord>& records)
+{
+    m_impl->forwarder->setCrashRecords(records, m_impl->clock.now());
+}
+
 void ForwardService::stopAccepting()
 {
     m_impl->forwarder->stopAccepting();
--- /dev/null
+++ b/src/foxtailwheel/serving/CrashingParts.cpp
@@ -0,0 +1,186 @@
+#include "foxtailwheel/serving/CrashingParts.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace foxtailwheel::serving {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    /// Calls to the same server that break within this time broke in the same crash. A server needs longer to restart.
+    constexpr Duration sameCrashWindow = 1500ms;
+    /// Time for which a part is blocked after the last of `minCrashes` crashes; doubles with each further one, since
+    /// the part has crashed another server after it was admitted again.
+    constexpr Duration initialBlockTime = 60s;
+    constexpr Duration maxBlockTime = 10min;
+    /// Age at which a record no longer blocks its part and is removed.
+    constexpr Duration recordLifetime = 2 * maxBlockTime;
+    /// Time that a change takes at most until all instances see it.
+    constexpr Duration shareTimeout = 10s;
+    /// Parts beyond this number are not recorded.
+    constexpr std::size_t maxSuspects = 1000;
+
+    Duration blockTime(std::size_t crashes)
+    {
+        auto time = initialBlockTime;
+        for (auto n = CrashingParts::minCrashes; n < crashes && time < maxBlockTime; ++n)
+            time *= 2;
+        return std::min(time, maxBlockTime);
+    }
+
+    /// Sorts times and returns how many of them are apart from the one before.
+    std::size_t countApart(std::vector<WallTime>& times)
+    {
+        std::sort(times.begin(), times.end());
+        std::size_t n = 0;
+        WallTime last {};
+        for (const auto& it : times) {
+            if (n > 0 && it - last < CrashingParts::simultaneousWindow)
+                continue;
+            last = it;
+            ++n;
+        }
+        return n;
+    }
+
+} // namespace
+
+/// Returns the number under which a crash of a server at this time is recorded.
+std::uint32_t CrashingParts::numberOf(const BackendServerId& server, TimePoint now) const
+{
+    std::uint32_t number = 0;
+    TimePoint learnedAt {};
+    for (const auto& [part, crashes] : m_crashes) {
+        for (const auto& [id, crash] : crashes) {
+            if (id.first == server && id.second > number) {
+                number = id.second;
+                learnedAt = crash.learnedAt;
+            }
+        }
+    }
+    return number > 0 && now - learnedAt < sameCrashWindow ? number : number + 1;
+}
+
+void CrashingParts::remove(PromptPartId part, const CrashId& id)
+{
+    const auto it = m_crashes.find(part);
+    if (it == m_crashes.end())
+        return;
+    it->second.erase(id);
+    if (it->second.empty())
+        m_crashes.erase(it);
+}
+
+void CrashingParts::removeOwn(const CrashRecord& record, TimePoint now, CrashRecordUpdate& out)
+{
+    const CrashId id { record.server, record.number };
+    remove(record.part, id);
+    m_ownChanges[{ record.part, id }] = { std::nullopt, now };
+    out.removed.push_back(record);
+}
+
+CrashRecordUpdate CrashingParts::onCrash(
+    const std::vector<PromptPart>& prompt, const BackendServerId& server, TimePoint now)
+{
+    CrashRecordUpdate update;
+    removeExpired(now, update);
+    const CrashId id { server, numberOf(server, now) };
+    const Crash crash { now, std::chrono::floor<std::chrono::milliseconds>(m_epoch + now.time_since_epoch()) };
+    for (const auto& it : sharedParts(prompt)) {
+        if (!m_crashes.contains(it.id) && m_crashes.size() >= maxSuspects)
+            continue;
+        if (!m_crashes[it.id].try_emplace(id, crash).second)
+            continue;
+        m_ownChanges[{ it.id, id }] = { crash, now };
+        update.added.push_back({ it.id, id.first, id.second, crash.at });
+    }
+    return update;
+}
+
+CrashRecordUpdate CrashingParts::onAnswerBegan(const std::vector<PromptPart>& prompt, TimePoint now)
+{
+    CrashRecordUpdate update;
+    if (m_crashes.empty())
+        return update;
+    removeExpired(now, update);
+    for (const auto& it : sharedParts(prompt)) {
+        const auto known = m_crashes.find(it.id);
+        if (known == m_crashes.end())
+            continue;
+        const auto crashes = known->second;
+        for (const auto& [id, crash] : crashes)
+            removeOwn({ it.id, id.first, id.second, crash.at }, now, update);
+    }
+    return update;
+}
+
+void CrashingParts::removeExpired(TimePoint now, CrashRecordUpdate& out)
+{
+    std::vector<CrashRecord> expired;
+    for (const auto& [part, crashes] : m_crashes) {
+        for (const auto& [id, crash] : crashes) {
+            if (now - crash.learnedAt > recordLifetime)
+                expired.push_back({ part, id.first, id.second, crash.at });
+        }
+    }
+    for (const auto& it : expired)
+        removeOwn(it, now, out);
+}
+
+void CrashingParts::setRecords(const std::vector<CrashRecord>& records, TimePoint now)
+{
+    auto before = std::exchange(m_crashes, {});
+    for (const auto& it : records) {
+        const CrashId id { it.server, it.number };
+        auto& known = before[it.part];
+        const auto crash = known.find(id);
+        m_crashes[it.part][id] = { crash == known.end() ? now : crash->second.learnedAt, it.at };
+    }
+    std::erase_if(m_ownChanges, [now](const auto& it) { return now - it.second.changedAt > shareTimeout; });
+    for (const auto& [key, change] : m_ownChanges) {
+        if (change.crash)
+            m_crashes[key.first].try_emplace(key.second, *change.crash);
+        else
+            remove(key.first, key.second);
+    }
+}
+
+/// Returns false if another part, which the prompt lacks, was present in all crashes of this one.
+bool CrashingParts::isOnlySuspect(PromptPartId part, const std::vector<PromptPart>& prompt) const
+{
+    const auto parts = sharedParts(prompt);
+    const auto& crashes = m_crashes.at(part);
+    return std::none_of(m_crashes.begin(), m_crashes.end(), [&](const auto& other) {
+        const bool inPrompt
+            = std::any_of(parts.begin(), parts.end(), [&other](const PromptPart& it) { return it.id == other.first; });
+        return !inPrompt && std::all_of(crashes.begin(), crashes.end(), [&other](const auto& it) {
+            return other.second.contains(it.first);
+        });
+    });
+}
+
+std::optional<Duration> CrashingParts::blockedFor(const std::vector<PromptPart>& prompt, TimePoint now) const
+{
+    if (m_crashes.empty())
+        return std::nullopt;
+    Duration longest {};
+    for (const auto& it : sharedParts(prompt)) {
+        const auto known = m_crashes.find(it.id);
+        if (known == m_crashes.end())
+            continue;
+        std::vector<WallTime> times;
+        auto lastLearnedAt = TimePoint::min();
+        for (const auto& [id, crash] : known->second) {
+            times.push_back(crash.at);
+            lastLearnedAt = std::max(lastLearnedAt, crash.learnedAt);
+        }
+        const auto n = countApart(times);
+        if (n >= minCrashes && isOnlySuspect(it.id, prompt))
+            longest = std::max(longest, lastLearnedAt + blockTime(n) - now);
+    }
+    return longest > Duration {} ? std::optional(longest) : std::nullopt;
+}
+
+} // namespace foxtailwheel::serving
--- /dev/null
+++ b/src/foxtailwheel/serving/CrashingPartsTest.cpp
@@ -0,0 +1,122 @@
+#include "foxtailwheel/serving/CrashingParts.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+
+using namespace foxtailwheel;
+using namespace std::chrono_literals;
+using namespace foxtailwheel::serving;
+
+namespace {
+
+constexpr TimePoint start { 1h };
+constexpr PromptPartId common { 1 };
+constexpr PromptPartId deadly { 666 };
+
+/// A prompt with these shared parts and a last part of its own.
+std::vector<PromptPart> promptOf(const std::vector<PromptPartId>& shared)
+{
+    static std::uint64_t last = 10000;
+    std::vector<PromptPart> prompt;
+    for (const auto it : shared)
+        prompt.push_back({ it, 100 });
+    prompt.push_back({ PromptPartId(++last), 10 });
+    return prompt;
+}
+
+BackendServerId server(int n)
+{
+    return BackendServerId("s" + std::to_string(n));
+}
+
+/// Applies an update to the records that all instances share.
+void applyUpdate(const CrashRecordUpdate& update, std::vector<CrashRecord>& records)
+{
+    for (const auto& it : update.removed)
+        std::erase(records, it);
+    for (const auto& it : update.added) {
+        if (std::find(records.begin(), records.end(), it) == records.end())
+            records.push_back(it);
+    }
+}
+
+} // namespace
+
+Test(CrashingParts, crashesSeenByDifferentInstancesBlockThePartOnAll)
+{
+    std::vector<CrashingParts> instances(4);
+    std::vector<CrashRecord> records;
+    for (int i = 0; i < 3; ++i) {
+        const auto now = start + i * 700ms;
+        applyUpdate(instances[i].onCrash(promptOf({ common, deadly }), server(i), now), records);
+        for (auto& it : instances)
+            it.setRecords(records, now + 100ms);
+    }
+    for (const auto& it : instances) {
+        cr_assert(it.blockedFor(promptOf({ common, deadly }), start + 2s));
+        cr_assert(!it.blockedFor(promptOf({ common }), start + 2s), "the other part may be the cause");
+    }
+}
+
+Test(CrashingParts, restartedInstanceBlocksWhatTheOthersBlock)
+{
+    CrashingParts running;
+    std::vector<CrashRecord> records;
+    for (int i = 0; i < 3; ++i)
+        applyUpdate(running.onCrash(promptOf({ common, deadly }), server(i), start + i * 1s), records);
+    CrashingParts restarted;
+    restarted.setRecords(records, start + 5s);
+    cr_assert(restarted.blockedFor(promptOf({ common, deadly }), start + 5s));
+}
+
+Test(CrashingParts, answerThatBeginsClearsItsParts)
+{
+    CrashingParts parts;
+    for (int i = 0; i < 3; ++i)
+        parts.onCrash(promptOf({ common }), server(i), start + i * 1s);
+    cr_assert(parts.blockedFor(promptOf({ common }), start + 3s));
+    const auto update = parts.onAnswerBegan(promptOf({ common }), start + 3s);
+    cr_assert_eq(update.removed.size(), 3);
+    cr_assert(!parts.blockedFor(promptOf({ common }), start + 3s));
+    parts.setRecords(update.removed, start + 4s);
+    cr_assert(!parts.blockedFor(promptOf({ common }), start + 4s), "records that were read before the removal");
+}
+
+Test(CrashingParts, serversThatFailTogetherBlockNoPart)
+{
+    CrashingParts parts;
+    for (int i = 0; i < 6; ++i)
+        parts.onCrash(promptOf({ common }), server(i), start + i * 40ms);
+    cr_assert(!parts.blockedFor(promptOf({ common }), start + 1s));
+}
+
+Test(CrashingParts, callsThatBreakInTheSameCrashCountOnce)
+{
+    CrashingParts parts;
+    for (int i = 0; i < 5; ++i)
+        parts.onCrash(promptOf({ common }), server(1), start + i * 320ms);
+    cr_assert(!parts.blockedFor(promptOf({ common }), start + 2s));
+}
+
+Test(CrashingParts, blockedPartIsAdmittedAgainAndThenBlockedForLonger)
+{
+    CrashingParts parts;
+    for (int i = 0; i < 3; ++i)
+        parts.onCrash(promptOf({ deadly }), server(i), start + i * 1s);
+    const auto first = parts.blockedFor(promptOf({ deadly }), start + 2s);
+    cr_assert(first);
+    const auto retryAt = start + 2s + *first;
+    cr_assert(!parts.blockedFor(promptOf({ deadly }), retryAt));
+    parts.onCrash(promptOf({ deadly }), server(4), retryAt);
+    const auto second = parts.blockedFor(promptOf({ deadly }), retryAt);
+    cr_assert(second && *second > *first);
+}
+
+Test(CrashingParts, oldRecordsAreRemoved)
+{
+    CrashingParts parts;
+    parts.onCrash(promptOf({ deadly }), server(1), start);
+    const auto update = parts.onAnswerBegan(promptOf({ common }), start + 1h);
+    cr_assert_eq(update.removed.size(), 1);
+    cr_assert_eq(update.removed[0].part, deadly);
+}
--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -2,8 +2,6 @@
 #include "foxtailwheel/base/Hash.h"
 
 #include <algorithm>
-#include <array>
-#include <cstdio>
 
 namespace foxtailwheel::serving {
 
@@ -32,16 +30,11 @@
     /// Assumed time to the first byte until measurements are available.
     constexpr Duration initialTimeToFirstByte = 150ms;
 
-    /// Returns the ids of all parts but the last, which belongs to one request only.
     std::string formatSharedParts(const std::vector<PromptPart>& prompt)
     {
         std::string text;
-        for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
-            std::array<char, 20> id {};
-            std::snprintf(
-                id.data(), id.size(), "%s%llx", i == 0 ? "" : ",", static_cast<unsigned long long>(prompt[i].id));
-            text += id.data();
-        }
+        for (const auto& it : sharedParts(prompt))
+            text += (text.empty() ? "" : ",") + std::to_string(it.id.value());
         return text;
     }
 
@@ -53,7 +46,7 @@
 {
     const auto& prompt = run.request.prompt;
     if (m_options.affinity && run.route->prefixAffinity && !prompt.empty())
-        return prompt[prompt.size() > 1 ? prompt.size() - 2 : 0].id;
+        return prompt[prompt.size() > 1 ? prompt.size() - 2 : 0].id.value();
     return run.stages.empty() ? std::nullopt : std::optional(hashOf(run.request.attemptId));
 }
 
@@ -63,6 +56,8 @@
         fail(run, run.mayHaveRun ? ForwardOutcome::TimedOut : ForwardOutcome::TimedOutWaiting, now, out);
         return;
     }
+    if (refuseIfCrashing(run, now, out))
+        return;
     if (!trySend(run, !run.triedServers.empty(), now, out))
         setTimer(now + serverRetryInterval, { TimerKind::FindServer, run.id, {}, {} });
 }
@@ -179,8 +174,10 @@
     m_partialEventBytes += run->eventSplitter.partialBytes();
     for (const auto& event : events) {
         // Comments and parts of events are no progress: a stalled stream can send them now and then.
-        if (event.hasFields)
+        if (event.hasFields) {
             run->lastEventAt = now;
+            onEvent(*run, *run->findCall(call), now, out);
+        }
         // A resuming server may repeat events that the caller has already received.
         if (event.id && run->lastEventId && *event.id <= *run->lastEventId)
             continue;
@@ -239,13 +236,14 @@
     auto* run = findRunOfCall(call);
     if (run == nullptr)
         return;
-    const bool headReceived = run->findCall(call)->headReceived;
+    const auto openCall = *run->findCall(call);
+    const bool headReceived = openCall.headReceived;
     if (outcome != ForwardCallOutcome::Complete)
         logDecision(*run, "call_failed",
             { { "call", std::to_string(call.value()) }, { "end", std::string(toString(outcome)) },
                 { "status", std::to_string(response.status) },
                 { "after_ms", formatInteger(toMilliseconds(now - run->acceptedAt)) },
-                { "head", headReceived ? "1" : "0" }, { "last_event", std::to_string(run->lastEventId.value_or(0)) },
+                { "head", headReceived ? "1" : "0" }, { "event", openCall.eventReceived ? "1" : "0" },
                 { "parts", formatSharedParts(run->request.prompt) } });
     switch (outcome) {
     case ForwardCallOutcome::Complete:
@@ -272,6 +270,8 @@
         onCallNotRun(*run, outcome, now, out);
         return;
     case ForwardCallOutcome::Broken:
+        recordCrash(*run, openCall, now, out);
+        [[fallthrough]];
     case ForwardCallOutcome::TimedOut:
         closeCall(*run, call, routing::CallOutcome::Failed, false, now, out);
         onCallBroken(*run, outcome, now, out);
@@ -300,6 +300,34 @@
     sendRequest(run, now, out);
 }
 
+/// A server that ends between the head of a response and its first event probably crashed on the request.
+void RoutingForwarder::recordCrash(const ForwardRun& run, const OpenCall& call, TimePoint now, ForwardActions& out)
+{
+    if (!run.route->streaming || !call.headReceived || call.eventReceived)
+        return;
+    auto update = m_crashingParts.onCrash(run.request.prompt, call.server, now);
+    if (update.added.empty() && update.removed.empty())
+        return;
+    logDecision(run, "crash_recorded",
+        { { "server", call.server.value() }, { "parts", std::to_string(update.added.size()) },
+            { "blocked_ms",
+                formatInteger(
+                    toMilliseconds(m_crashingParts.blockedFor(run.request.prompt, now).value_or(Duration {}))) } });
+    out.emplace_back(std::move(update));
+}
+
+/// Notes that a call has received an event with fields.
+void RoutingForwarder::onEvent(const ForwardRun& run, OpenCall& call, TimePoint now, ForwardActions& out)
+{
+    if (std::exchange(call.eventReceived, true))
+        return;
+    auto update = m_crashingParts.onAnswerBegan(run.request.prompt, now);
+    if (update.removed.empty())
+        return;
+    logDecision(run, "crash_records_removed", { { "records", std::to_string(update.removed.size()) } });
+    out.emplace_back(std::move(update));
+}
+
 /// The call may have run, so only idempotent requests are sent to another server.
 void RoutingForwarder::onCallBroken(ForwardRun& run, ForwardCallOutcome outcome, TimePoint now, ForwardActions& out)
 {
--- a/src/foxtailwheel/serving/ForwardRequests.cpp
+++ b/src/foxtailwheel/serving/ForwardRequests.cpp
@@ -125,8 +125,23 @@
     start(run, now, out);
 }
 
+/// Refuses a request whose prompt crashes servers; it would fail and take other requests with it.
+bool RoutingForwarder::refuseIfCrashing(ForwardRun& run, TimePoint now, ForwardActions& out)
+{
+    const auto blocked = m_crashingParts.blockedFor(run.request.prompt, now);
+    if (!blocked)
+        return false;
+    if (run.mayHaveRun)
+        fail(run, ForwardOutcome::BackendFailed, now, out);
+    else
+        refuse(run, ForwardOutcome::CrashesServers, *blocked, now, out);
+    return true;
+}
+
 void RoutingForwarder::start(ForwardRun& run, TimePoint now, ForwardActions& out)
 {
+    if (refuseIfCrashing(run, now, out))
+        return;
     const auto& route = *run.route;
     run.deadline = now + std::min(route.timeout, run.request.remainingTime.value_or(route.timeout));
     run.service = pickService(run);
--- a/src/foxtailwheel/serving/ForwardRun.h
+++ b/src/foxtailwheel/serving/ForwardRun.h
@@ -26,6 +26,7 @@
     BackendServerId server;
     TimePoint sentAt;
     bool headReceived = false;
+    bool eventReceived = false; ///< Of a stream, an event with fields.
 };
 
 /// @brief State of one caller's request until it is answered.
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -159,6 +159,8 @@
     case TimerKind::FindServer:
         if (!run->calls.empty() || !run->allStagesDone())
             return;
+        if (refuseIfCrashing(*run, now, out))
+            return;
         if (trySend(*run, !run->triedServers.empty(), now, out))
             return;
         if (now - run->acceptedAt > std::max(serverWaitTimeout, run->route->latencyTarget))
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -78,6 +78,7 @@
         request.remainingTime = remaining;
         request.pieceCounts = pieces;
         request.pieceKey = "k";
+        request.prompt = prompt;
         const auto id = forwarder->allocateRequestId();
         collectActions([&](auto& out) { forwarder->submit(id, std::move(request), now, out); });
         return id;
@@ -138,6 +139,8 @@
                 messages.push_back(*message);
             else if (auto* release = std::get_if<ReleaseResults>(&it))
                 released.insert(released.end(), release->handles.begin(), release->handles.end());
+            else if (auto* update = std::get_if<CrashRecordUpdate>(&it))
+                crashUpdates.push_back(*update);
         }
     }
 
@@ -145,6 +148,7 @@
     std::vector<AnnouncedServer> servers;
     std::string credential = "key";
     std::vector<std::uint32_t> pieces;
+    std::vector<PromptPart> prompt;
     std::size_t requestCount = 0;
     std::size_t handles = 0;
     std::vector<SendUpstreamRequest> sent;
@@ -155,6 +159,7 @@
     std::vector<ForwardOutcome> outcomes;
     std::vector<std::string> released;
     std::vector<SendToInstance> messages;
+    std::vector<CrashRecordUpdate> crashUpdates;
 };
 
 } // namespace
@@ -653,3 +658,56 @@
     cr_assert_geq(retries, 40);
     cr_assert_leq(retries, 50);
 }
+
+// Requests of one kind crashed one server after the other: docs/incidents/2026-12-04-prompts-that-crash-servers.md.
+Test(Forwarder, requestsWithAPartThatCrashesServersAreRefused)
+{
+    ForwarderFixture fixture;
+    std::uint64_t last = 100;
+    for (int i = 0; i < 3; ++i) {
+        const auto now = start + i * 1s;
+        fixture.prompt = { { PromptPartId(1), 500 }, { PromptPartId(666), 300 }, { PromptPartId(++last), 10 } };
+        fixture.submit("once", now);
+        const auto call = fixture.beginStream(now + 100ms);
+        fixture.endCall(call, ForwardCallOutcome::Broken, now + 110ms);
+    }
+    cr_assert_eq(fixture.sent.size(), 3);
+    cr_assert_eq(fixture.crashUpdates.size(), 3);
+
+    fixture.submit("once", start + 4s);
+    cr_assert_eq(fixture.sent.size(), 3, "must not reach a server");
+    cr_assert_eq(fixture.replies.back().response.status, 503);
+    cr_assert_eq(fixture.replies.back().outcome, ForwardOutcome::CrashesServers);
+    cr_assert(fixture.replies.back().retryAfter > 30s);
+
+    fixture.prompt = { { PromptPartId(1), 500 }, { PromptPartId(++last), 10 } };
+    fixture.submit("once", start + 4s);
+    cr_assert_eq(fixture.sent.size(), 4, "sound requests share parts with those that crash servers");
+}
+
+Test(Forwarder, streamThatCrashesServersIsNotSentToAnotherOnceItIsKnown)
+{
+    ForwarderFixture fixture;
+    fixture.prompt = { { PromptPartId(666), 300 }, { PromptPartId(7), 10 } };
+    fixture.submit("plan");
+    const WallTime epoch {};
+    fixture.forwarder->setCrashRecords({ { PromptPartId(666), BackendServerId("x1"), 1, epoch },
+                                           { PromptPartId(666), BackendServerId("x2"), 1, epoch + 1s } },
+        start);
+    const auto call = fixture.beginStream(start + 1500ms);
+    fixture.endCall(call, ForwardCallOutcome::Broken, start + 1600ms);
+    cr_assert_eq(fixture.sent.size(), 1);
+    cr_assert_eq(fixture.outcomes.size(), 1);
+    cr_assert_eq(fixture.outcomes[0], ForwardOutcome::StreamBroken);
+}
+
+Test(Forwarder, brokenStreamsAfterTheirFirstEventAreNoCrashRecords)
+{
+    ForwarderFixture fixture;
+    fixture.prompt = { { PromptPartId(1), 500 }, { PromptPartId(2), 10 } };
+    fixture.submit("once");
+    const auto call = fixture.beginStream(start + 100ms);
+    fixture.receive(call, "id: 1\ndata: a\n\n", start + 120ms);
+    fixture.endCall(call, ForwardCallOutcome::Broken, start + 150ms);
+    cr_assert(fixture.crashUpdates.empty());
+}
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -53,6 +53,7 @@
         , m_directory(m_options, [this] { return allocateCallId(); })
         , m_broker(
               m_options.pools.self, [this](const ServiceId& id) { return findQueue(id); }, m_options.decisionLog)
+        , m_crashingParts(m_options.epoch)
         , m_random(m_options.pools.seed)
         , m_nextGroupId(m_options.firstGroupId)
     {
@@ -65,6 +66,10 @@
     {
         m_credentialsConfirmedAt = std::max(m_credentialsConfirmedAt, asOf);
     }
+    void setCrashRecords(const std::vector<CrashRecord>& records, TimePoint now) override
+    {
+        m_crashingParts.setRecords(records, now);
+    }
     void setMembers(const std::vector<InstanceId>& live, const std::vector<InstanceId>& owners,
         const std::set<InstanceId>& removed, TimePoint now, ForwardActions& out) override;
     void onPeerMessage(
@@ -103,6 +108,7 @@
 
     std::optional<ForwardOutcome> authorize(ForwardRun& run, TimePoint now) const;
     ServiceId pickService(const ForwardRun& run);
+    bool refuseIfCrashing(ForwardRun& run, TimePoint now, ForwardActions& out);
     void start(ForwardRun& run, TimePoint now, ForwardActions& out);
     Duration timeSpentOnEarlierAttempts(const ForwardRun& run, TimePoint now);
     void chooseZone(ForwardRun& run);
@@ -135,6 +141,8 @@
     void closeCall(
         ForwardRun& run, CallId call, routing::CallOutcome outcome, bool stop, TimePoint now, ForwardActions& out);
     void onCallNotRun(ForwardRun& run, ForwardCallOutcome outcome, TimePoint now, ForwardActions& out);
+    void recordCrash(const ForwardRun& run, const OpenCall& call, TimePoint now, ForwardActions& out);
+    void onEvent(const ForwardRun& run, OpenCall& call, TimePoint now, ForwardActions& out);
     void onCallBroken(ForwardRun& run, ForwardCallOutcome outcome, TimePoint now, ForwardActions& out);
     void resendRequest(ForwardRun& run, TimePoint now, ForwardActions& out);
     void onResponseComplete(ForwardRun& run, http::Response response, TimePoint now, ForwardActions& out);
@@ -156,6 +164,7 @@
     std::shared_ptr<const config::RouteTable> m_table;
     ServerDirectory m_directory;
     PieceBroker m_broker;
+    CrashingParts m_crashingParts;
     std::size_t m_instanceCount = 1;
     bool m_accepting = true;
     Random m_random;
