Streams that end without an event or inside one are broken off, not whole

Callers saw: a response without a length whose server broke it off was cut although it could have been resumed, and one that ended before its first event passed for a whole, empty response. Cause: the end of the connection is the end of such a response, so the call ended as complete; only an event that had begun was looked for, after the decision to retry. Change: such an end is that of a broken call, so a resumable stream goes on at another server, and it is a crash record. Tests: Forwarder/streamThatEndsInsideAnEventIsResumed and streamWithoutEventsIsNoWholeResponse failed before; 296 of 296 pass.

--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -230,6 +230,14 @@
     return std::max(minStreamSilence, fromSeconds(toSeconds(run.route->eventGapTarget) * streamSilenceFactor));
 }
 
+/// Returns false for a stream that ended without an event, or inside one. Without a length, the end of the connection
+/// is no sign of a whole response.
+bool RoutingForwarder::isWholeStream(const ForwardRun& run, const OpenCall& call)
+{
+    const bool hasEvents = call.eventReceived || run.lastEventId;
+    return hasEvents && !run.eventSplitter.hasPartialEvent();
+}
+
 void RoutingForwarder::onCallEnd(
     CallId call, ForwardCallOutcome outcome, http::Response response, TimePoint now, ForwardActions& out)
 {
@@ -238,6 +246,9 @@
         return;
     const auto openCall = *run->findCall(call);
     const bool headReceived = openCall.headReceived;
+    if (outcome == ForwardCallOutcome::Complete && run->route->streaming && headReceived
+        && !isWholeStream(*run, openCall))
+        outcome = ForwardCallOutcome::Broken;
     if (outcome != ForwardCallOutcome::Complete)
         logDecision(*run, "call_failed",
             { { "call", std::to_string(call.value()) }, { "end", std::string(toString(outcome)) },
@@ -250,9 +261,7 @@
         closeCall(*run, call, response.status >= 500 ? routing::CallOutcome::Failed : routing::CallOutcome::Success,
             false, now, out);
         if (run->route->streaming && headReceived)
-            finishStream(*run,
-                run->eventSplitter.hasPartialEvent() ? ForwardOutcome::StreamBroken : ForwardOutcome::Answered, now,
-                out);
+            finishStream(*run, ForwardOutcome::Answered, now, out);
         else
             onResponseComplete(*run, std::move(response), now, out);
         return;
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -711,3 +711,27 @@
     fixture.endCall(call, ForwardCallOutcome::Broken, start + 150ms);
     cr_assert(fixture.crashUpdates.empty());
 }
+
+// A response without a length ends with its connection, also when its server breaks it off.
+Test(Forwarder, streamThatEndsInsideAnEventIsResumed)
+{
+    ForwarderFixture fixture;
+    fixture.submit("plan");
+    const auto call = fixture.beginStream(start + 100ms);
+    fixture.receive(call, "id: 1\ndata: a\n\nid: 2\nda", start + 120ms);
+    fixture.endCall(call, ForwardCallOutcome::Complete, start + 150ms);
+    cr_assert_eq(fixture.sent.size(), 2);
+    cr_assert_eq(fixture.sent[1].lastEventId.value(), 1);
+    cr_assert(fixture.outcomes.empty());
+}
+
+Test(Forwarder, streamWithoutEventsIsNoWholeResponse)
+{
+    ForwarderFixture fixture;
+    fixture.submit("once");
+    const auto call = fixture.beginStream(start + 100ms);
+    fixture.receive(call, ": comment\n\n", start + 120ms);
+    fixture.endCall(call, ForwardCallOutcome::Complete, start + 150ms);
+    cr_assert_eq(fixture.outcomes.size(), 1);
+    cr_assert_eq(fixture.outcomes[0], ForwardOutcome::StreamBroken);
+}
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -141,6 +141,7 @@
     void closeCall(
         ForwardRun& run, CallId call, routing::CallOutcome outcome, bool stop, TimePoint now, ForwardActions& out);
     void onCallNotRun(ForwardRun& run, ForwardCallOutcome outcome, TimePoint now, ForwardActions& out);
+    static bool isWholeStream(const ForwardRun& run, const OpenCall& call);
     void recordCrash(const ForwardRun& run, const OpenCall& call, TimePoint now, ForwardActions& out);
     void onEvent(const ForwardRun& run, OpenCall& call, TimePoint now, ForwardActions& out);
     void onCallBroken(ForwardRun& run, ForwardCallOutcome outcome, TimePoint now, ForwardActions& out);
