Servers that say in a response that they are leaving get no new calls

Callers could see requests sent to a server that had told so in a response, until its entry said it too. Cause: only the entry in the store's table was read. Change: the header is read from the head of every response: whole, streamed, failed, misdirected (then it is about the other server at the address), of batch calls and of releases. No new call goes to that process of the server; it is told apart from a later one under the same id by its start time, so an address or id that is used again is not kept out, and an entry that comes back after an outage is. The notice goes to the other instances by gossip, as that of the daemon's own protocol does, and is forgotten after 10 minutes. The header is not forwarded to callers. Batches and releases have no test of their own yet.

--- a/include/foxtailwheel/backend/ForwardProtocol.h
+++ b/include/foxtailwheel/backend/ForwardProtocol.h
@@ -38,10 +38,13 @@
     /// @brief Classifies the head of the response to `call`.
     virtual ResponseClass classifyResponse(
         const serving::SendUpstreamRequest& call, const http::Response& head) const = 0;
-    /// @brief Removes the headers that are not forwarded to the caller, such as hop-by-hop headers.
+    /// @brief Removes the headers that are not forwarded to the caller: hop-by-hop headers, and what a server says
+    /// about itself.
     virtual http::Response toCallerResponse(http::Response head) const = 0;
     /// @brief Parses the load report of a response; empty if it is missing or malformed.
     virtual std::optional<serving::ReportedLoad> parseLoad(const http::Response& head) const = 0;
+    /// @brief Parses what a server says about itself; part of every response, also of errors.
+    virtual serving::ServerSignal parseSignal(const http::Response& head) const = 0;
     /// @brief Encodes a batch call.
     virtual http::Request encodeBatch(const serving::SendBatch& batch) const = 0;
     /// @brief Decodes the response to a batch call.
--- a/include/foxtailwheel/bench/GossipGroup.h
+++ b/include/foxtailwheel/bench/GossipGroup.h
@@ -17,7 +17,8 @@
 class GossipGroup {
 public:
     /// @param lossProbability Probability that a message is lost.
-    GossipGroup(std::size_t count, double lossProbability, std::uint64_t seed);
+    GossipGroup(
+        std::size_t count, double lossProbability, std::uint64_t seed, membership::MembershipOptions options = {});
 
     /// @brief Starts an instance; an instance with the same index is replaced by one with a higher incarnation.
     void start(std::size_t index);
@@ -63,6 +64,7 @@
     ManualClock m_clock;
     Random m_random;
     double m_lossProbability;
+    membership::MembershipOptions m_options;
     std::map<std::size_t, std::unique_ptr<membership::Membership>> m_members;
     std::set<std::size_t> m_paused;
     std::set<std::size_t> m_partition;
--- a/include/foxtailwheel/daemon/ForwardService.h
+++ b/include/foxtailwheel/daemon/ForwardService.h
@@ -57,6 +57,10 @@
     void setSendToInstance(std::function<void(const InstanceId&, const serving::PieceMessage&)> send);
     /// @brief Sets the function that shares crash records with all instances.
     void setShareCrashRecords(std::function<void(const serving::CrashRecordUpdate&)> share);
+    /// @brief Sets the function that tells all instances of a server that is leaving.
+    void setShareLeavingServer(std::function<void(const serving::LeavingServer&)> share);
+    /// @brief Another instance learned that a server is leaving.
+    void onServerLeaving(const serving::LeavingServer& server);
     /// @brief Replaces the crash records that the instances share.
     void setCrashRecords(const std::vector<serving::CrashRecord>& records);
     /// @brief Rejects all new requests; requests in progress continue.
--- a/include/foxtailwheel/daemon/PeerLink.h
+++ b/include/foxtailwheel/daemon/PeerLink.h
@@ -26,6 +26,7 @@
     std::function<void(const InstanceId& instance)> onConnectionLost; ///< Requests sent to it may be lost.
     std::function<void(const InstanceId& instance)> onUnreachable; ///< It refuses connections: its process has ended.
     std::function<void(const control::TableUpdate& update)> onTableUpdate;
+    std::function<void(const membership::ServerNotice& notice)> onServerNotice; ///< Of a server that is leaving.
     std::function<void(bool)> onPollerChanged; ///< Whether this instance polls the store for its zone.
 };
 
@@ -53,6 +54,8 @@
     void send(const InstanceId& to, const serving::PieceMessage& message);
     /// @brief Forwards a store response to the other live instances of this zone, or only announces it if it is large.
     void sendToZone(const control::TableUpdate& update);
+    /// @brief Tells the other instances that a server is leaving or has returned.
+    void publishServerNotice(const membership::ServerNotice& notice);
     /// @brief Announces to the other instances that this one is leaving.
     void leave();
     /// @brief Returns all known instances.
--- a/include/foxtailwheel/membership/Membership.h
+++ b/include/foxtailwheel/membership/Membership.h
@@ -37,6 +37,8 @@
         = 36; ///< Limit while many updates are pending, such as when all instances start at once.
     Duration deadMemberRetention
         = std::chrono::seconds(60); ///< Time until the record of a dead or leaving member is removed.
+    /// @brief Time until the notice of a server is removed; 0 keeps it until the server returns.
+    Duration serverNoticeRetention {};
 };
 
 /// @brief SWIM-style gossip membership of the instances of one region, without a coordinator. Not thread-safe.
@@ -71,6 +73,8 @@
     std::vector<Member> activeMembers() const;
     /// @brief Returns the backend servers that are leaving.
     std::set<BackendServerId> leavingServers() const;
+    /// @brief Returns their notices.
+    std::vector<ServerNotice> leavingServerNotices() const;
     const Member& self() const { return m_self; }
 
 private:
@@ -90,6 +94,11 @@
         std::uint64_t sequence = 0;
         TimePoint expiresAt;
     };
+    struct NoticeEntry {
+        ServerNotice notice;
+        TimePoint learnedAt;
+        bool isSpread = false; ///< Not repeated any more, so that no member learns it again after it was removed.
+    };
     template <class T> struct PendingUpdate {
         T value;
         std::size_t transmissions = 0;
@@ -104,7 +113,8 @@
     void applyDigest(const Digest& digest, TimePoint now, MembershipActions& out);
     bool applyMember(const Member& member, TimePoint now);
     bool refute(const Member& update);
-    bool applyServerNotice(const ServerNotice& notice);
+    bool applyServerNotice(const ServerNotice& notice, TimePoint now);
+    void expireServerNotices(TimePoint now);
     void queueUpdate(const Member& member);
     void gossipToRandomMembers(MembershipActions& out);
     Digest makeDigest();
@@ -116,7 +126,7 @@
     MembershipOptions m_options;
     Random m_random;
     std::map<InstanceId, MemberEntry> m_members;
-    std::map<BackendServerId, ServerNotice> m_serverNotices;
+    std::map<BackendServerId, NoticeEntry> m_serverNotices;
     std::map<InstanceId, PendingUpdate<Member>> m_memberUpdates;
     std::map<BackendServerId, PendingUpdate<ServerNotice>> m_serverUpdates;
     std::vector<InstanceId> m_probeOrder; ///< Members that remain to be probed in this round, last first.
--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -43,10 +43,25 @@
     ServiceId service;
     bool leaving = false;
     std::uint32_t slots = 0; ///< Calls that the server runs at once.
+    WallTime startedAt {}; ///< Tells processes with the same id apart; unset if the entry does not have it.
 
     friend bool operator==(const AnnouncedServer&, const AnnouncedServer&) = default;
 };
 
+/// @brief What a server says about itself in a response.
+struct ServerSignal {
+    bool leaving = false; ///< It ends soon and wants no new calls.
+    bool isOther = false; ///< It is not the server that was called, but another one at its address.
+};
+
+/// @brief A server said in a response that it is leaving. As an action: to be shared with all instances.
+struct LeavingServer {
+    BackendServerId server;
+    WallTime startedAt {}; ///< Of the process that leaves.
+
+    friend bool operator==(const LeavingServer&, const LeavingServer&) = default;
+};
+
 /// @brief Action: send a caller's request to a backend server.
 struct SendUpstreamRequest {
     CallId call;
@@ -119,9 +134,10 @@
     ForwardOutcome outcome = ForwardOutcome::Answered;
 };
 
-/// @brief Action that the forwarder's owner must execute. A `CrashRecordUpdate` is shared with all instances.
+/// @brief Action that the forwarder's owner must execute. `CrashRecordUpdate` and `LeavingServer` are shared with all
+/// instances.
 using ForwardAction = std::variant<SendUpstreamRequest, CancelUpstreamRequest, SendBatch, SendToInstance,
-    ReleaseResults, SendResponse, SendResponseHead, SendResponseData, EndResponse, CrashRecordUpdate>;
+    ReleaseResults, SendResponse, SendResponseHead, SendResponseData, EndResponse, CrashRecordUpdate, LeavingServer>;
 using ForwardActions = std::vector<ForwardAction>;
 
 /// @brief Outcome of one call for a caller's request.
@@ -188,6 +204,12 @@
     virtual std::shared_ptr<const config::RouteTable> table() const = 0;
     /// @brief Replaces the set of announced backend servers.
     virtual void setServers(const std::vector<AnnouncedServer>& servers, TimePoint now, ForwardActions& out) = 0;
+    /// @brief Handles what a server said about itself with any response, at its head.
+    virtual void onServerSignal(
+        const config::BackendServer& server, const ServerSignal& signal, TimePoint now, ForwardActions& out)
+        = 0;
+    /// @brief Another instance learned that a server is leaving.
+    virtual void onServerLeaving(const LeavingServer& server, TimePoint now) = 0;
     /// @brief Records that the active credentials were confirmed as current at `asOf`.
     virtual void confirmCredentials(TimePoint asOf) = 0;
     /// @brief Replaces the crash records that the instances share.
--- a/src/foxtailwheel/bench/GossipGroup.cpp
+++ b/src/foxtailwheel/bench/GossipGroup.cpp
@@ -23,9 +23,11 @@
 
 } // namespace
 
-GossipGroup::GossipGroup(std::size_t count, double lossProbability, std::uint64_t seed)
+GossipGroup::GossipGroup(
+    std::size_t count, double lossProbability, std::uint64_t seed, membership::MembershipOptions options)
     : m_random(seed)
     , m_lossProbability(lossProbability)
+    , m_options(options)
 {
     m_clock.set(TimePoint(1h));
     for (std::size_t i = 0; i < count; ++i)
@@ -36,7 +38,7 @@
 {
     auto self = makeMember(index);
     self.incarnation = Incarnation(static_cast<std::uint64_t>(m_clock.wallNow().time_since_epoch().count()));
-    auto member = std::make_unique<membership::Membership>(self, membership::MembershipOptions {}, m_random.next());
+    auto member = std::make_unique<membership::Membership>(self, m_options, m_random.next());
     // The instance list of the platform contains at most three other instances.
     std::size_t knownPeers = 0;
     for (const auto& it : m_members) {
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -63,6 +63,8 @@
     void execute(serving::SendResponseData& reply);
     void execute(serving::EndResponse& reply);
     void execute(serving::CrashRecordUpdate& update);
+    void execute(serving::LeavingServer& server);
+    void onServerSignal(const config::BackendServer& server, serving::ServerSignal signal);
     void onHead(CallId id, const http::Response& head);
     void onData(CallId id, std::string_view bytes);
     void onDone(CallId id, http::CallResult result);
@@ -84,6 +86,7 @@
     std::map<config::Endpoint, std::vector<std::string>> pendingReleases; ///< Handles by backend server.
     std::function<void(const InstanceId&, const serving::PieceMessage&)> sendToInstance;
     std::function<void(const serving::CrashRecordUpdate&)> shareCrashRecords;
+    std::function<void(const serving::LeavingServer&)> shareLeavingServer;
     TimePoint timerAt = TimePoint::max();
 };
 
@@ -152,6 +155,7 @@
     auto& call = it->second;
     call.responseClass = protocol.classifyResponse(call.request, head);
     const auto now = clock.now();
+    onServerSignal(call.request.server, protocol.parseSignal(head));
     if (const auto load = protocol.parseLoad(head))
         forwarder->onLoadReport(id, *load, now);
     if (call.responseClass == ResponseClass::Invalid) {
@@ -213,6 +217,8 @@
     request.newConnection = true;
     request.maxBodyBytes = maxBatchResponseBytes + batch.pieces.size() * maxPieceResponseBytes;
     http::CallCallbacks callbacks;
+    callbacks.onHead = [this, server = batch.server](
+                           const http::Response& head) { onServerSignal(server, protocol.parseSignal(head)); };
     callbacks.onDone = [self = shared_from_this(), batch, sentAt = clock.now()](
                            const http::CallResult& result) { self->onBatchDone(batch, sentAt, result); };
     client.start(std::move(request), std::move(callbacks));
@@ -264,6 +270,12 @@
         const auto& handles = it.second;
         const auto now = clock.now();
         http::CallCallbacks callbacks;
+        callbacks.onHead = [self = shared_from_this(), server](const http::Response& head) {
+            auto signal = self->protocol.parseSignal(head);
+            // A release names no server, so whichever is at the address has answered.
+            signal.isOther = true;
+            self->onServerSignal({ {}, server.host, server.port, {} }, signal);
+        };
         // If a release is lost, the result only occupies capacity until it expires.
         callbacks.onDone = [server](const http::CallResult& result) {
             if (result.outcome != http::TransportOutcome::Complete || result.response.status != 200)
@@ -322,6 +334,20 @@
     endSession(reply.request, reply.outcome);
 }
 
+void ForwardService::Impl::onServerSignal(const config::BackendServer& server, serving::ServerSignal signal)
+{
+    serving::ForwardActions actions;
+    forwarder->onServerSignal(server, signal, clock.now(), actions);
+    executeAll(std::move(actions));
+}
+
+void ForwardService::Impl::execute(serving::LeavingServer& server)
+{
+    metrics.increment("foxtailwheel_servers_leaving_total", {});
+    if (shareLeavingServer)
+        shareLeavingServer(server);
+}
+
 void ForwardService::Impl::execute(serving::CrashRecordUpdate& update)
 {
     if (shareCrashRecords)
@@ -433,6 +459,16 @@
     m_impl->shareCrashRecords = std::move(share);
 }
 
+void ForwardService::setShareLeavingServer(std::function<void(const serving::LeavingServer&)> share)
+{
+    m_impl->shareLeavingServer = std::move(share);
+}
+
+void ForwardService::onServerLeaving(const serving::LeavingServer& server)
+{
+    m_impl->forwarder->onServerLeaving(server, m_impl->clock.now());
+}
+
 void ForwardService::setCrashRecords(const std::vector<serving::CrashRecord>& records)
 {
     m_impl->forwarder->setCrashRecords(records, m_impl->clock.now());
--- a/src/foxtailwheel/daemon/PeerLink.cpp
+++ b/src/foxtailwheel/daemon/PeerLink.cpp
@@ -19,6 +19,16 @@
     /// Instances with at least this share of the cores of the largest one may own services.
     constexpr float minOwnerCoresRatio = 0.75F;
 
+    /// Servers that leave are gone after this time, or announced anew.
+    constexpr Duration serverNoticeRetention = 10min;
+
+    membership::MembershipOptions membershipOptions()
+    {
+        membership::MembershipOptions options;
+        options.serverNoticeRetention = serverNoticeRetention;
+        return options;
+    }
+
     /// Owners batch the pieces of all instances, so only the instances with the most cores are candidates.
     std::vector<InstanceId> ownerCandidates(const std::vector<membership::Member>& alive)
     {
@@ -39,7 +49,7 @@
     Impl(http::IoPool& p, const Clock& c, membership::Member self, const PeerLinkOptions& options, PeerLinkCallbacks cb)
         : pool(p)
         , clock(c)
-        , membership(std::move(self), {}, options.seed)
+        , membership(std::move(self), membershipOptions(), options.seed)
         , maxForwardedBytes(options.maxForwardedBytes)
         , callbacks(std::move(cb))
     {
@@ -85,8 +95,11 @@
         else
             changed = true;
     }
-    if (changed)
-        updateMembers();
+    if (!changed)
+        return;
+    updateMembers();
+    for (const auto& it : membership.leavingServerNotices())
+        callbacks.onServerNotice(it);
 }
 
 void PeerLink::Impl::updateMembers()
@@ -213,6 +226,13 @@
         m_impl->transport->send(it, message);
 }
 
+void PeerLink::publishServerNotice(const membership::ServerNotice& notice)
+{
+    membership::MembershipActions actions;
+    m_impl->membership.publishServerNotice(notice, m_impl->clock.now(), actions);
+    m_impl->execute(actions);
+}
+
 void PeerLink::leave()
 {
     membership::MembershipActions actions;
--- a/src/foxtailwheel/membership/Membership.cpp
+++ b/src/foxtailwheel/membership/Membership.cpp
@@ -81,7 +81,8 @@
     if (digest.servers.empty() && !m_serverNotices.empty()) {
         auto it = m_serverNotices.begin();
         std::advance(it, static_cast<std::ptrdiff_t>(m_random.below(m_serverNotices.size())));
-        digest.servers.push_back(it->second);
+        if (!it->second.isSpread)
+            digest.servers.push_back(it->second.notice);
     }
     return digest;
 }
@@ -109,10 +110,21 @@
 {
     advanceProbe(now, out);
     expireMembers(now, out);
+    expireServerNotices(now);
     if (!m_probe && now >= m_nextProbeAt)
         startProbe(now, out);
 }
 
+void Membership::expireServerNotices(TimePoint now)
+{
+    const auto retention = m_options.serverNoticeRetention;
+    if (retention == Duration {})
+        return;
+    std::erase_if(m_serverNotices, [&](const auto& it) { return now - it.second.learnedAt > retention; });
+    for (auto& [server, entry] : m_serverNotices)
+        entry.isSpread = now - entry.learnedAt > retention / 2;
+}
+
 void Membership::startProbe(TimePoint now, MembershipActions& out)
 {
     m_nextProbeAt = now + m_options.probeInterval;
@@ -218,12 +230,12 @@
     return true;
 }
 
-bool Membership::applyServerNotice(const ServerNotice& notice)
+bool Membership::applyServerNotice(const ServerNotice& notice, TimePoint now)
 {
     const auto it = m_serverNotices.find(notice.server);
-    if (it != m_serverNotices.end() && it->second.sequence >= notice.sequence)
+    if (it != m_serverNotices.end() && it->second.notice.sequence >= notice.sequence)
         return false;
-    m_serverNotices[notice.server] = notice;
+    m_serverNotices[notice.server] = { notice, now };
     m_serverUpdates[notice.server] = { notice, 0 };
     return true;
 }
@@ -234,7 +246,7 @@
     for (const auto& it : digest.members)
         changed = applyMember(it, now) || changed;
     for (const auto& it : digest.servers)
-        changed = applyServerNotice(it) || changed;
+        changed = applyServerNotice(it, now) || changed;
     if (changed)
         out.emplace_back(ViewChanged {});
 }
@@ -307,9 +319,9 @@
     gossipToRandomMembers(out);
 }
 
-void Membership::publishServerNotice(const ServerNotice& notice, TimePoint /*now*/, MembershipActions& out)
+void Membership::publishServerNotice(const ServerNotice& notice, TimePoint now, MembershipActions& out)
 {
-    if (!applyServerNotice(notice))
+    if (!applyServerNotice(notice, now))
         return;
     out.emplace_back(ViewChanged {});
     gossipToRandomMembers(out);
@@ -333,9 +345,17 @@
 std::set<BackendServerId> Membership::leavingServers() const
 {
     std::set<BackendServerId> leaving;
-    for (const auto& it : m_serverNotices) {
-        if (it.second.leaving)
-            leaving.insert(it.first);
+    for (const auto& it : leavingServerNotices())
+        leaving.insert(it.server);
+    return leaving;
+}
+
+std::vector<ServerNotice> Membership::leavingServerNotices() const
+{
+    std::vector<ServerNotice> leaving;
+    for (const auto& [server, entry] : m_serverNotices) {
+        if (entry.notice.leaving)
+            leaving.push_back(entry.notice);
     }
     return leaving;
 }
--- a/src/foxtailwheel/membership/MembershipTest.cpp
+++ b/src/foxtailwheel/membership/MembershipTest.cpp
@@ -125,6 +125,21 @@
     }
 }
 
+Test(Membership, noticesOfServersAreForgottenByAllInstances)
+{
+    membership::MembershipOptions options;
+    options.serverNoticeRetention = 20s;
+    GossipGroup group(instanceCount, 0.1, 31, options);
+    group.run(5s);
+    group.announceLeaving(0, BackendServerId("booking-3"));
+    group.run(10s);
+    for (std::size_t i = 0; i < instanceCount; ++i)
+        cr_assert_eq(group.at(i).leavingServerNotices().size(), 1);
+    group.run(15s);
+    for (std::size_t i = 0; i < instanceCount; ++i)
+        cr_assert(group.at(i).leavingServerNotices().empty(), "instance %zu still repeats it", i);
+}
+
 Test(Membership, theMessageRatePerInstanceIsIndependentOfTheGroupSize)
 {
     const auto messagesPerInstance = [](std::size_t n) {
--- a/src/foxtailwheel/serving/ForwardRequests.cpp
+++ b/src/foxtailwheel/serving/ForwardRequests.cpp
@@ -63,6 +63,13 @@
         m_options.decisionLog({ event, run.request.attemptId, std::move(fields) });
 }
 
+void RoutingForwarder::logServerDecision(
+    std::string_view event, std::vector<std::pair<std::string_view, std::string>> fields) const
+{
+    if (m_options.decisionLog)
+        m_options.decisionLog({ event, {}, std::move(fields) });
+}
+
 /// Looks up the account of the credential. Without a recent confirmation, credentials are neither accepted nor
 /// rejected: the result is `CredentialsOutdated`.
 std::optional<ForwardOutcome> RoutingForwarder::authorize(ForwardRun& run, TimePoint now) const
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -28,10 +28,37 @@
 
 void RoutingForwarder::setServers(const std::vector<AnnouncedServer>& servers, TimePoint now, ForwardActions& out)
 {
-    m_directory.setServers(servers);
+    m_directory.setServers(servers, now);
     dispatchAll(now, out);
 }
 
+void RoutingForwarder::onServerSignal(
+    const config::BackendServer& server, const ServerSignal& signal, TimePoint now, ForwardActions& out)
+{
+    if (!signal.leaving)
+        return;
+    std::vector<LeavingServer> leaving;
+    if (signal.isOther) {
+        for (const auto& it : m_directory.serversAt(server.host, server.port, server.id))
+            leaving.push_back({ it.server.id, it.startedAt });
+    } else {
+        const auto* announced = m_directory.findServer(server.id);
+        leaving.push_back({ server.id, announced == nullptr ? WallTime {} : announced->startedAt });
+    }
+    for (const auto& it : leaving) {
+        if (!m_directory.markLeaving(it, now))
+            continue;
+        logServerDecision("server_leaving", { { "server", it.server.value() }, { "source", "response" } });
+        out.emplace_back(it);
+    }
+}
+
+void RoutingForwarder::onServerLeaving(const LeavingServer& server, TimePoint now)
+{
+    if (m_directory.markLeaving(server, now))
+        logServerDecision("server_leaving", { { "server", server.server.value() }, { "source", "instance" } });
+}
+
 BatchQueue* RoutingForwarder::findQueue(const ServiceId& id)
 {
     auto* state = m_directory.find(id);
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -141,6 +141,8 @@
                 released.insert(released.end(), release->handles.begin(), release->handles.end());
             else if (auto* update = std::get_if<CrashRecordUpdate>(&it))
                 crashUpdates.push_back(*update);
+            else if (auto* server = std::get_if<LeavingServer>(&it))
+                leaving.push_back(*server);
         }
     }
 
@@ -160,6 +162,7 @@
     std::vector<std::string> released;
     std::vector<SendToInstance> messages;
     std::vector<CrashRecordUpdate> crashUpdates;
+    std::vector<LeavingServer> leaving;
 };
 
 } // namespace
@@ -735,3 +738,51 @@
     cr_assert_eq(fixture.outcomes.size(), 1);
     cr_assert_eq(fixture.outcomes[0], ForwardOutcome::StreamBroken);
 }
+
+Test(Forwarder, serverThatSaysThatItLeavesGetsNoNewCalls)
+{
+    ForwarderFixture fixture;
+    const auto signal = [&](std::size_t i, const ServerSignal& it) {
+        fixture.collectActions(
+            [&](auto& out) { fixture.forwarder->onServerSignal(fixture.servers[i].server, it, start, out); });
+    };
+    signal(0, { true, false });
+    signal(0, { true, false });
+    cr_assert_eq(fixture.leaving.size(), 1, "told to the other instances once");
+    for (int i = 0; i < 8; ++i) {
+        fixture.submit("book");
+        cr_assert_eq(fixture.sent.back().server.id.value(), "d2");
+        fixture.endCall(fixture.sent.back().call, ForwardCallOutcome::Complete, start + 20ms);
+    }
+    // The store repeats the entry as it was, also after an outage; another process under the id is a new server.
+    fixture.collectActions([&](auto& out) { fixture.forwarder->setServers({ fixture.servers[1] }, start, out); });
+    fixture.collectActions([&](auto& out) { fixture.forwarder->setServers(fixture.servers, start + 3s, out); });
+    signal(1, { true, false });
+    fixture.submit("book", start + 3s);
+    cr_assert_eq(fixture.sent.size(), 8, "both leave");
+    fixture.servers[0].startedAt = WallTime(5s);
+    fixture.collectActions([&](auto& out) { fixture.forwarder->setServers(fixture.servers, start + 4s, out); });
+    fixture.submit("book", start + 4s);
+    cr_assert_eq(fixture.sent.back().server.id.value(), "d1");
+}
+
+Test(Forwarder, serverAtTheAddressOfAnotherIsTheOneThatLeaves)
+{
+    ForwarderFixture fixture;
+    auto called = fixture.servers[0].server;
+    called.id = BackendServerId("gone");
+    fixture.collectActions([&](auto& out) { fixture.forwarder->onServerSignal(called, { true, true }, start, out); });
+    fixture.submit("book");
+    cr_assert_eq(fixture.sent.back().server.id.value(), "d2");
+}
+
+Test(Forwarder, serverOfWhichAnotherInstanceSaysThatItLeavesGetsNoNewCalls)
+{
+    ForwarderFixture fixture;
+    fixture.servers[1].startedAt = WallTime(7s);
+    fixture.collectActions([&](auto& out) { fixture.forwarder->setServers(fixture.servers, start, out); });
+    fixture.forwarder->onServerLeaving({ BackendServerId("d1"), WallTime {} }, start);
+    fixture.forwarder->onServerLeaving({ BackendServerId("d2"), WallTime(6s) }, start);
+    fixture.submit("book");
+    cr_assert_eq(fixture.sent.back().server.id.value(), "d2", "the notice is about a process before it");
+}
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -66,6 +66,9 @@
     {
         m_credentialsConfirmedAt = std::max(m_credentialsConfirmedAt, asOf);
     }
+    void onServerSignal(
+        const config::BackendServer& server, const ServerSignal& signal, TimePoint now, ForwardActions& out) override;
+    void onServerLeaving(const LeavingServer& server, TimePoint now) override;
     void setCrashRecords(const std::vector<CrashRecord>& records, TimePoint now) override
     {
         m_crashingParts.setRecords(records, now);
@@ -103,6 +106,7 @@
     ForwardRun* findRun(ForwardId id);
     ForwardRun* findRunOfCall(CallId call);
     void setTimer(TimePoint at, Timer timer) { m_timers.emplace(at, std::move(timer)); }
+    void logServerDecision(std::string_view event, std::vector<std::pair<std::string_view, std::string>> fields) const;
     void logDecision(const ForwardRun& run, std::string_view event,
         std::vector<std::pair<std::string_view, std::string>> fields) const;
 
--- a/src/foxtailwheel/serving/ServerDirectory.cpp
+++ b/src/foxtailwheel/serving/ServerDirectory.cpp
@@ -1,6 +1,7 @@
 #include "ServerDirectory.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace foxtailwheel::serving {
 
@@ -10,6 +11,8 @@
 
     /// Assumed duration of a plain call until measurements are available.
     constexpr Duration typicalCallTime = 20ms;
+    /// Time for which a server without an entry is remembered as leaving.
+    constexpr Duration leavingRetention = 10min;
 
     /// Returns the fraction of all servers that are in `zone`.
     double shareOf(const std::map<AvailabilityZoneId, std::size_t>& servers, const AvailabilityZoneId& zone)
@@ -77,14 +80,59 @@
     const auto& servers = m_announced[service.id];
     state.announced = servers;
     state.pool->update(toService(service, servers), crossZoneLinks(servers));
+    updateLeaving(service.id);
+    if (state.batchQueue && service.batch)
+        state.batchQueue->setLimits(*service.batch);
+}
+
+void ServerDirectory::updateLeaving(const ServiceId& id)
+{
     std::set<BackendServerId> leaving;
-    for (const auto& it : servers) {
-        if (it.leaving)
+    for (const auto& it : m_announced[id]) {
+        if (isLeaving(it))
             leaving.insert(it.server.id);
     }
-    state.pool->setLeaving(leaving);
-    if (state.batchQueue && service.batch)
-        state.batchQueue->setLimits(*service.batch);
+    m_services.at(id).pool->setLeaving(leaving);
+}
+
+bool ServerDirectory::isLeaving(const AnnouncedServer& server) const
+{
+    const auto mark = m_leaving.find(server.server.id);
+    return server.leaving || (mark != m_leaving.end() && mark->second.startedAt == server.startedAt);
+}
+
+const AnnouncedServer* ServerDirectory::findServer(const BackendServerId& id) const
+{
+    for (const auto& [service, servers] : m_announced) {
+        for (const auto& it : servers) {
+            if (it.server.id == id)
+                return &it;
+        }
+    }
+    return nullptr;
+}
+
+std::vector<AnnouncedServer> ServerDirectory::serversAt(
+    const std::string& host, std::uint16_t port, const BackendServerId& except) const
+{
+    std::vector<AnnouncedServer> found;
+    for (const auto& [service, servers] : m_announced) {
+        std::copy_if(servers.begin(), servers.end(), std::back_inserter(found), [&](const AnnouncedServer& it) {
+            return it.server.host == host && it.server.port == port && it.server.id != except;
+        });
+    }
+    return found;
+}
+
+bool ServerDirectory::markLeaving(const LeavingServer& server, TimePoint now)
+{
+    const auto [mark, isNew] = m_leaving.try_emplace(server.server, LeavingMark { server.startedAt, now });
+    if (!isNew && mark->second.startedAt >= server.startedAt)
+        return false;
+    mark->second = { server.startedAt, now };
+    if (const auto* announced = findServer(server.server); announced && m_services.contains(announced->service))
+        updateLeaving(announced->service);
+    return true;
 }
 
 void ServerDirectory::configure(const config::RouteTable& table)
@@ -118,8 +166,14 @@
     return shares;
 }
 
-void ServerDirectory::setServers(const std::vector<AnnouncedServer>& servers)
+void ServerDirectory::setServers(const std::vector<AnnouncedServer>& servers, TimePoint now)
 {
+    std::set<BackendServerId> ids;
+    for (const auto& it : servers)
+        ids.insert(it.server.id);
+    // An entry that expired while the store was unavailable may be announced again.
+    std::erase_if(m_leaving,
+        [&](const auto& it) { return !ids.contains(it.first) && now - it.second.markedAt > leavingRetention; });
     std::map<ServiceId, std::vector<AnnouncedServer>> byService;
     for (const auto& it : servers)
         byService[it.service].push_back(it);
--- a/src/foxtailwheel/serving/ServerDirectory.h
+++ b/src/foxtailwheel/serving/ServerDirectory.h
@@ -26,7 +26,15 @@
     /// @brief Applies the services of a configuration. Existing services keep their state.
     void configure(const config::RouteTable& table);
     /// @brief Replaces the announced servers.
-    void setServers(const std::vector<AnnouncedServer>& servers);
+    void setServers(const std::vector<AnnouncedServer>& servers, TimePoint now);
+    /// @brief Returns the announced servers at an address, without the one named `except`.
+    std::vector<AnnouncedServer> serversAt(
+        const std::string& host, std::uint16_t port, const BackendServerId& except) const;
+    /// @brief Returns an announced server, or null.
+    const AnnouncedServer* findServer(const BackendServerId& id) const;
+    /// @brief Stops new calls to a server until another process is announced under its id.
+    /// @return False if it was known to be leaving.
+    bool markLeaving(const LeavingServer& server, TimePoint now);
     /// @brief Sets the number of live instances, which share the retry budgets.
     void setInstanceCount(std::size_t n);
 
@@ -45,12 +53,19 @@
     /// Returns declarations that hold only the links from this instance's zone to the zones of `servers`.
     config::Declarations crossZoneLinks(const std::vector<AnnouncedServer>& servers) const;
     void updateService(const config::RoutedService& service, ServiceState& state);
+    void updateLeaving(const ServiceId& id);
+    bool isLeaving(const AnnouncedServer& server) const;
 
     const ForwarderOptions& m_options;
     std::function<CallId()> m_allocateCallId;
     std::map<ServiceId, ServiceState> m_services;
     std::map<ServiceId, config::RoutedService> m_routedServices;
     std::map<ServiceId, std::vector<AnnouncedServer>> m_announced;
+    struct LeavingMark {
+        WallTime startedAt;
+        TimePoint markedAt;
+    };
+    std::map<BackendServerId, LeavingMark> m_leaving; ///< By their own word, not by their entry.
     std::size_t m_instanceCount = 1;
 };
 
