Servers that reject a call and name a time get no calls until then

Callers could see requests sent again and again to a server that had asked for a pause, and wait for it. Cause: the Retry-After of a server's 503 was not read; a rejected call only counted as such. Afterwards calls come one each 50 ms until one succeeds. If all servers of a service are paused for over 300 ms, requests are rejected at once, before their stages, with the time until the first one accepts calls. Other instances are not told (docs/design/platform.md).

--- a/include/foxtailwheel/backend/ForwardProtocol.h
+++ b/include/foxtailwheel/backend/ForwardProtocol.h
@@ -44,7 +44,8 @@
     /// @brief Parses the load report of a response; empty if it is missing or malformed.
     virtual std::optional<serving::ReportedLoad> parseLoad(const http::Response& head) const = 0;
     /// @brief Parses what a server says about itself; part of every response, also of errors.
-    virtual serving::ServerSignal parseSignal(const http::Response& head) const = 0;
+    /// @param now Time of day, for pauses that are given as the time at which they end.
+    virtual serving::ServerSignal parseSignal(const http::Response& head, WallTime now) const = 0;
     /// @brief Encodes a batch call.
     virtual http::Request encodeBatch(const serving::SendBatch& batch) const = 0;
     /// @brief Decodes the response to a batch call.
--- a/include/foxtailwheel/routing/ServerHealth.h
+++ b/include/foxtailwheel/routing/ServerHealth.h
@@ -23,6 +23,14 @@
 public:
     /// @brief Updates the state with the outcome of a call.
     void onCallEnded(CallOutcome outcome, TimePoint now);
+    /// @brief Records that a call was sent.
+    void onCallStarted(TimePoint now);
+    /// @brief Sends no calls until `until`. Afterwards calls are spread until one succeeds.
+    void pause(TimePoint until);
+    /// @brief Returns true if the server may not be called now because it was paused.
+    bool isPaused(TimePoint now) const { return now < m_pausedUntil; }
+    /// @brief Returns the time until which the server is paused; in the past if it is not.
+    TimePoint pausedUntil() const { return m_pausedUntil; }
     /// @brief Returns true if a call can be sent to the server now.
     /// @param ownCalls Calls of this instance in progress at the server.
     bool isUsable(TimePoint now, std::uint32_t ownCalls) const;
@@ -37,6 +45,8 @@
     std::uint32_t m_consecutiveSuccesses = 0;
     TimePoint m_nextProbeAt {};
     Duration m_backoff {};
+    TimePoint m_pausedUntil {};
+    bool m_returning = false; ///< Was paused, and no call has succeeded since.
 };
 
 } // namespace foxtailwheel::routing
--- a/include/foxtailwheel/routing/ServerPool.h
+++ b/include/foxtailwheel/routing/ServerPool.h
@@ -94,6 +94,10 @@
     void onCacheEvent(const BackendServerId& server, const CacheEvent& event);
     /// @brief Sets the servers that are leaving and receive no new calls; replaces the previous set.
     void setLeaving(const std::set<BackendServerId>& leaving);
+    /// @brief Sends no calls to a server until `until`, since it asked for that. Calls in progress go on.
+    void pause(const BackendServerId& server, TimePoint until);
+    /// @brief Returns the earliest time at which a pause ends, if all servers of the subset are paused.
+    std::optional<TimePoint> pausedUntil(TimePoint now) const;
     /// @brief Returns the expected time of a call to an average server of the subset, including queueing.
     Duration expectedCallTime() const;
     /// @brief Returns the usable servers of the subset with fewer than `maxOwnCalls` calls of this instance in
--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -51,6 +51,7 @@
 /// @brief What a server says about itself in a response.
 struct ServerSignal {
     bool leaving = false; ///< It ends soon and wants no new calls.
+    Duration pause {}; ///< It rejected the call and wants no further ones for this time.
     bool isOther = false; ///< It is not the server that was called, but another one at its address.
 };
 
@@ -95,6 +96,7 @@
     NoServer,
     Overloaded,
     StageFailed,
+    ServersPaused, ///< All servers of the service asked to be left alone for a while.
     CrashesServers, ///< The prompt has a part on which servers crash.
     NotStarted, ///< The backend servers reported that they did not start the request.
     BackendFailed, ///< The request may have run.
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -155,7 +155,7 @@
     auto& call = it->second;
     call.responseClass = protocol.classifyResponse(call.request, head);
     const auto now = clock.now();
-    onServerSignal(call.request.server, protocol.parseSignal(head));
+    onServerSignal(call.request.server, protocol.parseSignal(head, clock.wallNow()));
     if (const auto load = protocol.parseLoad(head))
         forwarder->onLoadReport(id, *load, now);
     if (call.responseClass == ResponseClass::Invalid) {
@@ -217,8 +217,9 @@
     request.newConnection = true;
     request.maxBodyBytes = maxBatchResponseBytes + batch.pieces.size() * maxPieceResponseBytes;
     http::CallCallbacks callbacks;
-    callbacks.onHead = [this, server = batch.server](
-                           const http::Response& head) { onServerSignal(server, protocol.parseSignal(head)); };
+    callbacks.onHead = [this, server = batch.server](const http::Response& head) {
+        onServerSignal(server, protocol.parseSignal(head, clock.wallNow()));
+    };
     callbacks.onDone = [self = shared_from_this(), batch, sentAt = clock.now()](
                            const http::CallResult& result) { self->onBatchDone(batch, sentAt, result); };
     client.start(std::move(request), std::move(callbacks));
@@ -271,7 +272,7 @@
         const auto now = clock.now();
         http::CallCallbacks callbacks;
         callbacks.onHead = [self = shared_from_this(), server](const http::Response& head) {
-            auto signal = self->protocol.parseSignal(head);
+            auto signal = self->protocol.parseSignal(head, self->clock.wallNow());
             // A release names no server, so whichever is at the address has answered.
             signal.isOther = true;
             self->onServerSignal({ {}, server.host, server.port, {} }, signal);
--- a/src/foxtailwheel/routing/ServerHealth.cpp
+++ b/src/foxtailwheel/routing/ServerHealth.cpp
@@ -12,6 +12,8 @@
     constexpr std::uint32_t successesToRecover = 2;
     constexpr Duration initialBackoff = 500ms;
     constexpr Duration maxBackoff = 16s;
+    /// Minimum interval between calls to a server that was paused, so that waiting calls do not arrive all at once.
+    constexpr Duration returnInterval = 50ms;
 
 } // namespace
 
@@ -28,6 +30,8 @@
     switch (outcome) {
     case CallOutcome::Success:
         m_consecutiveFailures = 0;
+        // Calls from before the pause may still succeed during it.
+        m_returning = m_returning && isPaused(now);
         if (m_suspected && ++m_consecutiveSuccesses >= successesToRecover)
             m_suspected = false;
         return;
@@ -44,9 +48,21 @@
     }
 }
 
+void ServerHealth::onCallStarted(TimePoint now)
+{
+    if (m_returning)
+        m_pausedUntil = now + returnInterval;
+}
+
+void ServerHealth::pause(TimePoint until)
+{
+    m_pausedUntil = std::max(m_pausedUntil, until);
+    m_returning = true;
+}
+
 bool ServerHealth::isUsable(TimePoint now, std::uint32_t ownCalls) const
 {
-    return !m_suspected || (now >= m_nextProbeAt && ownCalls == 0);
+    return !isPaused(now) && (!m_suspected || (now >= m_nextProbeAt && ownCalls == 0));
 }
 
 } // namespace foxtailwheel::routing
--- a/src/foxtailwheel/routing/ServerPool.cpp
+++ b/src/foxtailwheel/routing/ServerPool.cpp
@@ -170,8 +170,8 @@
     remotePrefixWeight = std::clamp((utilization() - remotePrefixMinUtilization) * remotePrefixSlope, 0.0, 1.0);
     for (const auto index : subset) {
         const auto& server = servers[index];
-        const bool isUsable
-            = request.healthyOnly ? !server.health.isSuspected() : server.health.isUsable(now, server.load.ownCalls());
+        const bool isUsable = server.health.isUsable(now, server.load.ownCalls())
+            && !(request.healthyOnly && server.health.isSuspected());
         const bool isAvoided = applyAvoid
             && std::find(request.avoid.begin(), request.avoid.end(), server.declared.id) != request.avoid.end();
         const bool isFull = request.maxOwnCalls && server.load.ownCalls() >= *request.maxOwnCalls;
@@ -297,6 +297,7 @@
     auto& server = m_impl->servers[index];
     const double expected = m_impl->makeCandidate(index, request, now).expectedSeconds;
     server.load.onCallStarted(now);
+    server.health.onCallStarted(now);
     if (request.prefix)
         server.prefixes.onPrefixUsed(*request.prefix);
     return Placement { server.declared, server.linkCost, fromSeconds(expected), !server.isLocal };
@@ -352,6 +353,26 @@
     m_impl->rebuildSubset();
 }
 
+void ServerPool::pause(const BackendServerId& id, TimePoint until)
+{
+    const std::lock_guard lock(m_impl->mutex);
+    if (auto* server = m_impl->find(id))
+        server->health.pause(until);
+}
+
+std::optional<TimePoint> ServerPool::pausedUntil(TimePoint now) const
+{
+    const std::lock_guard lock(m_impl->mutex);
+    std::optional<TimePoint> earliest;
+    for (const auto index : m_impl->subset) {
+        const auto& health = m_impl->servers[index].health;
+        if (!health.isPaused(now))
+            return std::nullopt;
+        earliest = std::min(earliest.value_or(TimePoint::max()), health.pausedUntil());
+    }
+    return earliest;
+}
+
 Duration ServerPool::expectedCallTime() const
 {
     const std::lock_guard lock(m_impl->mutex);
--- a/src/foxtailwheel/serving/ForwardNames.cpp
+++ b/src/foxtailwheel/serving/ForwardNames.cpp
@@ -46,6 +46,8 @@
         return "overloaded";
     case ForwardOutcome::StageFailed:
         return "stage_failed";
+    case ForwardOutcome::ServersPaused:
+        return "servers_paused";
     case ForwardOutcome::CrashesServers:
         return "crashes_servers";
     case ForwardOutcome::NotStarted:
--- a/src/foxtailwheel/serving/ForwardRequests.cpp
+++ b/src/foxtailwheel/serving/ForwardRequests.cpp
@@ -152,6 +152,8 @@
     const auto& route = *run.route;
     run.deadline = now + std::min(route.timeout, run.request.remainingTime.value_or(route.timeout));
     run.service = pickService(run);
+    if (refuseIfAllPaused(run, now, out))
+        return;
     run.firstAttemptAt = now - timeSpentOnEarlierAttempts(run, now);
     run.lastEventId = run.request.lastEventId;
     run.eventSplitter = EventSplitter(m_options.maxEventBytes);
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -12,6 +12,8 @@
     constexpr Duration serverWaitTimeout = 300ms;
     /// Interval between attempts to fail over a silent stream while the retry budget is used up.
     constexpr Duration failoverRetryInterval = 200ms;
+    /// Longest pause of a server. It is asked again afterwards, since what it asked for may be a mistake.
+    constexpr Duration maxServerPause = 10min;
 
 } // namespace
 
@@ -35,6 +37,8 @@
 void RoutingForwarder::onServerSignal(
     const config::BackendServer& server, const ServerSignal& signal, TimePoint now, ForwardActions& out)
 {
+    if (signal.pause > Duration {})
+        pauseServer(server.id, signal.pause, now);
     if (!signal.leaving)
         return;
     std::vector<LeavingServer> leaving;
@@ -53,6 +57,34 @@
     }
 }
 
+/// Other instances are not told: the server wants to be left alone by this one.
+void RoutingForwarder::pauseServer(const BackendServerId& server, Duration pause, TimePoint now)
+{
+    const auto* announced = m_directory.findServer(server);
+    auto* state = announced == nullptr ? nullptr : m_directory.find(announced->service);
+    if (state == nullptr)
+        return;
+    const auto time = std::min(pause, maxServerPause);
+    logServerDecision("server_paused",
+        { { "server", server.value() }, { "asked_ms", formatInteger(toMilliseconds(pause)) },
+            { "pause_ms", formatInteger(toMilliseconds(time)) } });
+    state->pool->pause(server, now + time);
+}
+
+/// Rejects a request at once if all servers of its service are paused for longer than a request waits for a server.
+bool RoutingForwarder::refuseIfAllPaused(ForwardRun& run, TimePoint now, ForwardActions& out)
+{
+    auto* state = m_directory.find(run.service);
+    const auto until = state == nullptr ? std::nullopt : state->pool->pausedUntil(now);
+    if (!until || *until - now <= serverWaitTimeout)
+        return false;
+    if (run.mayHaveRun || run.headSent)
+        fail(run, ForwardOutcome::BackendFailed, now, out);
+    else
+        refuse(run, ForwardOutcome::ServersPaused, *until - now, now, out);
+    return true;
+}
+
 void RoutingForwarder::onServerLeaving(const LeavingServer& server, TimePoint now)
 {
     if (m_directory.markLeaving(server, now))
@@ -188,7 +220,7 @@
             return;
         if (refuseIfCrashing(*run, now, out))
             return;
-        if (trySend(*run, !run->triedServers.empty(), now, out))
+        if (trySend(*run, !run->triedServers.empty(), now, out) || refuseIfAllPaused(*run, now, out))
             return;
         if (now - run->acceptedAt > std::max(serverWaitTimeout, run->route->latencyTarget))
             fail(*run, run->mayHaveRun ? ForwardOutcome::BackendFailed : ForwardOutcome::NoServer, now, out);
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <criterion/criterion.h>
+#include <map>
 
 using namespace foxtailwheel;
 using namespace std::chrono_literals;
@@ -746,8 +747,8 @@
         fixture.collectActions(
             [&](auto& out) { fixture.forwarder->onServerSignal(fixture.servers[i].server, it, start, out); });
     };
-    signal(0, { true, false });
-    signal(0, { true, false });
+    signal(0, { true, {}, false });
+    signal(0, { true, {}, false });
     cr_assert_eq(fixture.leaving.size(), 1, "told to the other instances once");
     for (int i = 0; i < 8; ++i) {
         fixture.submit("book");
@@ -757,7 +758,7 @@
     // The store repeats the entry as it was, also after an outage; another process under the id is a new server.
     fixture.collectActions([&](auto& out) { fixture.forwarder->setServers({ fixture.servers[1] }, start, out); });
     fixture.collectActions([&](auto& out) { fixture.forwarder->setServers(fixture.servers, start + 3s, out); });
-    signal(1, { true, false });
+    signal(1, { true, {}, false });
     fixture.submit("book", start + 3s);
     cr_assert_eq(fixture.sent.size(), 8, "both leave");
     fixture.servers[0].startedAt = WallTime(5s);
@@ -771,7 +772,9 @@
     ForwarderFixture fixture;
     auto called = fixture.servers[0].server;
     called.id = BackendServerId("gone");
-    fixture.collectActions([&](auto& out) { fixture.forwarder->onServerSignal(called, { true, true }, start, out); });
+    fixture.collectActions([&](auto& out) {
+        fixture.forwarder->onServerSignal(called, { true, {}, true }, start, out);
+    });
     fixture.submit("book");
     cr_assert_eq(fixture.sent.back().server.id.value(), "d2");
 }
@@ -786,3 +789,48 @@
     fixture.submit("book");
     cr_assert_eq(fixture.sent.back().server.id.value(), "d2", "the notice is about a process before it");
 }
+
+Test(Forwarder, serverThatAskedForAPauseGetsNoCallsUntilItsEnd)
+{
+    ForwarderFixture fixture;
+    const auto pause = [&](std::size_t i, Duration d) {
+        fixture.collectActions([&](auto& out) {
+            fixture.forwarder->onServerSignal(fixture.servers[i].server, { false, d, false }, start, out);
+        });
+    };
+    const auto submitAll = [&](TimePoint now) {
+        std::map<std::string, int> sent;
+        for (int i = 0; i < 20; ++i) {
+            const auto before = fixture.sent.size();
+            fixture.submit("book", now);
+            if (fixture.sent.size() > before)
+                ++sent[fixture.sent.back().server.id.value()];
+        }
+        return sent;
+    };
+    pause(0, 2s);
+    for (const auto d : { 0ms, 600ms, 1900ms })
+        cr_assert(!submitAll(start + d).contains("d1"));
+    cr_assert_eq(submitAll(start + 2s)["d1"], 1, "calls return spread, not at once");
+    pause(0, 5s);
+    pause(1, 3s);
+    const auto answered = fixture.replies.size();
+    cr_assert(submitAll(start + 1s).empty());
+    cr_assert_eq(fixture.replies.size(), answered + 20, "rejected at once");
+    cr_assert_eq(fixture.replies.back().outcome, ForwardOutcome::ServersPaused);
+    cr_assert_eq(fixture.replies.back().response.status, 503);
+    cr_assert_eq(fixture.replies.back().retryAfter, 2s, "until the first server accepts calls again");
+}
+
+Test(Forwarder, requestRejectedByAPausedServerGoesToAnother)
+{
+    ForwarderFixture fixture;
+    fixture.submit("book");
+    const auto first = fixture.sent[0];
+    fixture.collectActions([&](auto& out) {
+        fixture.forwarder->onServerSignal(first.server, { false, 30s, false }, start, out);
+    });
+    fixture.endCall(first.call, ForwardCallOutcome::Refused, start + 10ms, 503);
+    cr_assert_eq(fixture.sent.size(), 2);
+    cr_assert_neq(fixture.sent[1].server.id, first.server.id);
+}
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -112,6 +112,8 @@
 
     std::optional<ForwardOutcome> authorize(ForwardRun& run, TimePoint now) const;
     ServiceId pickService(const ForwardRun& run);
+    void pauseServer(const BackendServerId& server, Duration pause, TimePoint now);
+    bool refuseIfAllPaused(ForwardRun& run, TimePoint now, ForwardActions& out);
     bool refuseIfCrashing(ForwardRun& run, TimePoint now, ForwardActions& out);
     void start(ForwardRun& run, TimePoint now, ForwardActions& out);
     Duration timeSpentOnEarlierAttempts(const ForwardRun& run, TimePoint now);
