Crash records are read from the store while the poller of the zone is silent

Change: a member that reads the configuration itself, since its poller is silent, reads the crash records too. Test: TableFollower/catchesUpOnRequestWhileItsPollerIsSilent (the call is new).

--- a/include/foxtailwheel/control/TableFollower.h
+++ b/include/foxtailwheel/control/TableFollower.h
@@ -32,6 +32,7 @@
     TimePoint recoveredAt; ///< Time at which the store recovered after that.
     bool available = false;
     bool forwarded = false; ///< The last change came from another instance, not from the store.
+    bool confirmedByPeer = false; ///< The last response came from another instance, not from the store.
 };
 
 /// @brief A response of the store, forwarded by the instance that received it.
@@ -70,6 +71,8 @@
     void start();
     /// @brief Sets whether this follower polls the store or receives updates from another instance.
     void setPolling(bool polling);
+    /// @brief Reads the changes up to now from the store, unless a call is in progress.
+    void catchUp();
     /// @brief Handles an update from another instance.
     void onUpdate(const TableUpdate& update);
     const TableReplica& table() const;
--- a/src/foxtailwheel/control/TableFollower.cpp
+++ b/src/foxtailwheel/control/TableFollower.cpp
@@ -208,6 +208,7 @@
     const auto asOf = bound.observeForwarded(update.changes.storeTime);
     if (!asOf)
         return;
+    table.confirmedByPeer = true;
     table.asOf = std::max(table.asOf, *asOf);
     const bool rowsChanged = applyRows(std::move(*rows));
     table.forwarded = rowsChanged || table.forwarded;
@@ -261,6 +262,7 @@
     }
     if (!std::exchange(table.available, true))
         table.recoveredAt = clock.now();
+    table.confirmedByPeer = false;
     table.asOf = std::max(table.asOf, bound.observe(sentAt, result.storeTime));
     if (publish && polling && synced)
         publish({ options.table, baseVersion, withDeltas(result, table.rows) });
@@ -296,6 +298,12 @@
         m_impl->poll();
 }
 
+void TableFollower::catchUp()
+{
+    if (!m_impl->callPending)
+        m_impl->poll();
+}
+
 void TableFollower::onUpdate(const TableUpdate& update)
 {
     m_impl->onUpdate(update);
--- a/src/foxtailwheel/control/TableFollowerTest.cpp
+++ b/src/foxtailwheel/control/TableFollowerTest.cpp
@@ -174,6 +174,23 @@
     cr_assert_eq(fixture.feed.calls.front().after, 6);
 }
 
+Test(TableFollower, catchesUpOnRequestWhileItsPollerIsSilent)
+{
+    Fixture fixture;
+    fixture.feed.respond(Fixture::rows(5, {}));
+    fixture.follower->setPolling(false);
+    fixture.feed.respond(Fixture::rows(5, {}));
+    fixture.follower->onUpdate({ "op", 5, Fixture::rows(6, { { "a", "1" } }, 10100ms) });
+    cr_assert(fixture.follower->table().confirmedByPeer);
+    fixture.follower->catchUp();
+    fixture.follower->catchUp();
+    cr_assert_eq(fixture.feed.calls.size(), 1, "one call at a time");
+    cr_assert_eq(fixture.feed.calls.front().wait, Duration {});
+    fixture.feed.respond(Fixture::rows(7, { { "b", "1" } }, 10200ms));
+    cr_assert(!fixture.follower->table().confirmedByPeer);
+    cr_assert_eq(fixture.follower->table().rows.count("b"), 1);
+}
+
 Test(TableFollower, callsTheStoreAfterAMissedUpdate)
 {
     Fixture fixture;
