--- a/src/foxtailwheel/daemon/PeerLink.cpp
+++ b/src/foxtailwheel/daemon/PeerLink.cpp
@@ -5,6 +5,7 @@
 #include "foxtailwheel/telemetry/Log.h"
 
 #include <algorithm>
+#include <map>
 
 namespace foxtailwheel::daemon {
 
@@ -60,6 +61,7 @@
     void onMessage(const peer::Message& message);
     void updateMembers();
     void updatePoller();
+    void reportServerNotices();
     void onDisconnect(const config::Endpoint& address, peer::DisconnectReason reason);
 
     http::IoPool& pool;
@@ -72,6 +74,7 @@
     std::vector<InstanceId> owners;
     std::set<InstanceId> unavailable;
     bool isPoller = true;
+    std::map<BackendServerId, std::uint64_t> reportedNotices; ///< Sequence of each.
 };
 
 void PeerLink::Impl::tick()
@@ -98,8 +101,19 @@
     if (!changed)
         return;
     updateMembers();
-    for (const auto& it : membership.leavingServerNotices())
-        callbacks.onServerNotice(it);
+    reportServerNotices();
+}
+
+void PeerLink::Impl::reportServerNotices()
+{
+    std::map<BackendServerId, std::uint64_t> notices;
+    for (const auto& it : membership.leavingServerNotices()) {
+        const auto known = reportedNotices.find(it.server);
+        notices[it.server] = it.sequence;
+        if (known == reportedNotices.end() || known->second != it.sequence)
+            callbacks.onServerNotice(it);
+    }
+    reportedNotices = std::move(notices);
 }
 
 void PeerLink::Impl::updateMembers()
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -743,6 +743,9 @@
 Test(Forwarder, serverThatSaysThatItLeavesGetsNoNewCalls)
 {
     ForwarderFixture fixture;
+    fixture.servers[0].startedAt = WallTime(4s);
+    fixture.servers[1].startedAt = WallTime(4s);
+    fixture.collectActions([&](auto& out) { fixture.forwarder->setServers(fixture.servers, start, out); });
     const auto signal = [&](std::size_t i, const ServerSignal& it) {
         fixture.collectActions(
             [&](auto& out) { fixture.forwarder->onServerSignal(fixture.servers[i].server, it, start, out); });
@@ -767,6 +770,31 @@
     cr_assert_eq(fixture.sent.back().server.id.value(), "d1");
 }
 
+Test(Forwarder, serverWithoutAStartTimeReturnsWithAnotherAddressOrEntry)
+{
+    ForwarderFixture fixture;
+    const auto announce = [&](const std::vector<AnnouncedServer>& servers) {
+        fixture.collectActions([&](auto& out) { fixture.forwarder->setServers(servers, start, out); });
+    };
+    const auto isCalled = [&](const std::string& id) {
+        fixture.submit("book");
+        const auto last = fixture.sent.empty() ? "" : fixture.sent.back().server.id.value();
+        fixture.endCall(fixture.sent.back().call, ForwardCallOutcome::Complete, start + 20ms);
+        return last == id;
+    };
+    auto d1 = fixture.servers[0];
+    announce({ d1, fixture.servers[1] });
+    fixture.forwarder->onServerLeaving({ d1.server.id, WallTime {} }, start);
+    cr_assert(!isCalled("d1"));
+    ++d1.server.port;
+    announce({ d1 });
+    cr_assert(isCalled("d1"));
+    fixture.forwarder->onServerLeaving({ d1.server.id, WallTime {} }, start);
+    announce({ fixture.servers[1] });
+    announce({ d1 });
+    cr_assert(isCalled("d1"));
+}
+
 Test(Forwarder, serverAtTheAddressOfAnotherIsTheOneThatLeaves)
 {
     ForwarderFixture fixture;
--- a/src/foxtailwheel/serving/ServerDirectory.cpp
+++ b/src/foxtailwheel/serving/ServerDirectory.cpp
@@ -97,8 +97,13 @@
 
 bool ServerDirectory::isLeaving(const AnnouncedServer& server) const
 {
-    const auto mark = m_leaving.find(server.server.id);
-    return server.leaving || (mark != m_leaving.end() && mark->second.startedAt == server.startedAt);
+    if (server.leaving)
+        return true;
+    const auto found = m_leaving.find(server.server.id);
+    if (found == m_leaving.end())
+        return false;
+    const auto& mark = found->second;
+    return mark.startedAt == server.startedAt && (!mark.server || *mark.server == server.server);
 }
 
 const AnnouncedServer* ServerDirectory::findServer(const BackendServerId& id) const
@@ -126,11 +131,17 @@
 
 bool ServerDirectory::markLeaving(const LeavingServer& server, TimePoint now)
 {
-    const auto [mark, isNew] = m_leaving.try_emplace(server.server, LeavingMark { server.startedAt, now });
-    if (!isNew && mark->second.startedAt >= server.startedAt)
-        return false;
-    mark->second = { server.startedAt, now };
-    if (const auto* announced = findServer(server.server); announced && m_services.contains(announced->service))
+    const auto* announced = findServer(server.server);
+    const LeavingMark mark { server.startedAt, now,
+        announced == nullptr ? std::nullopt : std::optional(announced->server) };
+    const auto [known, isNew] = m_leaving.try_emplace(server.server, mark);
+    if (!isNew) {
+        if (known->second.startedAt > mark.startedAt
+            || (known->second.startedAt == mark.startedAt && known->second.server == mark.server))
+            return false;
+        known->second = mark;
+    }
+    if (announced != nullptr && m_services.contains(announced->service))
         updateLeaving(announced->service);
     return true;
 }
@@ -171,9 +182,12 @@
     std::set<BackendServerId> ids;
     for (const auto& it : servers)
         ids.insert(it.server.id);
-    // An entry that expired while the store was unavailable may be announced again.
-    std::erase_if(m_leaving,
-        [&](const auto& it) { return !ids.contains(it.first) && now - it.second.markedAt > leavingRetention; });
+    // An entry that expired while the store was unavailable may be announced again. Without a start time it can't be
+    // told from that of another process, so its id is free again.
+    std::erase_if(m_leaving, [&](const auto& it) {
+        const auto& mark = it.second;
+        return !ids.contains(it.first) && (mark.startedAt == WallTime {} || now - mark.markedAt > leavingRetention);
+    });
     std::map<ServiceId, std::vector<AnnouncedServer>> byService;
     for (const auto& it : servers)
         byService[it.service].push_back(it);
--- a/src/foxtailwheel/serving/ServerDirectory.h
+++ b/src/foxtailwheel/serving/ServerDirectory.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace foxtailwheel::serving {
 
@@ -64,6 +65,7 @@
     struct LeavingMark {
         WallTime startedAt;
         TimePoint markedAt;
+        std::optional<config::BackendServer> server; ///< As it was announced then.
     };
     std::map<BackendServerId, LeavingMark> m_leaving; ///< By their own word, not by their entry.
     std::size_t m_instanceCount = 1;
