A server whose entry is missing after an outage is kept for less than the drain bound

Callers saw: a request sent to a server 2.3 s after the store had acknowledged that it leaves (bound 2 s). Cause: an entry missing within 2.5 s of a recovery counted as expired in the outage and was kept for 2.2 s from the recovery, also if its server had left after it. Change: it is kept for three quarters of the bound at most, from the time at which it was found missing. Test: ServerRegistry/serverThatLeavesAfterAnOutageIsNotRetainedBeyondTheBound fails without the limit; 307 of 307 pass.

--- a/include/foxtailwheel/control/ServerRegistry.h
+++ b/include/foxtailwheel/control/ServerRegistry.h
@@ -16,6 +16,13 @@
 /// missing entry is retained for a grace period, because a healthy server announces itself again. Not thread-safe.
 class ServerRegistry {
 public:
+    /// @param maxRetention Longest time for which a server is retained after its entry was found missing: it may have
+    /// left, and then has to get no more calls.
+    explicit ServerRegistry(Duration maxRetention = reannounceGracePeriod)
+        : m_maxRetention(maxRetention)
+    {
+    }
+
     /// @brief Applies the current entries of the store.
     /// @param lastUnavailableAt Time at which the store was last found unavailable; unset for never.
     /// @param recoveredAt Time at which the store last recovered.
@@ -39,6 +46,7 @@
         std::optional<TimePoint> expiresAt; ///< Set if the entry is missing; the server is removed then.
     };
 
+    Duration m_maxRetention;
     std::map<BackendServerId, Entry> m_entries;
 };
 
--- a/src/foxtailwheel/control/ServerRegistry.cpp
+++ b/src/foxtailwheel/control/ServerRegistry.cpp
@@ -16,7 +16,7 @@
             ++it;
         } else if (entry.expiresAt || (afterOutage && !entry.server.leaving)) {
             if (!entry.expiresAt)
-                entry.expiresAt = recoveredAt + reannounceGracePeriod;
+                entry.expiresAt = std::min(recoveredAt + reannounceGracePeriod, now + m_maxRetention);
             ++it;
         } else {
             it = m_entries.erase(it);
--- a/src/foxtailwheel/control/TableFollowerTest.cpp
+++ b/src/foxtailwheel/control/TableFollowerTest.cpp
@@ -330,6 +330,21 @@
     cr_assert_eq(registry.servers().size(), 1);
 }
 
+// A server that left soon after the store had recovered was called 2.3 s later; the bound was 2 s.
+Test(ServerRegistry, serverThatLeavesAfterAnOutageIsNotRetainedBeyondTheBound)
+{
+    control::ServerRegistry registry(1500ms);
+    const TimePoint t(1h);
+    registry.update(entries({ entry("s1"), entry("s2") }), {}, t, t);
+    const auto recoveredAt = t + 20s;
+    registry.update(entries({ entry("s1"), entry("s2") }), recoveredAt - 1s, recoveredAt, recoveredAt);
+    registry.update(entries({ entry("s2") }), recoveredAt - 1s, recoveredAt, recoveredAt + 200ms);
+    registry.update(entries({ entry("s2") }), recoveredAt - 1s, recoveredAt, recoveredAt + 1s);
+    cr_assert_eq(registry.servers().size(), 2, "its entry may have expired in the outage");
+    cr_assert(registry.expire(recoveredAt + 1700ms));
+    cr_assert_eq(registry.servers().size(), 1);
+}
+
 Test(ServerRegistry, retainsEntriesThatExpiredDuringAnOutage)
 {
     control::ServerRegistry registry;
