Releases of results wait until the pause of their server ends

Servers could see releases of results during the time for which they had asked to be left alone, and a pause that a server named in response to a release was ignored, since such a call names no server. Cause: releases were sent without a look at the state of their server; a pause was applied by the id of the called server only. Change: serving/ReleaseQueue collects releases and holds them back during a pause; those that expire before its end are dropped. A signal in response to a release is about the servers announced at the address. The bound of a pause stands with the pool. Tests: ServerSignal/* play signals in responses to batches, releases and requests over sockets, which had no test of their own; resultsAreReleasedAfterThePauseOfTheirServer fails if releases do not wait, the other two if the heads of batches or of releases are not read (each tried). ReleaseQueue/*.

--- a/include/foxtailwheel/routing/ServerPool.h
+++ b/include/foxtailwheel/routing/ServerPool.h
@@ -94,8 +94,11 @@
     void onCacheEvent(const BackendServerId& server, const CacheEvent& event);
     /// @brief Sets the servers that are leaving and receive no new calls; replaces the previous set.
     void setLeaving(const std::set<BackendServerId>& leaving);
-    /// @brief Sends no calls to a server until `until`, since it asked for that. Calls in progress go on.
-    void pause(const BackendServerId& server, TimePoint until);
+    /// @brief Sends no calls to a server for `time`, since it asked for that. Calls in progress go on.
+    /// @return The time for which it gets none, 10 minutes at most: what it asked for may be a mistake.
+    Duration pause(const BackendServerId& server, Duration time, TimePoint now);
+    /// @brief Returns the time until which a server is paused; empty if it is not.
+    std::optional<TimePoint> pausedUntil(const BackendServerId& server, TimePoint now) const;
     /// @brief Returns the earliest time at which a pause ends, if all servers of the subset are paused.
     std::optional<TimePoint> pausedUntil(TimePoint now) const;
     /// @brief Returns the expected time of a call to an average server of the subset, including queueing.
--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -210,6 +210,9 @@
     virtual void onServerSignal(
         const config::BackendServer& server, const ServerSignal& signal, TimePoint now, ForwardActions& out)
         = 0;
+    /// @brief Returns the time until which a server gets no calls because it asked for a pause; empty if it did not.
+    virtual std::optional<TimePoint> pausedUntil(
+        const ServiceId& service, const BackendServerId& server, TimePoint now) const = 0;
     /// @brief Another instance learned that a server is leaving.
     virtual void onServerLeaving(const LeavingServer& server, TimePoint now) = 0;
     /// @brief Records that the active credentials were confirmed as current at `asOf`.
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -1,8 +1,8 @@
 #include "foxtailwheel/daemon/ForwardService.h"
 
+#include "foxtailwheel/serving/ReleaseQueue.h"
 #include "foxtailwheel/telemetry/Log.h"
 
-#include <map>
 #include <unordered_map>
 
 namespace foxtailwheel::daemon {
@@ -17,9 +17,6 @@
 
     /// Above the round-trip time between zones, below the initial TCP retransmission timeout of 1 s.
     constexpr Duration connectTimeout = 250ms;
-    /// Time to collect releases of results for the same server; a longer delay would occupy capacity that
-    /// waiting pieces need.
-    constexpr Duration releaseDelay = 5ms;
     constexpr Duration releaseTimeout = 1s;
     /// Limits of the response to a batch call, which has a handle or a reason for each piece.
     constexpr std::uint64_t maxBatchResponseBytes = 4U << 10U;
@@ -69,7 +66,8 @@
     void onData(CallId id, std::string_view bytes);
     void onDone(CallId id, http::CallResult result);
     void onBatchDone(const serving::SendBatch& batch, TimePoint sentAt, const http::CallResult& result);
-    void flushReleases();
+    void scheduleReleases();
+    void sendReleases();
     void scheduleTimer();
     void onTimer();
     void endSession(ForwardId id, serving::ForwardOutcome outcome);
@@ -83,7 +81,8 @@
     std::unique_ptr<serving::Forwarder> forwarder;
     std::unordered_map<ForwardId, Session> sessions;
     std::unordered_map<CallId, ActiveCall> calls;
-    std::map<config::Endpoint, std::vector<std::string>> pendingReleases; ///< Handles by backend server.
+    serving::ReleaseQueue releases;
+    TimePoint releasesAt = TimePoint::max(); ///< Time at which releases are sent next.
     std::function<void(const InstanceId&, const serving::PieceMessage&)> sendToInstance;
     std::function<void(const serving::CrashRecordUpdate&)> shareCrashRecords;
     std::function<void(const serving::LeavingServer&)> shareLeavingServer;
@@ -255,21 +254,32 @@
 
 void ForwardService::Impl::execute(serving::ReleaseResults& release)
 {
-    if (pendingReleases.empty())
-        pool.postAfter(releaseDelay, [weak = weak_from_this()] {
-            if (const auto self = weak.lock())
-                self->flushReleases();
-        });
-    auto& handles = pendingReleases[{ release.producer.host, release.producer.port }];
-    handles.insert(handles.end(), release.handles.begin(), release.handles.end());
+    releases.add(release, clock.now());
+    scheduleReleases();
 }
 
-void ForwardService::Impl::flushReleases()
+void ForwardService::Impl::scheduleReleases()
 {
-    for (const auto& it : std::exchange(pendingReleases, {})) {
-        const auto& server = it.first;
-        const auto& handles = it.second;
-        const auto now = clock.now();
+    const auto next = releases.nextDueAt();
+    if (!next || *next >= releasesAt)
+        return;
+    releasesAt = *next;
+    pool.postAfter(std::max<Duration>(*next - clock.now(), Duration {}), [weak = weak_from_this(), at = *next] {
+        const auto self = weak.lock();
+        if (self && self->releasesAt == at)
+            self->sendReleases();
+    });
+}
+
+void ForwardService::Impl::sendReleases()
+{
+    releasesAt = TimePoint::max();
+    const auto now = clock.now();
+    const auto pausedUntil = [&](const ServiceId& service, const BackendServerId& server) {
+        return forwarder->pausedUntil(service, server, now);
+    };
+    for (const auto& it : releases.takeDue(now, pausedUntil)) {
+        const auto& server = it.producer;
         http::CallCallbacks callbacks;
         callbacks.onHead = [self = shared_from_this(), server](const http::Response& head) {
             auto signal = self->protocol.parseSignal(head, self->clock.wallNow());
@@ -280,13 +290,14 @@
         // If a release is lost, the result only occupies capacity until it expires.
         callbacks.onDone = [server](const http::CallResult& result) {
             if (result.outcome != http::TransportOutcome::Complete || result.response.status != 200)
-                telemetry::logDebug("release_failed", { { "server", server.toString() }, { "detail", result.detail } });
+                telemetry::logDebug("release_failed", { { "server", server.id.value() }, { "detail", result.detail } });
         };
-        http::CallRequest request { server, protocol.encodeRelease(handles), now + connectTimeout,
-            now + releaseTimeout };
+        http::CallRequest request { { server.host, server.port }, protocol.encodeRelease(it.handles),
+            now + connectTimeout, now + releaseTimeout };
         request.maxBodyBytes = maxBatchResponseBytes;
         client.start(std::move(request), std::move(callbacks));
     }
+    scheduleReleases();
 }
 
 void ForwardService::Impl::endSession(ForwardId id, serving::ForwardOutcome outcome)
--- a/src/foxtailwheel/routing/ServerPool.cpp
+++ b/src/foxtailwheel/routing/ServerPool.cpp
@@ -37,6 +37,9 @@
     constexpr double affinityLoadFactor = 1.5;
     constexpr double affinityLoadSlack = 6;
 
+    /// Longest pause of a server.
+    constexpr Duration maxPause = 10min;
+
     struct Server {
         config::BackendServer declared;
         LoadEstimate load;
@@ -353,11 +356,21 @@
     m_impl->rebuildSubset();
 }
 
-void ServerPool::pause(const BackendServerId& id, TimePoint until)
+Duration ServerPool::pause(const BackendServerId& id, Duration time, TimePoint now)
 {
+    const auto accepted = std::min(time, maxPause);
     const std::lock_guard lock(m_impl->mutex);
     if (auto* server = m_impl->find(id))
-        server->health.pause(until);
+        server->health.pause(now + accepted);
+    return accepted;
+}
+
+std::optional<TimePoint> ServerPool::pausedUntil(const BackendServerId& id, TimePoint now) const
+{
+    const std::lock_guard lock(m_impl->mutex);
+    const auto* server = m_impl->find(id);
+    return server != nullptr && server->health.isPaused(now) ? std::optional(server->health.pausedUntil())
+                                                             : std::nullopt;
 }
 
 std::optional<TimePoint> ServerPool::pausedUntil(TimePoint now) const
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -12,8 +12,6 @@
     constexpr Duration serverWaitTimeout = 300ms;
     /// Interval between attempts to fail over a silent stream while the retry budget is used up.
     constexpr Duration failoverRetryInterval = 200ms;
-    /// Longest pause of a server. It is asked again afterwards, since what it asked for may be a mistake.
-    constexpr Duration maxServerPause = 10min;
 
 } // namespace
 
@@ -37,20 +35,20 @@
 void RoutingForwarder::onServerSignal(
     const config::BackendServer& server, const ServerSignal& signal, TimePoint now, ForwardActions& out)
 {
-    if (signal.pause > Duration {})
-        pauseServer(server.id, signal.pause, now);
-    if (!signal.leaving)
+    if (!signal.leaving && signal.pause == Duration {})
         return;
-    std::vector<LeavingServer> leaving;
+    std::vector<LeavingServer> senders;
     if (signal.isOther) {
         for (const auto& it : m_directory.serversAt(server.host, server.port, server.id))
-            leaving.push_back({ it.server.id, it.startedAt });
+            senders.push_back({ it.server.id, it.startedAt });
     } else {
         const auto* announced = m_directory.findServer(server.id);
-        leaving.push_back({ server.id, announced == nullptr ? WallTime {} : announced->startedAt });
+        senders.push_back({ server.id, announced == nullptr ? WallTime {} : announced->startedAt });
     }
-    for (const auto& it : leaving) {
-        if (!m_directory.markLeaving(it, now))
+    for (const auto& it : senders) {
+        if (signal.pause > Duration {})
+            pauseServer(it.server, signal.pause, now);
+        if (!signal.leaving || !m_directory.markLeaving(it, now))
             continue;
         logServerDecision("server_leaving", { { "server", it.server.value() }, { "source", "response" } });
         out.emplace_back(it);
@@ -64,11 +62,17 @@
     auto* state = announced == nullptr ? nullptr : m_directory.find(announced->service);
     if (state == nullptr)
         return;
-    const auto time = std::min(pause, maxServerPause);
+    const auto time = state->pool->pause(server, pause, now);
     logServerDecision("server_paused",
         { { "server", server.value() }, { "asked_ms", formatInteger(toMilliseconds(pause)) },
             { "pause_ms", formatInteger(toMilliseconds(time)) } });
-    state->pool->pause(server, now + time);
+}
+
+std::optional<TimePoint> RoutingForwarder::pausedUntil(
+    const ServiceId& service, const BackendServerId& server, TimePoint now) const
+{
+    const auto* state = m_directory.find(service);
+    return state == nullptr ? std::nullopt : state->pool->pausedUntil(server, now);
 }
 
 /// Rejects a request at once if all servers of its service are paused for longer than a request waits for a server.
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -68,6 +68,8 @@
     }
     void onServerSignal(
         const config::BackendServer& server, const ServerSignal& signal, TimePoint now, ForwardActions& out) override;
+    std::optional<TimePoint> pausedUntil(
+        const ServiceId& service, const BackendServerId& server, TimePoint now) const override;
     void onServerLeaving(const LeavingServer& server, TimePoint now) override;
     void setCrashRecords(const std::vector<CrashRecord>& records, TimePoint now) override
     {
--- a/src/foxtailwheel/serving/ServerDirectory.cpp
+++ b/src/foxtailwheel/serving/ServerDirectory.cpp
@@ -211,4 +211,10 @@
     return it == m_services.end() ? nullptr : &it->second;
 }
 
+const ServiceState* ServerDirectory::find(const ServiceId& id) const
+{
+    const auto it = m_services.find(id);
+    return it == m_services.end() ? nullptr : &it->second;
+}
+
 } // namespace foxtailwheel::serving
--- a/src/foxtailwheel/serving/ServerDirectory.h
+++ b/src/foxtailwheel/serving/ServerDirectory.h
@@ -41,6 +41,7 @@
 
     /// @brief Returns the service, or null if it is unknown.
     ServiceState* find(const ServiceId& id);
+    const ServiceState* find(const ServiceId& id) const;
     /// @brief Returns a weight for each zone that has servers of `target`: the smallest share of servers that the zone
     /// has in any of `stages`. Zones of weight 0 are left out.
     std::map<AvailabilityZoneId, double> zoneShares(const std::vector<ServiceId>& stages, const ServiceId& target);
