Servers of declared pipelines may ask for a pause; stand-ins play it

Callers could see runs that failed on a server that had asked to be left alone, and no time at which to come back. Cause: foxtailwheeld did not read the Retry-After of a server's 503; only the program of the platform did. Change: the same parser (http/RetryAfter) and the same pause of the pool serve both programs. A run is refused at once if a stage would find only paused servers when it is reached; a run that ends since there is no server names the time as well. Stand-ins play servers that leave or ask for a pause.

--- a/include/foxtailwheel/serving/Dispatcher.h
+++ b/include/foxtailwheel/serving/Dispatcher.h
@@ -155,6 +155,11 @@
         = 0;
     virtual void onCacheEvent(const ServiceId& service, const BackendServerId& server, const routing::CacheEvent& event)
         = 0;
+    /// @brief A server rejected a call and asked for no further ones for `time`.
+    /// @return The time for which this instance sends it none.
+    virtual Duration onServerPaused(
+        const ServiceId& service, const BackendServerId& server, Duration time, TimePoint now)
+        = 0;
 
     /// @brief Returns the demand for rate-limited accounts since the last call.
     virtual std::vector<limits::AccountDemand> drainDemand(TimePoint now) = 0;
--- a/include/foxtailwheel/standin/FaultInjector.h
+++ b/include/foxtailwheel/standin/FaultInjector.h
@@ -18,12 +18,14 @@
     CloseAfter, ///< Execute the request, then close without a response.
     Silent, ///< Execute the request and never respond.
     Late, ///< Execute the request and respond after the delay.
+    Leaving, ///< Execute the request and say in the response that the server is leaving.
+    Pause, ///< Report that the request was not started, and ask for no further ones for the delay.
 };
 
 /// @brief Fault to inject.
 struct Fault {
     FaultKind kind = FaultKind::Fail;
-    Duration delay {}; ///< Used by `Late` only.
+    Duration delay {}; ///< Used by `Late` and `Pause` only.
 };
 
 /// @brief Injects a configured fault into the next requests; thread-safe.
--- a/src/foxtailwheel/daemon/CallDriver.cpp
+++ b/src/foxtailwheel/daemon/CallDriver.cpp
@@ -2,6 +2,7 @@
 
 #include "LoadHeader.h"
 #include "foxtailwheel/backend/Protocol.h"
+#include "foxtailwheel/http/RetryAfter.h"
 #include "foxtailwheel/telemetry/Log.h"
 
 namespace foxtailwheel::daemon {
@@ -91,12 +92,25 @@
 {
     if (!http::findHeader(head.headers, leavingHeader).empty())
         m_onServerLeaving(call->server);
+    if (head.status == 503)
+        pauseServer(*call, http::findHeader(head.headers, "Retry-After"));
     routing::LoadReport report;
     report.measuredAt = m_clock.now();
     if (parseLoadHeader(head.headers, report))
         m_dispatcher.onLoadReport(call->service, call->server, report);
 }
 
+void CallDriver::pauseServer(const ActiveCall& call, std::string_view retryAfter)
+{
+    const auto asked = http::parseRetryAfter(retryAfter, m_clock.wallNow());
+    if (asked == Duration {})
+        return;
+    const auto time = m_dispatcher.onServerPaused(call.service, call.server, asked, m_clock.now());
+    telemetry::logInfo("server_paused",
+        { { "server", call.server.value() }, { "asked_ms", std::to_string(static_cast<long>(toMilliseconds(asked))) },
+            { "pause_ms", std::to_string(static_cast<long>(toMilliseconds(time))) } });
+}
+
 void CallDriver::fail(const std::shared_ptr<ActiveCall>& call, CallFailure failure)
 {
     call->ended = true;
--- a/src/foxtailwheel/daemon/CallDriver.h
+++ b/src/foxtailwheel/daemon/CallDriver.h
@@ -30,6 +30,7 @@
 
     void onData(const std::shared_ptr<ActiveCall>& call, std::string_view chunk);
     void onHead(const std::shared_ptr<ActiveCall>& call, const http::Response& head);
+    void pauseServer(const ActiveCall& call, std::string_view retryAfter);
     void onDone(const std::shared_ptr<ActiveCall>& call, const http::CallResult& result);
     void fail(const std::shared_ptr<ActiveCall>& call, pipeline::CallFailure failure);
 
--- a/src/foxtailwheel/serving/Dispatcher.cpp
+++ b/src/foxtailwheel/serving/Dispatcher.cpp
@@ -96,6 +96,8 @@
             const ServiceId& service, const BackendServerId& server, const routing::LoadReport& report) override;
         void onCacheEvent(
             const ServiceId& service, const BackendServerId& server, const routing::CacheEvent& event) override;
+        Duration onServerPaused(
+            const ServiceId& service, const BackendServerId& server, Duration time, TimePoint now) override;
         std::vector<limits::AccountDemand> drainDemand(TimePoint now) override;
         void setRateShare(const ClientAccountId& account, double perSecond, TimePoint now) override;
         DispatcherStatus status() const override;
@@ -105,6 +107,7 @@
         std::shared_ptr<routing::ServerPool> poolOf(const ServiceId& service) const;
         Reason validate(const SubmitRequest& request, Duration timeout, const pipeline::Plan& plan, TimePoint now,
             Duration& retryAfter);
+        Duration pauseOf(const pipeline::Plan& plan, Duration typical, TimePoint now) const;
         AdmissionRequest admissionRequest(const RunEntry& entry, const config::ClientAccount& account) const;
         void admit(RunEntry& entry, const config::ClientAccount& account, TimePoint now, Actions& out);
         void startRun(RunEntry& entry, TimePoint now, Actions& out);
@@ -227,6 +230,9 @@
         const auto typical = plan.criticalPath([](const pipeline::Stage& it) { return it.typicalTime; });
         if (m_options.admission && timeout < fromSeconds(toSeconds(typical) * minTimeoutFraction))
             return Reason::DeadlineTooShort;
+        retryAfter = pauseOf(plan, typical, now);
+        if (retryAfter > Duration {})
+            return Reason::NoServer;
         return Reason::None;
     }
 
@@ -361,8 +367,11 @@
                 record->run, record->stage, claimKeyFor(record->service), record->outcome, std::move(record->answer) });
         else if (auto* emit = std::get_if<pipeline::EmitTokens>(&action))
             out.push_back(std::move(*emit));
-        else if (auto* finish = std::get_if<pipeline::Finish>(&action))
+        else if (auto* finish = std::get_if<pipeline::Finish>(&action)) {
+            if (finish->outcome.reason == Reason::NoServer || finish->outcome.reason == Reason::Overloaded)
+                finish->outcome.retryAfter = pauseOf(*entry.run.request().plan, Duration {}, now);
             sendReply(entry, std::move(finish->outcome), out);
+        }
     }
 
     void ShardedDispatcher::sendCall(
@@ -596,6 +605,28 @@
             pool->onCacheEvent(server, event);
     }
 
+    Duration ShardedDispatcher::onServerPaused(
+        const ServiceId& service, const BackendServerId& server, Duration time, TimePoint now)
+    {
+        const auto pool = poolOf(service);
+        return pool ? pool->pause(server, time, now) : Duration {};
+    }
+
+    /// Returns the longest time until a stage finds a server that is not paused, of the stages that the run is expected
+    /// to reach before that; 0 if there is no such stage.
+    Duration ShardedDispatcher::pauseOf(const pipeline::Plan& plan, Duration typical, TimePoint now) const
+    {
+        const auto typicalTime = [](const pipeline::Stage& it) { return it.typicalTime; };
+        Duration longest {};
+        for (StageIndex i = 0; i < plan.stages.size(); ++i) {
+            const auto pool = poolOf(plan.stages[i].service);
+            const auto until = pool ? pool->pausedUntil(now) : std::nullopt;
+            if (until && *until - now > typical - plan.criticalPath(i, typicalTime))
+                longest = std::max(longest, *until - now);
+        }
+        return longest;
+    }
+
     std::vector<limits::AccountDemand> ShardedDispatcher::drainDemand(TimePoint now)
     {
         const std::lock_guard lock(m_rateMutex);
--- a/src/foxtailwheel/serving/DispatcherTest.cpp
+++ b/src/foxtailwheel/serving/DispatcherTest.cpp
@@ -13,25 +13,35 @@
 
 constexpr TimePoint start { 1h };
 
-} // namespace
-
-Test(Dispatcher, answersAllRunsWhileAFifthOfTheEnginesFail)
+std::unique_ptr<serving::Dispatcher> makeTestDispatcher(std::size_t servers)
 {
     serving::DispatcherOptions options;
     options.pools.self = InstanceId("instance-0");
     options.pools.zone = AvailabilityZoneId("a");
-    const auto dispatcher = serving::makeDispatcher(options);
-    dispatcher->configure(ConfigVersion(1), testing::smallDeployment(20));
+    auto dispatcher = serving::makeDispatcher(options);
+    dispatcher->configure(ConfigVersion(1), testing::smallDeployment(servers));
+    return dispatcher;
+}
+
+void submit(serving::Dispatcher& dispatcher, serving::Actions& out)
+{
+    serving::SubmitRequest request;
+    request.pipeline = PipelineId("answer");
+    request.account = ClientAccountId("coop");
+    request.body = pipeline::makePayload("{}");
+    dispatcher.submit(dispatcher.allocateRunId(), std::move(request), start, out);
+}
+
+} // namespace
+
+Test(Dispatcher, answersAllRunsWhileAFifthOfTheEnginesFail)
+{
+    const auto dispatcher = makeTestDispatcher(20);
     const std::set<BackendServerId> failing { BackendServerId("generate-0"), BackendServerId("generate-1"),
         BackendServerId("generate-2"), BackendServerId("generate-3") };
     serving::Actions actions;
-    for (int i = 0; i < 100; ++i) {
-        serving::SubmitRequest request;
-        request.pipeline = PipelineId("answer");
-        request.account = ClientAccountId("coop");
-        request.body = pipeline::makePayload("{}");
-        dispatcher->submit(dispatcher->allocateRunId(), std::move(request), start, actions);
-    }
+    for (int i = 0; i < 100; ++i)
+        submit(*dispatcher, actions);
     std::size_t answered = 0;
     std::deque<serving::Action> pending(actions.begin(), actions.end());
     while (!pending.empty()) {
@@ -54,3 +64,41 @@
     cr_assert_eq(answered, 100U);
     cr_assert_eq(dispatcher->status().runs, 0U);
 }
+
+Test(Dispatcher, serverThatAskedForAPauseGetsNoCalls)
+{
+    const auto dispatcher = makeTestDispatcher(2);
+    const BackendServerId paused("encode-0");
+    cr_assert_eq(dispatcher->onServerPaused(ServiceId("encode"), paused, 30s, start), 30s);
+    cr_assert_eq(dispatcher->onServerPaused(ServiceId("encode"), paused, 9h, start), 10min, "limited");
+    serving::Actions actions;
+    for (int i = 0; i < 6; ++i)
+        submit(*dispatcher, actions);
+    std::size_t calls = 0;
+    for (const auto& it : actions) {
+        const auto* call = std::get_if<serving::SendCall>(&it);
+        calls += call != nullptr ? 1 : 0;
+        cr_assert(call == nullptr || call->server.id != paused);
+    }
+    cr_assert_gt(calls, 0U);
+}
+
+Test(Dispatcher, runIsRejectedAtOnceIfAStageFindsOnlyPausedServers)
+{
+    const auto pauseAll = [](serving::Dispatcher& dispatcher, Duration time) {
+        for (const auto* it : { "generate-0", "generate-1" })
+            dispatcher.onServerPaused(ServiceId("generate"), BackendServerId(it), time, start);
+    };
+    const auto dispatcher = makeTestDispatcher(2);
+    pauseAll(*dispatcher, 15ms);
+    serving::Actions actions;
+    submit(*dispatcher, actions);
+    cr_assert(std::holds_alternative<serving::SendCall>(actions.at(0)), "the pause ends before the stage is reached");
+    pauseAll(*dispatcher, 3s);
+    actions.clear();
+    submit(*dispatcher, actions);
+    const auto& outcome = std::get<serving::Reply>(actions.at(0)).outcome;
+    cr_assert_eq(outcome.kind, pipeline::OutcomeKind::NotRun);
+    cr_assert_eq(outcome.reason, pipeline::Reason::NoServer);
+    cr_assert_eq(outcome.retryAfter, 3s);
+}
--- a/src/foxtailwheel/standin/Backend.cpp
+++ b/src/foxtailwheel/standin/Backend.cpp
@@ -119,7 +119,7 @@
         const auto kind = call->fault ? call->fault->kind : FaultKind::Late;
         if (kind == FaultKind::Refuse)
             responder->respond({ 503, { { "X-Not-Started", "1" } }, "busy" });
-        else if (kind == FaultKind::CloseBefore || kind == FaultKind::Fail)
+        else if (kind == FaultKind::CloseBefore || kind == FaultKind::Fail || kind == FaultKind::Pause)
             respondWithFault(m_pool, responder, *call->fault, {});
         else
             enqueueOrStart(call);
@@ -208,6 +208,8 @@
         recordExecution(call->request);
         auto headers = loadHeaders();
         headers.front().value = "text/event-stream";
+        if (call->fault && call->fault->kind == FaultKind::Leaving)
+            headers.push_back({ "X-Leaving", "1" });
         call->responder->beginStream({ 200, std::move(headers), {} });
         const bool delayed = call->fault && call->fault->kind == FaultKind::Late;
         m_pool.postAfter(delayed ? call->fault->delay : Duration {}, [this, call] { sendNextChunk(call); });
--- a/src/foxtailwheel/standin/FaultInjector.cpp
+++ b/src/foxtailwheel/standin/FaultInjector.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-    constexpr std::array<std::string_view, 7> kindNames { "refuse", "fail", "close_before", "close_middle",
-        "close_after", "silent", "late" };
+    constexpr std::array<std::string_view, 9> kindNames { "refuse", "fail", "close_before", "close_middle",
+        "close_after", "silent", "late", "leaving", "pause" };
 
 } // namespace
 
--- a/src/foxtailwheel/standin/FaultyResponse.cpp
+++ b/src/foxtailwheel/standin/FaultyResponse.cpp
@@ -1,7 +1,20 @@
 #include "FaultyResponse.h"
 
+#include <sstream>
+
 namespace foxtailwheel::standin {
 
+namespace {
+
+    std::string formatSeconds(Duration d)
+    {
+        std::ostringstream text;
+        text << toSeconds(d);
+        return text.str();
+    }
+
+} // namespace
+
 void respondWithFault(http::IoPool& pool, const std::shared_ptr<http::Responder>& responder, const Fault& fault,
     const std::function<http::Response()>& execute)
 {
@@ -29,6 +42,16 @@
     case FaultKind::Silent:
         execute();
         return;
+    case FaultKind::Leaving: {
+        auto response = execute();
+        response.headers.push_back({ "X-Leaving", "1" });
+        responder->respond(std::move(response));
+        return;
+    }
+    case FaultKind::Pause:
+        responder->respond(
+            { 503, { { "X-Not-Started", "1" }, { "Retry-After", formatSeconds(fault.delay) } }, "paused" });
+        return;
     case FaultKind::Late:
         pool.postAfter(fault.delay, [responder, response = execute()] { responder->respond(response); });
         return;
--- a/src/foxtailwheel/standin/FaultyResponseTest.cpp
+++ b/src/foxtailwheel/standin/FaultyResponseTest.cpp
@@ -12,7 +12,13 @@
 /// Records how a response ends.
 class RecordingResponder final : public http::Responder {
 public:
-    void respond(http::Response response) override { m_end.set_value(std::to_string(response.status)); }
+    void respond(http::Response response) override
+    {
+        auto text = std::to_string(response.status);
+        for (const auto& it : response.headers)
+            text += " " + it.name + ": " + it.value;
+        m_end.set_value(text);
+    }
     void beginStream(http::Response /*head*/) override { }
     bool write(std::string chunk) override
     {
@@ -43,7 +49,8 @@
     const std::vector<Expected> expected { { FaultKind::Refuse, false, "503" }, { FaultKind::Fail, false, "500" },
         { FaultKind::CloseBefore, false, "abort after ''" }, { FaultKind::CloseMiddle, true, "abort after 'ab'" },
         { FaultKind::CloseAfter, true, "abort after ''" }, { FaultKind::Silent, true, "" },
-        { FaultKind::Late, true, "200" } };
+        { FaultKind::Late, true, "200" }, { FaultKind::Leaving, true, "200 X-Leaving: 1" },
+        { FaultKind::Pause, false, "503 X-Not-Started: 1 Retry-After: 0.02" } };
     for (const auto& it : expected) {
         const auto responder = std::make_shared<RecordingResponder>();
         auto end = responder->end();
