--- a/src/foxtailwheel/peer/PeerTest.cpp
+++ b/src/foxtailwheel/peer/PeerTest.cpp
@@ -8,7 +8,9 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
+#include <ctime>
 #include <future>
+#include <sys/resource.h>
 #include <thread>
 
 using namespace foxtailwheel;
@@ -170,3 +172,26 @@
     cr_assert(eventually([&] { return listener->counts().refused.at(wrongProtocol) == 1; }));
     pool->stop();
 }
+
+Test(PeerTransport, acceptingPausesWhileDescriptorsRunOut)
+{
+    const auto pool = http::IoPool::create(1);
+    const auto listener = listenWith(*pool, "the-shared-secret", [](const Message&) {});
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context, boost::asio::ip::tcp::v4());
+    rlimit before {};
+    getrlimit(RLIMIT_NOFILE, &before);
+    // Descriptors are numbered from the lowest free one, so none is left.
+    const rlimit none { static_cast<rlim_t>(socket.native_handle()) + 1, before.rlim_max };
+    cr_assert_eq(setrlimit(RLIMIT_NOFILE, &none), 0);
+    socket.connect({ boost::asio::ip::make_address("127.0.0.1"), listener->port() });
+    const auto used = std::clock();
+    std::this_thread::sleep_for(500ms);
+    const auto usedSeconds = static_cast<double>(std::clock() - used) / CLOCKS_PER_SEC;
+    setrlimit(RLIMIT_NOFILE, &before);
+    cr_assert_lt(usedSeconds, 0.1);
+    boost::asio::write(socket, boost::asio::buffer(std::string(64, ' ')));
+    const auto wrongProtocol = static_cast<std::size_t>(peer::RefusalReason::WrongProtocol);
+    cr_assert(eventually([&] { return listener->counts().refused.at(wrongProtocol) == 1; }), "accepted later");
+    pool->stop();
+}
--- a/src/foxtailwheel/peer/Transport.cpp
+++ b/src/foxtailwheel/peer/Transport.cpp
@@ -38,6 +38,7 @@
     /// TCP_USER_TIMEOUT: the connection fails if sent data stays unacknowledged for this long.
     constexpr unsigned tcpUserTimeoutMilliseconds = 1000;
     constexpr Duration readIdleTimeout = 60s;
+    constexpr Duration acceptRetryDelay = 50ms;
     constexpr Duration maxIdleTime = 30s;
     constexpr std::size_t maxQueuedBytes = 16U << 20U;
     constexpr std::size_t maxIncomingConnections = 4096;
@@ -411,11 +412,18 @@
 
     net::awaitable<void> TcpTransport::acceptConnections()
     {
+        net::steady_timer retryTimer(m_acceptor.get_executor());
         while (!m_counters->closing) {
             auto [ec, socket] = co_await m_acceptor.async_accept(net::make_strand(m_context), completionToken);
             if (ec == net::error::operation_aborted || ec == net::error::bad_descriptor)
                 co_return;
-            if (ec || m_counters->incoming >= maxIncomingConnections)
+            if (ec) {
+                // For example, descriptors have run out; the connection stays in the accept queue.
+                retryTimer.expires_after(acceptRetryDelay);
+                co_await retryTimer.async_wait(completionToken);
+                continue;
+            }
+            if (m_counters->incoming >= maxIncomingConnections)
                 continue;
             const auto executor = socket.get_executor();
             auto incoming = std::make_shared<IncomingConnection>(std::move(socket), m_key, m_onMessage, m_counters);
