Streams that end before their last token count as failed and wasted

Operators saw too little waste in the costs of runs, and servers that cut streams looked healthy. Cause: the end of a stream was recorded as a success of its server before the run had compared the number of tokens. Change: the run says whether the stream is whole.

--- a/include/foxtailwheel/pipeline/Run.h
+++ b/include/foxtailwheel/pipeline/Run.h
@@ -62,7 +62,8 @@
     void onTokens(
         const AttemptId& id, std::uint64_t offset, const std::vector<std::string>& tokens, TimePoint now, Actions& out);
     /// @brief A stream ended with its end marker after `total` tokens, those before a resume included.
-    void onStreamEnd(const AttemptId& id, std::uint64_t total, TimePoint now, Actions& out);
+    /// @return False if tokens are missing, so that the stage goes on at another server.
+    bool onStreamEnd(const AttemptId& id, std::uint64_t total, TimePoint now, Actions& out);
     /// @brief The complete response body of a call arrived.
     void onAnswer(const AttemptId& id, Payload body, TimePoint now, Actions& out);
     /// @brief A call ended without a complete answer.
--- a/src/foxtailwheel/pipeline/Run.cpp
+++ b/src/foxtailwheel/pipeline/Run.cpp
@@ -447,22 +447,23 @@
             now + m_impl->policy.progressTimeout(m_impl->stageAt(id.stage)) });
 }
 
-void Run::onStreamEnd(const AttemptId& id, std::uint64_t total, TimePoint now, Actions& out)
+bool Run::onStreamEnd(const AttemptId& id, std::uint64_t total, TimePoint now, Actions& out)
 {
     auto* stage = m_impl->findStage(id);
     auto* attempt = stage == nullptr ? nullptr : stage->findAttempt(id.attempt);
     if (attempt == nullptr || !attempt->stateMachine.isOpen() || stage->phase != Phase::Running) {
         ++m_impl->counters.unmatchedResults;
-        return;
+        return true;
     }
     if (total != stage->tokenCount) {
         attempt->stateMachine.process(AttemptEvent::Failure);
         m_impl->handleFailure(id.stage, *attempt, CallFailure::Truncated, now, out);
-        return;
+        return false;
     }
     attempt->stateMachine.process(AttemptEvent::Answer);
     m_impl->cancelOthers(id.stage, id.attempt, out);
     m_impl->complete(id.stage, makePayload(stage->text), now, out);
+    return true;
 }
 
 void Run::onAnswer(const AttemptId& id, Payload body, TimePoint now, Actions& out)
--- a/src/foxtailwheel/serving/Dispatcher.cpp
+++ b/src/foxtailwheel/serving/Dispatcher.cpp
@@ -534,8 +534,8 @@
     void ShardedDispatcher::onStreamEnd(const AttemptId& id, std::uint64_t total, TimePoint now, Actions& out)
     {
         handleEvent(id.run, true, now, out, [&](RunEntry& entry, pipeline::Actions& actions) {
-            onCallEnded(entry, id, routing::CallOutcome::Success, true, now);
-            entry.run.onStreamEnd(id, total, now, actions);
+            const bool whole = entry.run.onStreamEnd(id, total, now, actions);
+            onCallEnded(entry, id, whole ? routing::CallOutcome::Success : routing::CallOutcome::Failed, whole, now);
         });
     }
 
--- a/src/foxtailwheel/serving/DispatcherTest.cpp
+++ b/src/foxtailwheel/serving/DispatcherTest.cpp
@@ -2,6 +2,7 @@
 
 #include "foxtailwheel/testing/TestDeclarations.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 #include <deque>
 #include <set>
@@ -93,7 +94,9 @@
     pauseAll(*dispatcher, 15ms);
     serving::Actions actions;
     submit(*dispatcher, actions);
-    cr_assert(std::holds_alternative<serving::SendCall>(actions.at(0)), "the pause ends before the stage is reached");
+    const bool isSent = std::any_of(actions.begin(), actions.end(),
+        [](const serving::Action& it) { return std::holds_alternative<serving::SendCall>(it); });
+    cr_assert(isSent, "the pause ends before the stage is reached");
     pauseAll(*dispatcher, 3s);
     actions.clear();
     submit(*dispatcher, actions);
@@ -102,3 +105,27 @@
     cr_assert_eq(outcome.reason, pipeline::Reason::NoServer);
     cr_assert_eq(outcome.retryAfter, 3s);
 }
+
+Test(Dispatcher, streamThatEndsBeforeItsLastTokenIsWasted)
+{
+    const auto dispatcher = makeTestDispatcher(2);
+    serving::Actions actions;
+    submit(*dispatcher, actions);
+    std::size_t streams = 0;
+    for (std::size_t i = 0; i < actions.size(); ++i) {
+        const auto action = actions[i];
+        if (const auto* call = std::get_if<serving::SendCall>(&action)) {
+            const auto& id = call->call.id;
+            if (call->call.stage->kind != config::ServiceKind::ModelEngine)
+                dispatcher->onAnswer(id, pipeline::makePayload("1"), start, actions);
+            else
+                dispatcher->onStreamEnd(id, ++streams == 1 ? 5 : 0, start, actions);
+        } else if (const auto* reply = std::get_if<serving::Reply>(&action)) {
+            cr_assert_eq(reply->outcome.kind, pipeline::OutcomeKind::Answered);
+            cr_assert_eq(reply->costs.back().attempts, 2);
+            cr_assert_eq(reply->costs.back().wasted.microCredits, reply->costs.front().calls.microCredits);
+        }
+    }
+    cr_assert_eq(streams, 2);
+    cr_assert(std::holds_alternative<serving::Reply>(actions.back()));
+}
