foxtailwheel explain shows which servers leave or asked for a pause

Cause: server_leaving and server_paused are about no request, so the explanation of a request that was refused for them lacked them. Change: the last of them about each server that the request's lines name, or of the service that had none, on the same process. server_paused and request_refused name the service.

--- a/include/foxtailwheel/cli/Explain.h
+++ b/include/foxtailwheel/cli/Explain.h
@@ -28,7 +28,8 @@
     std::size_t missingLines = 0; ///< Number of log lines dropped or suppressed while the request was in progress.
 };
 
-/// @brief Collects the log entries of a request; empty if no line contains its ID.
+/// @brief Collects the log entries of a request, and those about servers that got none of its calls or no further ones
+/// because they leave or asked for a pause; empty if no line contains its ID.
 RequestTimeline collectTimeline(const std::string& requestId, const std::vector<LogSource>& sources);
 
 } // namespace foxtailwheel::cli
--- a/src/foxtailwheel/cli/ExplainTest.cpp
+++ b/src/foxtailwheel/cli/ExplainTest.cpp
@@ -32,6 +32,22 @@
     cr_assert_eq(collectTimeline("r1", { { "a", &a } }).missingLines, 12);
 }
 
+Test(Explain, showsWhichServersLeaveOrAskedForAPause)
+{
+    std::istringstream a("time=01 event=server_leaving server=s1 source=response\n"
+                         "time=02 event=server_paused server=s2 service=x asked_ms=400 pause_ms=400\n"
+                         "time=03 event=server_paused server=s2 service=x asked_ms=900 pause_ms=900\n"
+                         "time=04 event=request_sent request=r1 server=s1\n"
+                         "time=05 event=server_paused server=s3 service=y asked_ms=400 pause_ms=400\n"
+                         "time=06 event=request_refused request=r1 reason=servers_paused service=x\n"
+                         "time=07 event=server_paused server=s2 service=x asked_ms=100 pause_ms=100\n");
+    std::istringstream b("time=05 event=server_leaving server=s1 source=instance\n");
+    std::string times;
+    for (const auto& it : collectTimeline("r1", { { "a", &a }, { "b", &b } }).entries)
+        times += it.process + it.time + " ";
+    cr_assert_eq(times, "a01 a03 a04 a06 ");
+}
+
 Test(Explain, unknownRequestHasNoEntries)
 {
     std::istringstream a("time=1 event=request_accepted request=r1\n");
--- a/src/foxtailwheel/daemon/CallDriver.cpp
+++ b/src/foxtailwheel/daemon/CallDriver.cpp
@@ -107,7 +107,8 @@
         return;
     const auto time = m_dispatcher.onServerPaused(call.service, call.server, asked, m_clock.now());
     telemetry::logInfo("server_paused",
-        { { "server", call.server.value() }, { "asked_ms", std::to_string(static_cast<long>(toMilliseconds(asked))) },
+        { { "server", call.server.value() }, { "service", call.service.value() },
+            { "asked_ms", std::to_string(static_cast<long>(toMilliseconds(asked))) },
             { "pause_ms", std::to_string(static_cast<long>(toMilliseconds(time))) } });
 }
 
--- a/src/foxtailwheel/serving/ForwardRequests.cpp
+++ b/src/foxtailwheel/serving/ForwardRequests.cpp
@@ -255,7 +255,7 @@
     ForwardRun& run, ForwardOutcome outcome, Duration retryAfter, TimePoint now, ForwardActions& out)
 {
     logDecision(run, "request_refused",
-        { { "reason", std::string(toString(outcome)) },
+        { { "reason", std::string(toString(outcome)) }, { "service", run.service.value() },
             { "after_ms", formatInteger(toMilliseconds(now - run.acceptedAt)) },
             { "version", std::to_string(m_table ? m_table->version : 0) },
             { "credentials_age_ms", formatInteger(toMilliseconds(now - m_credentialsConfirmedAt)) },
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -64,7 +64,8 @@
         return;
     const auto time = state->pool->pause(server, pause, now);
     logServerDecision("server_paused",
-        { { "server", server.value() }, { "asked_ms", formatInteger(toMilliseconds(pause)) },
+        { { "server", server.value() }, { "service", announced->service.value() },
+            { "asked_ms", formatInteger(toMilliseconds(pause)) },
             { "pause_ms", formatInteger(toMilliseconds(time)) } });
 }
 
