--- a/src/foxtailwheel/peer/Message.cpp
+++ b/src/foxtailwheel/peer/Message.cpp
@@ -3,6 +3,7 @@
 #include "foxtailwheel/peer/Messages_generated.h"
 
 #include <algorithm>
+#include <cstring>
 
 namespace foxtailwheel::peer {
 
@@ -348,8 +349,12 @@
     TextDelta unpackDelta(const flatbuffers::Vector<const wire::Copy*>& copies, std::string added, std::uint64_t hash)
     {
         TextDelta delta { {}, std::move(added), hash };
-        for (const auto* it : copies)
-            delta.copies.push_back({ it->offset(), it->size(), it->new_bytes() });
+        for (flatbuffers::uoffset_t i = 0; i < copies.size(); ++i) {
+            // The verifier does not check the alignment of the elements.
+            wire::Copy copy;
+            std::memcpy(&copy, copies.Data() + i * sizeof copy, sizeof copy);
+            delta.copies.push_back({ copy.offset(), copy.size(), copy.new_bytes() });
+        }
         return delta;
     }
 
