Spaces around a Retry-After are removed in one place only

Found on reading the change again: http/RetryAfter had its own copy of the trim of platform/Protocol. HTTP headers arrive without such spaces; the platform's translation trims as before.

--- a/src/foxtailwheel/http/RetryAfter.cpp
+++ b/src/foxtailwheel/http/RetryAfter.cpp
@@ -12,20 +12,10 @@
     /// Longer times are no statement about a server.
     constexpr double maxRetryAfterSeconds = 1e6;
 
-    std::string_view trim(std::string_view text)
-    {
-        while (text.starts_with(' '))
-            text.remove_prefix(1);
-        while (text.ends_with(' '))
-            text.remove_suffix(1);
-        return text;
-    }
-
 } // namespace
 
 Duration parseRetryAfter(std::string_view text, WallTime now)
 {
-    text = trim(text);
     double seconds = 0;
     const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), seconds);
     if (ec == std::errc() && end == text.data() + text.size())
