At the end of a planned stop, requests in progress are refused or fail, not cut

Callers saw: a request that was accepted while an instance was stopping, and still waited for a stage or a server when nine tenths of the grace period were over, ended with its connection: no response, no refusal.

Cause: the process ended at that moment whatever was in progress. Class of fault: a deadline of the process that is not one of its requests.

Change: at the end of the drain every request in progress is ended by its own state: 503 if nothing of it ran, 502 if it may have run, a broken stream if its response has begun.

--- a/include/foxtailwheel/daemon/ForwardService.h
+++ b/include/foxtailwheel/daemon/ForwardService.h
@@ -65,6 +65,8 @@
     void setCrashRecords(const std::vector<serving::CrashRecord>& records);
     /// @brief Rejects all new requests; requests in progress continue.
     void stopAccepting();
+    /// @brief Ends all requests in progress, because the process is about to end.
+    void endAll();
     serving::ForwarderStatus status() const;
 
 private:
--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -236,6 +236,9 @@
     virtual void onPeerUnreachable(const InstanceId& instance, TimePoint now, ForwardActions& out) = 0;
     /// @brief Rejects all new requests from now on; requests in progress continue.
     virtual void stopAccepting() = 0;
+    /// @brief Ends all requests in progress, because the process is about to end: those that have not run are refused,
+    /// the others fail.
+    virtual void endAll(TimePoint now, ForwardActions& out) = 0;
     /// @brief Allocates the id for a request.
     virtual ForwardId allocateRequestId() = 0;
     /// @brief Starts a request under an id from `allocateRequestId`.
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -491,6 +491,13 @@
     m_impl->forwarder->stopAccepting();
 }
 
+void ForwardService::endAll()
+{
+    serving::ForwardActions actions;
+    m_impl->forwarder->endAll(m_impl->clock.now(), actions);
+    m_impl->executeAll(std::move(actions));
+}
+
 serving::ForwarderStatus ForwardService::status() const
 {
     return m_impl->forwarder->status(m_impl->clock.now());
--- a/src/foxtailwheel/serving/ForwardRequests.cpp
+++ b/src/foxtailwheel/serving/ForwardRequests.cpp
@@ -274,6 +274,14 @@
         refuse(run, outcome, httpStatus(outcome) == 503 ? noServerRetryAfter : Duration {}, now, out);
 }
 
+void RoutingForwarder::endAll(TimePoint now, ForwardActions& out)
+{
+    while (!m_runs.empty()) {
+        auto& run = *m_runs.begin()->second;
+        fail(run, run.mayHaveRun ? ForwardOutcome::BackendFailed : ForwardOutcome::ShuttingDown, now, out);
+    }
+}
+
 void RoutingForwarder::finishStream(ForwardRun& run, ForwardOutcome outcome, TimePoint now, ForwardActions& out)
 {
     logDecision(run, "stream_ended",
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -632,6 +632,27 @@
     cr_assert_eq(fixture.replies.at(1).response.status, 200);
 }
 
+Test(Forwarder, requestsInProgressAtTheEndOfAPlannedStopAreEndedTruthfully)
+{
+    ForwarderFixture fixture;
+    fixture.submit("book");
+    fixture.submit("plan");
+    const auto stream = fixture.beginStream(start + 20ms);
+    fixture.receive(stream, "id: 1\ndata: x\n\n", start + 30ms);
+    fixture.pieces = { 2 };
+    fixture.submit("staged", start + 40ms);
+    cr_assert_eq(fixture.batches.size(), 1, "the last request waits for a stage");
+    fixture.forwarder->stopAccepting();
+    fixture.collectActions([&](auto& out) { fixture.forwarder->endAll(start + 1s, out); });
+    std::vector<unsigned> statuses;
+    for (const auto& it : fixture.replies)
+        statuses.push_back(it.response.status);
+    std::sort(statuses.begin(), statuses.end());
+    cr_assert(statuses == std::vector<unsigned>({ 502, 503 }), "the booking may have run, the waiting request did not");
+    cr_assert(fixture.outcomes == std::vector<ForwardOutcome>({ ForwardOutcome::StreamBroken }));
+    cr_assert_eq(fixture.forwarder->status(start + 1s).activeRequests, 0);
+}
+
 Test(Forwarder, serverErrorIsForwardedAfterTheLastAllowedRetry)
 {
     ForwarderFixture fixture;
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -82,6 +82,7 @@
     void onPeerConnectionLost(const InstanceId& instance, TimePoint now, ForwardActions& out) override;
     void onPeerUnreachable(const InstanceId& instance, TimePoint now, ForwardActions& out) override;
     void stopAccepting() override { m_accepting = false; }
+    void endAll(TimePoint now, ForwardActions& out) override;
     ForwardId allocateRequestId() override { return ForwardId(++m_lastRunId); }
     void submit(ForwardId id, ForwardRequest request, TimePoint now, ForwardActions& out) override;
     void onCallerDisconnected(ForwardId id, TimePoint now, ForwardActions& out) override;
