foxtailwheeld too ends its runs at the end of a planned stop

Callers saw, by the code: runs that were queued or in progress at the drain limit ended with their connection.

Change: 0.2 s before the limit queued runs are rejected with shutting_down, the others end as at their deadline: not run, or unknown if a call with an effect may have run.

--- a/include/foxtailwheel/serving/Dispatcher.h
+++ b/include/foxtailwheel/serving/Dispatcher.h
@@ -133,6 +133,9 @@
     virtual void setLeavingServers(const std::set<BackendServerId>& leaving) = 0;
     /// @brief Rejects all new requests from now on; runs in progress continue.
     virtual void stopAccepting() = 0;
+    /// @brief Ends all runs in progress, because the process is about to end: queued ones are rejected, the others end
+    /// as at their deadline.
+    virtual void endAll(TimePoint now, Actions& out) = 0;
 
     /// @brief Returns the id of a new run, so that its caller can be registered before the run starts.
     virtual RunId allocateRunId() = 0;
--- a/src/foxtailwheel/daemon/Instance.cpp
+++ b/src/foxtailwheel/daemon/Instance.cpp
@@ -32,6 +32,8 @@
     constexpr std::size_t leaseContendersPerPool = 2;
     constexpr Duration instanceListTimeout = 1s;
     constexpr Duration drainCheckPeriod = 20ms;
+    /// Time at the end of the drain for the responses of runs that could not be completed.
+    constexpr Duration lastResponsesTime = 200ms;
 
     serving::DispatcherOptions dispatcherOptions(const config::Settings& settings, std::uint64_t seed)
     {
@@ -107,6 +109,7 @@
         Lifecycle m_lifecycle;
         control::ClaimCleaner m_claimCleaner;
         std::size_t m_abortedRequests = 0;
+        bool m_endedAll = false; ///< The runs in progress near the end of the drain were ended.
     };
 
     InstanceImpl::InstanceImpl(config::Settings settings)
@@ -355,6 +358,11 @@
     void InstanceImpl::checkDrained(TimePoint deadline)
     {
         m_callerServer->closeIdleConnections();
+        if (m_clock->now() >= deadline - lastResponsesTime && !std::exchange(m_endedAll, true)) {
+            serving::Actions actions;
+            m_dispatcher->endAll(m_clock->now(), actions);
+            execute(std::move(actions));
+        }
         const bool idle = m_callerApi.inProgress() == 0 && m_callerServer->openConnections() == 0
             && m_dispatcher->status().runs == 0 && m_claimStore->pendingRecords() == 0;
         if (idle && process(LifecycleEvent::DrainCompleted)) {
--- a/src/foxtailwheel/serving/Dispatcher.cpp
+++ b/src/foxtailwheel/serving/Dispatcher.cpp
@@ -80,6 +80,7 @@
         void setInstanceCount(std::size_t n) override;
         void setLeavingServers(const std::set<BackendServerId>& leaving) override;
         void stopAccepting() override { m_accepting = false; }
+        void endAll(TimePoint now, Actions& out) override;
         RunId allocateRunId() override { return RunId(m_nextRunId++); }
         void submit(RunId id, SubmitRequest request, TimePoint now, Actions& out) override;
         void onSent(const AttemptId& id, TimePoint now) override;
@@ -591,6 +592,29 @@
         });
     }
 
+    void ShardedDispatcher::endAll(TimePoint now, Actions& out)
+    {
+        std::vector<RunId> queued;
+        std::vector<RunId> started;
+        for (const auto& shard : m_shards) {
+            const std::lock_guard lock(shard.mutex);
+            for (const auto& it : shard.runs)
+                (it.second->started ? started : queued).push_back(it.first);
+        }
+        // Slots that become free must not start a queued run.
+        for (const auto id : queued) {
+            handleEvent(id, false, now, out, [&](RunEntry& entry, pipeline::Actions&) {
+                if (!entry.started && !entry.replied)
+                    rejectRun(entry, Reason::ShuttingDown, {}, out);
+            });
+        }
+        for (const auto id : started) {
+            handleEvent(id, false, now, out, [&](RunEntry& entry, pipeline::Actions& actions) {
+                entry.run.onTimer({ id, pipeline::TimerKind::Deadline, 0, {} }, now, actions);
+            });
+        }
+    }
+
     void ShardedDispatcher::onLoadReport(
         const ServiceId& service, const BackendServerId& server, const routing::LoadReport& report)
     {
--- a/src/foxtailwheel/serving/DispatcherTest.cpp
+++ b/src/foxtailwheel/serving/DispatcherTest.cpp
@@ -35,6 +35,27 @@
 
 } // namespace
 
+Test(Dispatcher, runsInProgressAtTheEndOfAPlannedStopAreEnded)
+{
+    const auto dispatcher = makeTestDispatcher(1);
+    serving::Actions actions;
+    for (int i = 0; i < 100; ++i)
+        submit(*dispatcher, actions);
+    cr_assert_gt(dispatcher->status().queued, 0U);
+    dispatcher->stopAccepting();
+    dispatcher->endAll(start, actions);
+    std::size_t rejected = 0;
+    std::size_t replies = 0;
+    for (const auto& it : actions) {
+        const auto* reply = std::get_if<serving::Reply>(&it);
+        replies += reply != nullptr ? 1 : 0;
+        rejected += reply != nullptr && reply->outcome.reason == pipeline::Reason::ShuttingDown ? 1 : 0;
+    }
+    cr_assert_eq(replies, 100U);
+    cr_assert_gt(rejected, 0U, "queued runs have not run");
+    cr_assert_eq(dispatcher->status().queued, 0U);
+}
+
 Test(Dispatcher, answersAllRunsWhileAFifthOfTheEnginesFail)
 {
     const auto dispatcher = makeTestDispatcher(20);
