A stream whose server pauses for a second or so is not given up

Callers saw streams of a sound server break off. A resumable stream without an event for 1.1 s was cancelled and sent to another server. Sound servers may pause for that long and go on; the second call can be rejected, fail, or find no server, and then the response ends although the first server would have completed it.

A stream is silent after 2 s now, or after three quarters of the time for which its caller waits, if that is shorter; as before not before twice the pause that its route allows. That covers a pause of a second or so on all routes and leaves the caller time for the next server: callers wait for the longest of 2 s, four latency targets and eight allowed pauses.

streamOfAServerThatPausesGoesOn (pauses of 1.5 s, nine combinations of latency target and allowed pause) failed before: the call was cancelled.

Three tests stated the old bound. silentCallIsCancelledBeforeItsStreamFailsOver expected a failover after 1.2 s of silence, which a sound server may show; it now expects none after 1.9 s and one after 2.1 s, so it has both sides. stalledStreamThatSendsBytesOrCommentsFailsOver and silentStreamIsNotCutWithoutRetryBudget run past the new bound and expect what they did. silentStreamIsGivenUpBeforeItsCallerLeaves is new and states the bound for routes whose callers leave after 2 s.

--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -17,10 +17,19 @@
     constexpr double failoverDelayShare = 0.6;
     /// Minimum time without a first event before a stream fails over.
     constexpr Duration minFailoverDelay = 900ms;
-    /// Minimum time without an event after which a resumable stream fails over. Callers disconnect after two seconds.
-    constexpr Duration minStreamSilence = 1100ms;
+    /// Time without an event after which a resumable stream fails over. A sound server may pause for more than a
+    /// second.
+    constexpr Duration streamSilence = 2s;
+    /// A stream fails over at this fraction of the time without an event for which its caller waits, if that is
+    /// earlier.
+    constexpr double callerGapShare = 0.75;
     /// A stream is not silent before this multiple of the pause that its route allows.
     constexpr double streamSilenceFactor = 2;
+    /// Callers disconnect from a stream after the longest of this time without an event and multiples of the latency
+    /// target and of the pause that its route allows.
+    constexpr Duration minCallerGap = 2s;
+    constexpr double callerGapTargetFactor = 4;
+    constexpr double callerGapPauseFactor = 8;
     /// Requests with less remaining time than this are not sent.
     constexpr Duration minRemainingTimeToSend = 5ms;
     /// A call counts as silent without a first event after this multiple of the route's usual time to the first byte,
@@ -225,9 +234,17 @@
     run.eventSplitter = EventSplitter(m_options.maxEventBytes);
 }
 
-Duration RoutingForwarder::streamSilenceTimeout(const ForwardRun& run) const
+/// Returns the time without an event after which the caller of a stream disconnects.
+Duration RoutingForwarder::callerGap(const ForwardRun& run)
 {
-    return std::max(minStreamSilence, fromSeconds(toSeconds(run.route->eventGapTarget) * streamSilenceFactor));
+    return std::max({ minCallerGap, fromSeconds(toSeconds(run.route->latencyTarget) * callerGapTargetFactor),
+        fromSeconds(toSeconds(run.route->eventGapTarget) * callerGapPauseFactor) });
+}
+
+Duration RoutingForwarder::streamSilenceTimeout(const ForwardRun& run)
+{
+    return std::max(std::min(streamSilence, fromSeconds(toSeconds(callerGap(run)) * callerGapShare)),
+        fromSeconds(toSeconds(run.route->eventGapTarget) * streamSilenceFactor));
 }
 
 /// Returns false for a stream that ended without an event, or inside one. Without a length, the end of the connection
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -351,11 +351,55 @@
     fixture.collectActions([&](auto& out) {
         fixture.forwarder->onResponseHead(first, { 200, {}, {} }, start + 100ms, out);
     });
-    fixture.runTimers(start + 1300ms);
+    fixture.runTimers(start + 2000ms);
+    cr_assert(fixture.cancelled.empty());
+    fixture.runTimers(start + 2200ms);
     cr_assert_eq(fixture.cancelled.at(0), first);
     cr_assert_eq(fixture.sent.size(), 2);
 }
 
+// A stream of a sound server that paused was given up; where no other server took it, it broke off.
+Test(Forwarder, streamOfAServerThatPausesGoesOn)
+{
+    for (const auto gapTarget : { 0ms, 250ms, 400ms }) {
+        for (const auto target : { 300ms, 1000ms, 2000ms }) {
+            ForwarderFixture fixture;
+            auto changed = table(2);
+            for (auto& it : changed->routes) {
+                it.eventGapTarget = gapTarget;
+                it.latencyTarget = target;
+            }
+            fixture.collectActions([&](auto& out) { fixture.forwarder->configure(changed, start, out); });
+            fixture.submit("plan");
+            const auto call = fixture.beginStream(start + 100ms);
+            fixture.receive(call, "id: 1\ndata: a\n\n", start + 200ms);
+            for (auto now = start + 300ms; now < start + 1700ms; now += 50ms)
+                fixture.runTimers(now);
+            fixture.receive(call, "id: 2\ndata: b\n\n", start + 1700ms);
+            fixture.endCall(call, ForwardCallOutcome::Complete, start + 1800ms);
+            cr_assert(fixture.cancelled.empty());
+            cr_assert_eq(fixture.sent.size(), 1);
+            cr_assert_eq(fixture.outcomes.at(0), ForwardOutcome::Answered);
+        }
+    }
+}
+
+Test(Forwarder, silentStreamIsGivenUpBeforeItsCallerLeaves)
+{
+    ForwarderFixture fixture;
+    auto changed = table(2);
+    for (auto& it : changed->routes)
+        it.latencyTarget = 300ms;
+    fixture.collectActions([&](auto& out) { fixture.forwarder->configure(changed, start, out); });
+    fixture.submit("plan");
+    const auto call = fixture.beginStream(start + 100ms);
+    fixture.receive(call, "id: 1\ndata: a\n\n", start + 200ms);
+    for (auto now = start + 300ms; now <= start + 1750ms; now += 50ms)
+        fixture.runTimers(now);
+    cr_assert_eq(fixture.cancelled.size(), 1, "the caller leaves 2 s after the last event");
+    cr_assert_eq(fixture.sent.size(), 2);
+}
+
 Test(Forwarder, slowStreamWithinTheAllowedPauseIsWhole)
 {
     ForwarderFixture fixture;
@@ -383,7 +427,7 @@
         fixture.submit("plan");
         const auto call = fixture.beginStream(start + 100ms);
         fixture.receive(call, "id: 1\ndata: a\n\n", start + 200ms);
-        for (auto now = start + 500ms; now <= start + 1500ms; now += 100ms) {
+        for (auto now = start + 500ms; now <= start + 2300ms; now += 100ms) {
             fixture.receive(call, bytes, now);
             fixture.runTimers(now);
         }
@@ -414,11 +458,11 @@
     ForwarderFixture fixture(options);
     fixture.submit("plan");
     const auto call = fixture.beginStream(start + 100ms);
-    fixture.runTimers(start + 1300ms);
-    fixture.runTimers(start + 1600ms);
+    fixture.runTimers(start + 2200ms);
+    fixture.runTimers(start + 2500ms);
     cr_assert(fixture.cancelled.empty(), "the stream cannot be resumed, so it must not be given up");
-    fixture.receive(call, "id: 1\ndata: a\n\n", start + 1700ms);
-    fixture.endCall(call, ForwardCallOutcome::Complete, start + 1800ms);
+    fixture.receive(call, "id: 1\ndata: a\n\n", start + 2600ms);
+    fixture.endCall(call, ForwardCallOutcome::Complete, start + 2700ms);
     cr_assert_eq(fixture.outcomes.at(0), ForwardOutcome::Answered);
 }
 
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -157,7 +157,8 @@
     void resendRequest(ForwardRun& run, TimePoint now, ForwardActions& out);
     void onResponseComplete(ForwardRun& run, http::Response response, TimePoint now, ForwardActions& out);
     bool failOverStream(ForwardRun& run, TimePoint now, ForwardActions& out);
-    Duration streamSilenceTimeout(const ForwardRun& run) const;
+    static Duration callerGap(const ForwardRun& run);
+    static Duration streamSilenceTimeout(const ForwardRun& run);
     void checkStreamSilence(ForwardRun& run, const Timer& timer, TimePoint now, ForwardActions& out);
     void clearPartialEvent(ForwardRun& run);
     void breakOversizedStreams(ForwardRun& run, CallId call, TimePoint now, ForwardActions& out);
