A silent stream is not given up unless another server can take it

Callers saw streams break off whose server had only paused. When a stream had been silent for long enough, its call was cancelled first and a server was looked for afterwards. If the only usable servers were those that had the request already, it went back to the silent one, or to none, and broke off.

silentStreamIsNotGivenUpWithoutAnotherServer failed before: with one server, the call was cancelled. With a second one announced later, it still fails over.

--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -2,6 +2,7 @@
 #include "foxtailwheel/base/Hash.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace foxtailwheel::serving {
 
@@ -405,12 +406,18 @@
     closeRun(run, now, out);
 }
 
-/// Cancels a stream whose server is silent and resumes it, preferably on another server. Returns false and leaves the
-/// stream as it is if the retry budget is used up: the server may only be slow.
+/// Cancels a stream whose server is silent and resumes it on another server. Returns false and leaves the stream as it
+/// is if there is none or the retry budget is used up: the server may only be slow.
 bool RoutingForwarder::failOverStream(ForwardRun& run, TimePoint now, ForwardActions& out)
 {
     auto* state = m_directory.find(run.service);
-    if (state == nullptr || !state->retryBudget.tryAcquire(1, now))
+    if (state == nullptr)
+        return false;
+    const auto servers = state->pool->availableServers(std::numeric_limits<std::uint32_t>::max(), now);
+    const bool hasUntried = std::any_of(servers.begin(), servers.end(), [&run](const config::BackendServer& it) {
+        return std::find(run.triedServers.begin(), run.triedServers.end(), it.id) == run.triedServers.end();
+    });
+    if (!hasUntried || !state->retryBudget.tryAcquire(1, now))
         return false;
     while (!run.calls.empty())
         closeCall(run, run.calls.front().id, routing::CallOutcome::Failed, true, now, out);
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -466,6 +466,27 @@
     cr_assert_eq(fixture.outcomes.at(0), ForwardOutcome::Answered);
 }
 
+// A stream was given up while no other server was there, and could not go on anywhere.
+Test(Forwarder, silentStreamIsNotGivenUpWithoutAnotherServer)
+{
+    ForwarderFixture fixture;
+    const auto announce = [&](const std::vector<AnnouncedServer>& servers, TimePoint now) {
+        fixture.collectActions([&](auto& out) { fixture.forwarder->setServers(servers, now, out); });
+    };
+    announce({ fixture.servers[2] }, start);
+    fixture.submit("plan");
+    const auto call = fixture.beginStream(start + 100ms);
+    fixture.receive(call, "id: 1\ndata: a\n\n", start + 200ms);
+    fixture.runTimers(start + 2300ms);
+    cr_assert(fixture.cancelled.empty());
+    cr_assert_eq(fixture.sent.size(), 1);
+    announce(fixture.servers, start + 2400ms);
+    fixture.runTimers(start + 2600ms);
+    cr_assert_eq(fixture.cancelled.size(), 1);
+    cr_assert_eq(fixture.sent.size(), 2);
+    cr_assert_neq(fixture.sent[1].server.id, fixture.sent[0].server.id);
+}
+
 Test(Forwarder, endlessEventBreaksItsStreamOnly)
 {
     ForwarderOptions options;
