A begun stream looks for a server while its caller waits

Callers saw streams break off although their server had been sound. A begun stream that had been given up, or whose server had failed, got what is left of max(300 ms, latency target) since the request was accepted to find another server: after the first seconds of a stream that is nothing. It broke off after one attempt if no server was usable for a moment, at once if all servers had asked for a pause of more than 300 ms, and at once if its new server rejected it while the retry budget was used up or for the fourth time.

Callers of streams wait for an event for the longest of 2 s, four latency targets and eight allowed pauses. A begun stream now looks for a server, or waits for the retry budget, until an event of another server could no longer arrive within that time or the deadline; then it breaks off, before its caller leaves. Further attempts are at least 200 ms apart once the budget is used up or calls were rejected often, and each is charged as before. A stream whose server broke it off while the budget is used up still ends at once: its caller can resume it in a new request.

--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -242,6 +242,15 @@
         fromSeconds(toSeconds(run.route->eventGapTarget) * callerGapPauseFactor) });
 }
 
+/// Returns the time until which another server can go on with a stream that has begun: its next event has to be there
+/// before the caller disconnects.
+TimePoint RoutingForwarder::resumableUntil(const ForwardRun& run) const
+{
+    if (!run.headSent)
+        return TimePoint::min();
+    return std::min(run.deadline, run.lastEventAt + callerGap(run)) - usualTimeToFirstByte(run);
+}
+
 Duration RoutingForwarder::streamSilenceTimeout(const ForwardRun& run)
 {
     return std::max(std::min(streamSilence, fromSeconds(toSeconds(callerGap(run)) * callerGapShare)),
@@ -319,12 +328,17 @@
         return;
     }
     auto* state = m_directory.find(run.service);
-    const bool reachedServer = outcome != ForwardCallOutcome::NotSent;
-    if (++run.unexecutedCalls > maxUnexecutedCalls || (reachedServer && !state->retryBudget.tryAcquire(1, now))) {
+    const bool rejectedOften = ++run.unexecutedCalls > maxUnexecutedCalls;
+    const bool mayWait = now + failoverRetryInterval < resumableUntil(run);
+    const bool resends = !rejectedOften || mayWait;
+    if (resends && outcome != ForwardCallOutcome::NotSent)
+        run.awaitsRetryBudget = !state->retryBudget.tryAcquire(1, now);
+    if (!rejectedOften && !run.awaitsRetryBudget)
+        sendRequest(run, now, out);
+    else if (mayWait)
+        setTimer(now + failoverRetryInterval, { TimerKind::FindServer, run.id, {}, {} });
+    else
         fail(run, run.mayHaveRun ? ForwardOutcome::BackendFailed : ForwardOutcome::NotStarted, now, out);
-        return;
-    }
-    sendRequest(run, now, out);
 }
 
 /// A server that ends between the head of a response and its first event probably crashed on the request.
--- a/src/foxtailwheel/serving/ForwardRun.h
+++ b/src/foxtailwheel/serving/ForwardRun.h
@@ -49,6 +49,7 @@
     std::uint32_t unexecutedCalls = 0; ///< Calls that definitely did not run the request.
     std::uint32_t stageRestarts = 0; ///< Times that the stages were run again.
     bool retryBudgetCredited = false; ///< The first call was counted in the retry budget.
+    bool awaitsRetryBudget = false; ///< The next call has not been charged to the retry budget yet.
     bool mayHaveRun = false;
     EventSplitter eventSplitter;
     std::optional<std::uint64_t> lastEventId; ///< Last event that was forwarded to the caller.
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -10,9 +10,6 @@
 
     /// Time without a usable server after which a request is rejected. Routes with a longer latency target use that.
     constexpr Duration serverWaitTimeout = 300ms;
-    /// Interval between attempts to fail over a silent stream while the retry budget is used up.
-    constexpr Duration failoverRetryInterval = 200ms;
-
 } // namespace
 
 bool RoutingForwarder::configure(std::shared_ptr<const config::RouteTable> table, TimePoint now, ForwardActions& out)
@@ -76,12 +73,12 @@
     return state == nullptr ? std::nullopt : state->pool->pausedUntil(server, now);
 }
 
-/// Rejects a request at once if all servers of its service are paused for longer than a request waits for a server.
+/// Rejects a request at once if all servers of its service are paused for longer than it waits for a server.
 bool RoutingForwarder::refuseIfAllPaused(ForwardRun& run, TimePoint now, ForwardActions& out)
 {
     auto* state = m_directory.find(run.service);
     const auto until = state == nullptr ? std::nullopt : state->pool->pausedUntil(now);
-    if (!until || *until - now <= serverWaitTimeout)
+    if (!until || *until <= std::max(now + serverWaitTimeout, resumableUntil(run)))
         return false;
     if (run.mayHaveRun || run.headSent)
         fail(run, ForwardOutcome::BackendFailed, now, out);
@@ -223,14 +220,7 @@
     case TimerKind::FindServer:
         if (!run->calls.empty() || !run->allStagesDone())
             return;
-        if (refuseIfCrashing(*run, now, out))
-            return;
-        if (trySend(*run, !run->triedServers.empty(), now, out) || refuseIfAllPaused(*run, now, out))
-            return;
-        if (now - run->acceptedAt > std::max(serverWaitTimeout, run->route->latencyTarget))
-            fail(*run, run->mayHaveRun ? ForwardOutcome::BackendFailed : ForwardOutcome::NoServer, now, out);
-        else
-            setTimer(now + serverRetryInterval, timer);
+        findServer(*run, timer, now, out);
         return;
     case TimerKind::Hedge:
         if (call == nullptr || call->headReceived || run->possibleExecutions >= run->route->maxCallsPerRequest)
@@ -250,6 +240,24 @@
     }
 }
 
+/// Sends a request that waits for a server or for the retry budget, or ends its wait.
+void RoutingForwarder::findServer(ForwardRun& run, const Timer& timer, TimePoint now, ForwardActions& out)
+{
+    if (refuseIfCrashing(run, now, out))
+        return;
+    if (run.awaitsRetryBudget)
+        run.awaitsRetryBudget = !m_directory.find(run.service)->retryBudget.tryAcquire(1, now);
+    const bool sent = !run.awaitsRetryBudget && trySend(run, !run.triedServers.empty(), now, out);
+    if (sent || refuseIfAllPaused(run, now, out))
+        return;
+    const auto waitsUntil
+        = run.headSent ? resumableUntil(run) : run.acceptedAt + std::max(serverWaitTimeout, run.route->latencyTarget);
+    if (now > waitsUntil)
+        fail(run, run.mayHaveRun ? ForwardOutcome::BackendFailed : ForwardOutcome::NoServer, now, out);
+    else
+        setTimer(now + serverRetryInterval, timer);
+}
+
 void RoutingForwarder::checkStreamSilence(ForwardRun& run, const Timer& timer, TimePoint now, ForwardActions& out)
 {
     const auto silentAt = run.lastEventAt + streamSilenceTimeout(run);
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -487,6 +487,96 @@
     cr_assert_neq(fixture.sent[1].server.id, fixture.sent[0].server.id);
 }
 
+// A stream that had begun broke off at once when no server took it, although its caller waited for seconds more.
+Test(Forwarder, begunStreamLooksForAServerWhileItsCallerWaits)
+{
+    const auto giveUp = [](ForwarderFixture& fixture) {
+        fixture.submit("plan");
+        const auto call = fixture.beginStream(start + 100ms);
+        fixture.receive(call, "id: 1\ndata: a\n\n", start + 1500ms);
+        fixture.runTimers(start + 3500ms);
+        cr_assert_eq(fixture.sent.size(), 2);
+    };
+    const auto runTimers = [](ForwarderFixture& fixture, TimePoint from, TimePoint until) {
+        for (auto now = from; now <= until; now += 25ms)
+            fixture.runTimers(now);
+    };
+    const auto expectResumed = [](const ForwarderFixture& fixture) {
+        cr_assert(fixture.outcomes.empty());
+        cr_assert_eq(fixture.sent.size(), 3);
+        cr_assert_eq(*fixture.sent[2].lastEventId, 1);
+    };
+    {
+        ForwarderFixture fixture;
+        giveUp(fixture);
+        fixture.collectActions([&](auto& out) { fixture.forwarder->setServers({}, start + 3510ms, out); });
+        fixture.endCall(fixture.sent[1].call, ForwardCallOutcome::NotSent, start + 3510ms);
+        runTimers(fixture, start + 3525ms, start + 4200ms);
+        fixture.collectActions([&](auto& out) { fixture.forwarder->setServers(fixture.servers, start + 4200ms, out); });
+        runTimers(fixture, start + 4200ms, start + 4300ms);
+        expectResumed(fixture);
+    }
+    {
+        ForwarderFixture fixture;
+        giveUp(fixture);
+        for (const auto i : { 2, 3 })
+            fixture.collectActions([&](auto& out) {
+                fixture.forwarder->onServerSignal(
+                    fixture.servers[static_cast<std::size_t>(i)].server, { false, 1s, false }, start + 3510ms, out);
+            });
+        fixture.endCall(fixture.sent[1].call, ForwardCallOutcome::Refused, start + 3510ms);
+        runTimers(fixture, start + 3525ms, start + 4900ms);
+        expectResumed(fixture);
+    }
+    {
+        ForwarderOptions options;
+        options.retryBudgetFraction = 0;
+        options.retryBudgetReserve = 1.3;
+        options.retryBudgetWindow = 1s;
+        ForwarderFixture fixture(options);
+        giveUp(fixture);
+        fixture.endCall(fixture.sent[1].call, ForwardCallOutcome::Refused, start + 3510ms);
+        runTimers(fixture, start + 3525ms, start + 4400ms);
+        cr_assert_eq(fixture.sent.size(), 2, "the retry budget is used up");
+        runTimers(fixture, start + 4400ms, start + 4900ms);
+        expectResumed(fixture);
+    }
+}
+
+Test(Forwarder, begunStreamWithoutAServerBreaksOffBeforeItsCallerLeaves)
+{
+    ForwarderFixture fixture;
+    fixture.submit("plan");
+    const auto call = fixture.beginStream(start + 100ms);
+    fixture.receive(call, "id: 1\ndata: a\n\n", start + 200ms);
+    fixture.collectActions([&](auto& out) { fixture.forwarder->setServers({}, start + 300ms, out); });
+    fixture.endCall(call, ForwardCallOutcome::Broken, start + 300ms);
+    for (auto now = start + 325ms; now <= start + 3200ms; now += 25ms)
+        fixture.runTimers(now);
+    cr_assert(fixture.outcomes.empty());
+    for (auto now = start + 3225ms; now <= start + 4200ms; now += 25ms)
+        fixture.runTimers(now);
+    cr_assert_eq(fixture.outcomes.size(), 1, "the caller leaves 4 s after the last event");
+    cr_assert_eq(fixture.outcomes[0], ForwardOutcome::StreamBroken);
+}
+
+// Pauses that end after the caller has left are no reason to wait.
+Test(Forwarder, begunStreamBreaksOffIfAllServersPauseForLonger)
+{
+    ForwarderFixture fixture;
+    fixture.submit("plan");
+    const auto call = fixture.beginStream(start + 100ms);
+    fixture.receive(call, "id: 1\ndata: a\n\n", start + 200ms);
+    for (const auto i : { 2, 3 })
+        fixture.collectActions([&](auto& out) {
+            fixture.forwarder->onServerSignal(
+                fixture.servers[static_cast<std::size_t>(i)].server, { false, 20s, false }, start + 300ms, out);
+        });
+    fixture.endCall(call, ForwardCallOutcome::Broken, start + 300ms);
+    cr_assert_eq(fixture.outcomes.size(), 1);
+    cr_assert_eq(fixture.outcomes[0], ForwardOutcome::StreamBroken);
+}
+
 Test(Forwarder, endlessEventBreaksItsStreamOnly)
 {
     ForwarderOptions options;
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -12,6 +12,8 @@
 
 /// @brief Interval between attempts to find a usable server.
 constexpr Duration serverRetryInterval = std::chrono::milliseconds(25);
+/// @brief Interval between attempts to resume a stream that the retry budget or the servers' rejections hold up.
+constexpr Duration failoverRetryInterval = std::chrono::milliseconds(200);
 
 /// @brief Formats a number for logs, truncated to an integer.
 std::string formatInteger(double n);
@@ -159,6 +161,7 @@
     bool failOverStream(ForwardRun& run, TimePoint now, ForwardActions& out);
     static Duration callerGap(const ForwardRun& run);
     static Duration streamSilenceTimeout(const ForwardRun& run);
+    TimePoint resumableUntil(const ForwardRun& run) const;
     void checkStreamSilence(ForwardRun& run, const Timer& timer, TimePoint now, ForwardActions& out);
     void clearPartialEvent(ForwardRun& run);
     void breakOversizedStreams(ForwardRun& run, CallId call, TimePoint now, ForwardActions& out);
@@ -169,6 +172,7 @@
     void closeRun(ForwardRun& run, TimePoint now, ForwardActions& out);
     void fail(ForwardRun& run, ForwardOutcome outcome, TimePoint now, ForwardActions& out);
     void handleTimer(const Timer& timer, TimePoint now, ForwardActions& out);
+    void findServer(ForwardRun& run, const Timer& timer, TimePoint now, ForwardActions& out);
     void onDeadline(ForwardRun& run, TimePoint now, ForwardActions& out);
 
     ForwarderOptions m_options;
