A missing result does not end a stream whose stages ran again for another server

Callers saw streams with stages break off. The results of a stream's stages are released with its first event, so its stages run again before another server can go on with it. That was counted as a restart for a missing result, of which a request may have one: if its new server then missed a result, the stream broke off, although nothing had been tried for that yet.

Restarts for a missing result are counted by themselves; those before another call are bounded by the calls that a request may have.

begunStreamSurvivesAMissingResultAfterItsStagesRanAgain failed before: the stream broke off at the first missing result. It also states that the second one still ends it.

--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -392,7 +392,7 @@
     const bool released
         = std::any_of(run.stages.begin(), run.stages.end(), [](const StageProgress& it) { return it.released; });
     if (released)
-        restartStages(run, now, out);
+        runStagesAgain(run, now, out);
     else
         sendRequest(run, now, out);
 }
--- a/src/foxtailwheel/serving/ForwardRun.h
+++ b/src/foxtailwheel/serving/ForwardRun.h
@@ -47,7 +47,7 @@
     std::vector<BackendServerId> triedServers; ///< Servers to which the request was sent.
     std::uint32_t possibleExecutions = 0; ///< Calls that may have run the request.
     std::uint32_t unexecutedCalls = 0; ///< Calls that definitely did not run the request.
-    std::uint32_t stageRestarts = 0; ///< Times that the stages were run again.
+    std::uint32_t stageRestarts = 0; ///< Times that the stages were run again for a missing result.
     bool retryBudgetCredited = false; ///< The first call was counted in the retry budget.
     bool awaitsRetryBudget = false; ///< The next call has not been charged to the retry budget yet.
     bool mayHaveRun = false;
--- a/src/foxtailwheel/serving/ForwardStages.cpp
+++ b/src/foxtailwheel/serving/ForwardStages.cpp
@@ -228,12 +228,18 @@
     applyBrokerActions(std::move(actions), now, out);
 }
 
+/// Runs the stages again because a result no longer exists.
 void RoutingForwarder::restartStages(ForwardRun& run, TimePoint now, ForwardActions& out)
 {
     if (++run.stageRestarts > maxStageRestarts) {
         fail(run, ForwardOutcome::StageFailed, now, out);
         return;
     }
+    runStagesAgain(run, now, out);
+}
+
+void RoutingForwarder::runStagesAgain(ForwardRun& run, TimePoint now, ForwardActions& out)
+{
     logDecision(run, "stages_restarted", { { "restarts", std::to_string(run.stageRestarts) } });
     cancelStages(run, now, out);
     for (auto& it : run.stages) {
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -577,6 +577,34 @@
     cr_assert_eq(fixture.outcomes[0], ForwardOutcome::StreamBroken);
 }
 
+// A stream whose stages ran again after its server failed broke off at the first missing result.
+Test(Forwarder, begunStreamSurvivesAMissingResultAfterItsStagesRanAgain)
+{
+    ForwarderFixture fixture;
+    fixture.pieces = { 1, 1 };
+    fixture.submit("staged");
+    auto now = start;
+    const auto runStages = [&] {
+        for (int i = 0; i < 2; ++i) {
+            now += 217ms;
+            fixture.endBatch(fixture.batches.back(), now);
+        }
+    };
+    runStages();
+    const auto call = fixture.beginStream(now + 10ms);
+    fixture.receive(call, "id: 1\ndata: a\n\n", now + 20ms);
+    fixture.endCall(call, ForwardCallOutcome::Broken, now + 30ms);
+    runStages();
+    cr_assert_eq(fixture.sent.size(), 2);
+    fixture.endCall(fixture.sent[1].call, ForwardCallOutcome::InputMissing, now + 10ms);
+    cr_assert(fixture.outcomes.empty());
+    runStages();
+    cr_assert_eq(fixture.sent.size(), 3);
+    cr_assert_eq(*fixture.sent[2].lastEventId, 1);
+    fixture.endCall(fixture.sent[2].call, ForwardCallOutcome::InputMissing, now + 10ms);
+    cr_assert_eq(fixture.outcomes.size(), 1, "the stages run again once for a missing result");
+}
+
 Test(Forwarder, endlessEventBreaksItsStreamOnly)
 {
     ForwarderOptions options;
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -129,6 +129,7 @@
     void startStages(ForwardRun& run, TimePoint now, ForwardActions& out);
     void requestPieces(ForwardRun& run, StageIndex stage, TimePoint now, ForwardActions& out);
     void restartStages(ForwardRun& run, TimePoint now, ForwardActions& out);
+    void runStagesAgain(ForwardRun& run, TimePoint now, ForwardActions& out);
     Piece makePiece(const ForwardRun& run, StageIndex stage, std::uint32_t index) const;
     void applyBrokerActions(BrokerActions actions, TimePoint now, ForwardActions& out);
     Duration usualTimeToFirstByte(const ForwardRun& run) const;
