A piece that is requested again does not displace the rest of its group

Callers got no answer within their deadline. When a piece of a stage failed and was requested again, it was requested under the ID of its group. The broker keeps one record for each group that it has sent to an owner, so the record of the other pieces was replaced: when the owner handed over its queue at a planned stop, was removed or fell silent, only the repeated piece was submitted elsewhere. The others were never produced, and the request waited for its stage until its deadline, at which its caller has left.

A repeated piece has a group of its own; all groups of a stage are cancelled or forgotten together.

otherPiecesOfAGroupAreKeptWhileOneIsRequestedAgain failed before: the pieces that the owner handed over ran nowhere.

--- a/src/foxtailwheel/serving/ForwardRun.h
+++ b/src/foxtailwheel/serving/ForwardRun.h
@@ -12,7 +12,7 @@
 struct StageProgress {
     std::vector<std::optional<ResultHandle>> results; ///< One per piece.
     std::size_t missing = 0; ///< Pieces without a result.
-    PieceGroupId group; ///< Group under which the pieces were requested.
+    std::vector<PieceGroupId> groups; ///< Groups under which the pieces were requested; a repeated piece has its own.
     std::uint32_t retries = 0; ///< Pieces requested again after a failure.
     bool started = false;
     bool released = false; ///< The results were released at their producers.
--- a/src/foxtailwheel/serving/ForwardStages.cpp
+++ b/src/foxtailwheel/serving/ForwardStages.cpp
@@ -1,6 +1,7 @@
 #include "RoutingForwarder.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace foxtailwheel::serving {
 
@@ -107,12 +108,12 @@
     return consumed ? std::nullopt : run.homeZone;
 }
 
-/// Returns a group of all pieces of a stage that have no result yet.
+/// Returns a group, without an ID, of all pieces of a stage that have no result yet.
 PieceGroup RoutingForwarder::makeGroup(const ForwardRun& run, StageIndex stage, TimePoint now) const
 {
     const auto& progress = run.stages[stage];
     const auto targetTime = stageTargetTime(run, stage);
-    PieceGroup group { progress.group, {}, run.priority, targetTime, run.deadline, preferredZoneOf(run, stage),
+    PieceGroup group { {}, {}, run.priority, targetTime, run.deadline, preferredZoneOf(run, stage),
         now + (targetTime - now) / countRemainingStages(run, stage), run.route->stages[stage].resultBytes };
     for (std::uint32_t i = 0; i < progress.results.size(); ++i) {
         if (!progress.results[i])
@@ -128,9 +129,6 @@
         fail(run, ForwardOutcome::StageFailed, now, out);
         return;
     }
-    auto& progress = run.stages[stage];
-    progress.group = PieceGroupId(m_nextGroupId++);
-    m_groups[progress.group] = { run.id, stage };
     auto group = makeGroup(run, stage, now);
     logDecision(run, "pieces_asked",
         { { "stage", std::to_string(stage) }, { "service", service.value() },
@@ -139,8 +137,18 @@
             { "expected_ms",
                 formatInteger(
                     toMilliseconds(m_broker.expectedWait(service, run.priority, false, group.pieces.size(), now))) } });
+    submitGroup(run, stage, std::move(group), now, out);
+}
+
+/// Requests pieces under a new group, so that they are independent of other pieces of the stage.
+void RoutingForwarder::submitGroup(
+    ForwardRun& run, StageIndex stage, PieceGroup group, TimePoint now, ForwardActions& out)
+{
+    group.id = PieceGroupId(m_nextGroupId++);
+    run.stages[stage].groups.push_back(group.id);
+    m_groups[group.id] = { run.id, stage };
     BrokerActions actions;
-    m_broker.submit(service, std::move(group), now, actions);
+    m_broker.submit(run.route->stages[stage].service, std::move(group), now, actions);
     applyBrokerActions(std::move(actions), now, out);
 }
 
@@ -193,7 +201,8 @@
     }
     progress.results[piece.index] = *handle;
     if (--progress.missing == 0) {
-        m_groups.erase(piece.group);
+        for (const auto it : std::exchange(progress.groups, {}))
+            m_groups.erase(it);
         logDecision(*run, "stage_done",
             { { "stage", std::to_string(stage) }, { "pieces", std::to_string(progress.results.size()) },
                 { "after_ms", formatInteger(toMilliseconds(now - run->acceptedAt)) } });
@@ -223,9 +232,7 @@
     }
     auto group = makeGroup(run, stage, now);
     std::erase_if(group.pieces, [&piece](const Piece& it) { return it.index != piece.index; });
-    BrokerActions actions;
-    m_broker.submit(run.route->stages[stage].service, std::move(group), now, actions);
-    applyBrokerActions(std::move(actions), now, out);
+    submitGroup(run, stage, std::move(group), now, out);
 }
 
 /// Runs the stages again because a result no longer exists.
@@ -298,13 +305,13 @@
 {
     for (StageIndex i = 0; i < run.stages.size(); ++i) {
         auto& stage = run.stages[i];
-        if (stage.started && stage.missing > 0) {
-            m_groups.erase(stage.group);
-            BrokerActions actions;
-            m_broker.cancel(stage.group, actions);
-            for (auto& it : actions)
-                out.emplace_back(std::get<SendToInstance>(std::move(it)));
+        BrokerActions actions;
+        for (const auto group : std::exchange(stage.groups, {})) {
+            m_groups.erase(group);
+            m_broker.cancel(group, actions);
         }
+        for (auto& it : actions)
+            out.emplace_back(std::get<SendToInstance>(std::move(it)));
         releaseStage(run, i, now, out);
     }
 }
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -734,6 +734,46 @@
     cr_assert_eq(fixture.batches[2].service.value(), "portal");
 }
 
+// While a failed piece was requested again, the rest of its group was forgotten: handed over, it never came back.
+Test(Forwarder, otherPiecesOfAGroupAreKeptWhileOneIsRequestedAgain)
+{
+    const InstanceId owner("o");
+    ForwarderFixture fixture;
+    fixture.collectActions([&](auto& out) {
+        fixture.forwarder->setMembers({ InstanceId("i"), owner }, { owner }, {}, start, out);
+    });
+    fixture.pieces = { 3, 1 };
+    fixture.submit("staged");
+    const auto request = std::get<PieceRequest>(fixture.messages.at(0).message);
+    cr_assert_eq(request.pieces.size(), 3);
+    const auto deliver = [&](const std::vector<IndexedPieceResult>& results, TimePoint now) {
+        fixture.collectActions([&](auto& out) {
+            fixture.forwarder->onPeerMessage(
+                owner, PieceResults { request.group, request.service, results, {} }, now, out);
+        });
+    };
+    deliver({ { 0, PieceFailure::Failed } }, start + 100ms);
+    const auto again = std::get<PieceRequest>(fixture.messages.at(1).message);
+    cr_assert_eq(again.pieces.size(), 1);
+    cr_assert_eq(again.pieces[0].index, 0);
+    deliver({ { 1, PieceFailure::OwnerChanged }, { 2, PieceFailure::OwnerChanged } }, start + 200ms);
+    std::vector<std::uint32_t> running;
+    for (const auto& it : fixture.batches) {
+        for (const auto& piece : it.pieces)
+            running.push_back(piece.index);
+    }
+    cr_assert(running == std::vector<std::uint32_t>({ 1, 2 }));
+    // All three results are there: the next stage starts.
+    const auto deliverAgain = PieceResults { again.group, again.service,
+        { { 0, ResultHandle { "x", server("p1", "portal").server, again.service } } }, {} };
+    fixture.collectActions(
+        [&](auto& out) { fixture.forwarder->onPeerMessage(owner, deliverAgain, start + 300ms, out); });
+    fixture.endBatch(fixture.batches.at(0), start + 400ms);
+    const auto& next = std::get<PieceRequest>(fixture.messages.back().message);
+    cr_assert_eq(next.service.value(), "bill");
+    cr_assert_eq(next.pieces.at(0).inputs.size(), 3);
+}
+
 Test(Forwarder, serverIsSuspectedAfterCallersGiveUpOnItsSilence)
 {
     ForwarderFixture fixture;
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -128,6 +128,7 @@
 
     void startStages(ForwardRun& run, TimePoint now, ForwardActions& out);
     void requestPieces(ForwardRun& run, StageIndex stage, TimePoint now, ForwardActions& out);
+    void submitGroup(ForwardRun& run, StageIndex stage, PieceGroup group, TimePoint now, ForwardActions& out);
     void restartStages(ForwardRun& run, TimePoint now, ForwardActions& out);
     void runStagesAgain(ForwardRun& run, TimePoint now, ForwardActions& out);
     Piece makePiece(const ForwardRun& run, StageIndex stage, std::uint32_t index) const;
