--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -2,6 +2,7 @@
 #include "foxtailwheel/base/Hash.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace foxtailwheel::serving {
 
@@ -17,10 +18,19 @@
     constexpr double failoverDelayShare = 0.6;
     /// Minimum time without a first event before a stream fails over.
     constexpr Duration minFailoverDelay = 900ms;
-    /// Minimum time without an event after which a resumable stream fails over. Callers disconnect after two seconds.
-    constexpr Duration minStreamSilence = 1100ms;
+    /// Time without an event after which a resumable stream fails over. A sound server may pause for more than a
+    /// second.
+    constexpr Duration streamSilence = 2s;
+    /// A stream fails over at this fraction of the time without an event for which its caller waits, if that is
+    /// earlier.
+    constexpr double callerGapShare = 0.75;
     /// A stream is not silent before this multiple of the pause that its route allows.
     constexpr double streamSilenceFactor = 2;
+    /// Callers disconnect from a stream after the longest of this time without an event and multiples of the latency
+    /// target and of the pause that its route allows.
+    constexpr Duration minCallerGap = 2s;
+    constexpr double callerGapTargetFactor = 4;
+    constexpr double callerGapPauseFactor = 8;
     /// Requests with less remaining time than this are not sent.
     constexpr Duration minRemainingTimeToSend = 5ms;
     /// A call counts as silent without a first event after this multiple of the route's usual time to the first byte,
@@ -225,9 +235,26 @@
     run.eventSplitter = EventSplitter(m_options.maxEventBytes);
 }
 
-Duration RoutingForwarder::streamSilenceTimeout(const ForwardRun& run) const
+/// Returns the time without an event after which the caller of a stream disconnects.
+Duration RoutingForwarder::callerGap(const ForwardRun& run)
 {
-    return std::max(minStreamSilence, fromSeconds(toSeconds(run.route->eventGapTarget) * streamSilenceFactor));
+    return std::max({ minCallerGap, fromSeconds(toSeconds(run.route->latencyTarget) * callerGapTargetFactor),
+        fromSeconds(toSeconds(run.route->eventGapTarget) * callerGapPauseFactor) });
+}
+
+/// Returns the time until which another server can go on with a stream that has begun: its next event has to be there
+/// before the caller disconnects.
+TimePoint RoutingForwarder::resumableUntil(const ForwardRun& run) const
+{
+    if (!run.headSent)
+        return TimePoint::min();
+    return std::min(run.deadline, run.lastEventAt + callerGap(run)) - usualTimeToFirstByte(run);
+}
+
+Duration RoutingForwarder::streamSilenceTimeout(const ForwardRun& run)
+{
+    return std::max(std::min(streamSilence, fromSeconds(toSeconds(callerGap(run)) * callerGapShare)),
+        fromSeconds(toSeconds(run.route->eventGapTarget) * streamSilenceFactor));
 }
 
 /// Returns false for a stream that ended without an event, or inside one. Without a length, the end of the connection
@@ -301,12 +328,17 @@
         return;
     }
     auto* state = m_directory.find(run.service);
-    const bool reachedServer = outcome != ForwardCallOutcome::NotSent;
-    if (++run.unexecutedCalls > maxUnexecutedCalls || (reachedServer && !state->retryBudget.tryAcquire(1, now))) {
+    const bool rejectedOften = ++run.unexecutedCalls > maxUnexecutedCalls;
+    const bool mayWait = now + failoverRetryInterval < resumableUntil(run);
+    const bool resends = !rejectedOften || mayWait;
+    if (resends && outcome != ForwardCallOutcome::NotSent)
+        run.awaitsRetryBudget = !state->retryBudget.tryAcquire(1, now);
+    if (!rejectedOften && !run.awaitsRetryBudget)
+        sendRequest(run, now, out);
+    else if (mayWait)
+        setTimer(now + failoverRetryInterval, { TimerKind::FindServer, run.id, {}, {} });
+    else
         fail(run, run.mayHaveRun ? ForwardOutcome::BackendFailed : ForwardOutcome::NotStarted, now, out);
-        return;
-    }
-    sendRequest(run, now, out);
 }
 
 /// A server that ends between the head of a response and its first event probably crashed on the request.
@@ -360,7 +392,7 @@
     const bool released
         = std::any_of(run.stages.begin(), run.stages.end(), [](const StageProgress& it) { return it.released; });
     if (released)
-        restartStages(run, now, out);
+        runStagesAgain(run, now, out);
     else
         sendRequest(run, now, out);
 }
@@ -388,12 +420,18 @@
     closeRun(run, now, out);
 }
 
-/// Cancels a stream whose server is silent and resumes it, preferably on another server. Returns false and leaves the
-/// stream as it is if the retry budget is used up: the server may only be slow.
+/// Cancels a stream whose server is silent and resumes it on another server. Returns false and leaves the stream as it
+/// is if there is none or the retry budget is used up: the server may only be slow.
 bool RoutingForwarder::failOverStream(ForwardRun& run, TimePoint now, ForwardActions& out)
 {
     auto* state = m_directory.find(run.service);
-    if (state == nullptr || !state->retryBudget.tryAcquire(1, now))
+    if (state == nullptr)
+        return false;
+    const auto servers = state->pool->availableServers(std::numeric_limits<std::uint32_t>::max(), now);
+    const bool hasUntried = std::any_of(servers.begin(), servers.end(), [&run](const config::BackendServer& it) {
+        return std::find(run.triedServers.begin(), run.triedServers.end(), it.id) == run.triedServers.end();
+    });
+    if (!hasUntried || !state->retryBudget.tryAcquire(1, now))
         return false;
     while (!run.calls.empty())
         closeCall(run, run.calls.front().id, routing::CallOutcome::Failed, true, now, out);
--- a/src/foxtailwheel/serving/ForwardRun.h
+++ b/src/foxtailwheel/serving/ForwardRun.h
@@ -12,7 +12,7 @@
 struct StageProgress {
     std::vector<std::optional<ResultHandle>> results; ///< One per piece.
     std::size_t missing = 0; ///< Pieces without a result.
-    PieceGroupId group; ///< Group under which the pieces were requested.
+    std::vector<PieceGroupId> groups; ///< Groups under which the pieces were requested; a repeated piece has its own.
     std::uint32_t retries = 0; ///< Pieces requested again after a failure.
     bool started = false;
     bool released = false; ///< The results were released at their producers.
@@ -47,8 +47,9 @@
     std::vector<BackendServerId> triedServers; ///< Servers to which the request was sent.
     std::uint32_t possibleExecutions = 0; ///< Calls that may have run the request.
     std::uint32_t unexecutedCalls = 0; ///< Calls that definitely did not run the request.
-    std::uint32_t stageRestarts = 0; ///< Times that the stages were run again.
+    std::uint32_t stageRestarts = 0; ///< Times that the stages were run again for a missing result.
     bool retryBudgetCredited = false; ///< The first call was counted in the retry budget.
+    bool awaitsRetryBudget = false; ///< The next call has not been charged to the retry budget yet.
     bool mayHaveRun = false;
     EventSplitter eventSplitter;
     std::optional<std::uint64_t> lastEventId; ///< Last event that was forwarded to the caller.
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -351,11 +351,55 @@
     fixture.collectActions([&](auto& out) {
         fixture.forwarder->onResponseHead(first, { 200, {}, {} }, start + 100ms, out);
     });
-    fixture.runTimers(start + 1300ms);
+    fixture.runTimers(start + 2000ms);
+    cr_assert(fixture.cancelled.empty());
+    fixture.runTimers(start + 2200ms);
     cr_assert_eq(fixture.cancelled.at(0), first);
     cr_assert_eq(fixture.sent.size(), 2);
 }
 
+// A stream of a sound server that paused was given up; where no other server took it, it broke off.
+Test(Forwarder, streamOfAServerThatPausesGoesOn)
+{
+    for (const auto gapTarget : { 0ms, 250ms, 400ms }) {
+        for (const auto target : { 300ms, 1000ms, 2000ms }) {
+            ForwarderFixture fixture;
+            auto changed = table(2);
+            for (auto& it : changed->routes) {
+                it.eventGapTarget = gapTarget;
+                it.latencyTarget = target;
+            }
+            fixture.collectActions([&](auto& out) { fixture.forwarder->configure(changed, start, out); });
+            fixture.submit("plan");
+            const auto call = fixture.beginStream(start + 100ms);
+            fixture.receive(call, "id: 1\ndata: a\n\n", start + 200ms);
+            for (auto now = start + 300ms; now < start + 1700ms; now += 50ms)
+                fixture.runTimers(now);
+            fixture.receive(call, "id: 2\ndata: b\n\n", start + 1700ms);
+            fixture.endCall(call, ForwardCallOutcome::Complete, start + 1800ms);
+            cr_assert(fixture.cancelled.empty());
+            cr_assert_eq(fixture.sent.size(), 1);
+            cr_assert_eq(fixture.outcomes.at(0), ForwardOutcome::Answered);
+        }
+    }
+}
+
+Test(Forwarder, silentStreamIsGivenUpBeforeItsCallerLeaves)
+{
+    ForwarderFixture fixture;
+    auto changed = table(2);
+    for (auto& it : changed->routes)
+        it.latencyTarget = 300ms;
+    fixture.collectActions([&](auto& out) { fixture.forwarder->configure(changed, start, out); });
+    fixture.submit("plan");
+    const auto call = fixture.beginStream(start + 100ms);
+    fixture.receive(call, "id: 1\ndata: a\n\n", start + 200ms);
+    for (auto now = start + 300ms; now <= start + 1750ms; now += 50ms)
+        fixture.runTimers(now);
+    cr_assert_eq(fixture.cancelled.size(), 1, "the caller leaves 2 s after the last event");
+    cr_assert_eq(fixture.sent.size(), 2);
+}
+
 Test(Forwarder, slowStreamWithinTheAllowedPauseIsWhole)
 {
     ForwarderFixture fixture;
@@ -383,7 +427,7 @@
         fixture.submit("plan");
         const auto call = fixture.beginStream(start + 100ms);
         fixture.receive(call, "id: 1\ndata: a\n\n", start + 200ms);
-        for (auto now = start + 500ms; now <= start + 1500ms; now += 100ms) {
+        for (auto now = start + 500ms; now <= start + 2300ms; now += 100ms) {
             fixture.receive(call, bytes, now);
             fixture.runTimers(now);
         }
@@ -414,14 +458,153 @@
     ForwarderFixture fixture(options);
     fixture.submit("plan");
     const auto call = fixture.beginStream(start + 100ms);
-    fixture.runTimers(start + 1300ms);
-    fixture.runTimers(start + 1600ms);
+    fixture.runTimers(start + 2200ms);
+    fixture.runTimers(start + 2500ms);
     cr_assert(fixture.cancelled.empty(), "the stream cannot be resumed, so it must not be given up");
-    fixture.receive(call, "id: 1\ndata: a\n\n", start + 1700ms);
-    fixture.endCall(call, ForwardCallOutcome::Complete, start + 1800ms);
+    fixture.receive(call, "id: 1\ndata: a\n\n", start + 2600ms);
+    fixture.endCall(call, ForwardCallOutcome::Complete, start + 2700ms);
     cr_assert_eq(fixture.outcomes.at(0), ForwardOutcome::Answered);
 }
 
+// A stream was given up while no other server was there, and could not go on anywhere.
+Test(Forwarder, silentStreamIsNotGivenUpWithoutAnotherServer)
+{
+    ForwarderFixture fixture;
+    const auto announce = [&](const std::vector<AnnouncedServer>& servers, TimePoint now) {
+        fixture.collectActions([&](auto& out) { fixture.forwarder->setServers(servers, now, out); });
+    };
+    announce({ fixture.servers[2] }, start);
+    fixture.submit("plan");
+    const auto call = fixture.beginStream(start + 100ms);
+    fixture.receive(call, "id: 1\ndata: a\n\n", start + 200ms);
+    fixture.runTimers(start + 2300ms);
+    cr_assert(fixture.cancelled.empty());
+    cr_assert_eq(fixture.sent.size(), 1);
+    announce(fixture.servers, start + 2400ms);
+    fixture.runTimers(start + 2600ms);
+    cr_assert_eq(fixture.cancelled.size(), 1);
+    cr_assert_eq(fixture.sent.size(), 2);
+    cr_assert_neq(fixture.sent[1].server.id, fixture.sent[0].server.id);
+}
+
+// A stream that had begun broke off at once when no server took it, although its caller waited for seconds more.
+Test(Forwarder, begunStreamLooksForAServerWhileItsCallerWaits)
+{
+    const auto giveUp = [](ForwarderFixture& fixture) {
+        fixture.submit("plan");
+        const auto call = fixture.beginStream(start + 100ms);
+        fixture.receive(call, "id: 1\ndata: a\n\n", start + 1500ms);
+        fixture.runTimers(start + 3500ms);
+        cr_assert_eq(fixture.sent.size(), 2);
+    };
+    const auto runTimers = [](ForwarderFixture& fixture, TimePoint from, TimePoint until) {
+        for (auto now = from; now <= until; now += 25ms)
+            fixture.runTimers(now);
+    };
+    const auto expectResumed = [](const ForwarderFixture& fixture) {
+        cr_assert(fixture.outcomes.empty());
+        cr_assert_eq(fixture.sent.size(), 3);
+        cr_assert_eq(*fixture.sent[2].lastEventId, 1);
+    };
+    {
+        ForwarderFixture fixture;
+        giveUp(fixture);
+        fixture.collectActions([&](auto& out) { fixture.forwarder->setServers({}, start + 3510ms, out); });
+        fixture.endCall(fixture.sent[1].call, ForwardCallOutcome::NotSent, start + 3510ms);
+        runTimers(fixture, start + 3525ms, start + 4200ms);
+        fixture.collectActions([&](auto& out) { fixture.forwarder->setServers(fixture.servers, start + 4200ms, out); });
+        runTimers(fixture, start + 4200ms, start + 4300ms);
+        expectResumed(fixture);
+    }
+    {
+        ForwarderFixture fixture;
+        giveUp(fixture);
+        for (const auto i : { 2, 3 })
+            fixture.collectActions([&](auto& out) {
+                fixture.forwarder->onServerSignal(
+                    fixture.servers[static_cast<std::size_t>(i)].server, { false, 1s, false }, start + 3510ms, out);
+            });
+        fixture.endCall(fixture.sent[1].call, ForwardCallOutcome::Refused, start + 3510ms);
+        runTimers(fixture, start + 3525ms, start + 4900ms);
+        expectResumed(fixture);
+    }
+    {
+        ForwarderOptions options;
+        options.retryBudgetFraction = 0;
+        options.retryBudgetReserve = 1.3;
+        options.retryBudgetWindow = 1s;
+        ForwarderFixture fixture(options);
+        giveUp(fixture);
+        fixture.endCall(fixture.sent[1].call, ForwardCallOutcome::Refused, start + 3510ms);
+        runTimers(fixture, start + 3525ms, start + 4400ms);
+        cr_assert_eq(fixture.sent.size(), 2, "the retry budget is used up");
+        runTimers(fixture, start + 4400ms, start + 4900ms);
+        expectResumed(fixture);
+    }
+}
+
+Test(Forwarder, begunStreamWithoutAServerBreaksOffBeforeItsCallerLeaves)
+{
+    ForwarderFixture fixture;
+    fixture.submit("plan");
+    const auto call = fixture.beginStream(start + 100ms);
+    fixture.receive(call, "id: 1\ndata: a\n\n", start + 200ms);
+    fixture.collectActions([&](auto& out) { fixture.forwarder->setServers({}, start + 300ms, out); });
+    fixture.endCall(call, ForwardCallOutcome::Broken, start + 300ms);
+    for (auto now = start + 325ms; now <= start + 3200ms; now += 25ms)
+        fixture.runTimers(now);
+    cr_assert(fixture.outcomes.empty());
+    for (auto now = start + 3225ms; now <= start + 4200ms; now += 25ms)
+        fixture.runTimers(now);
+    cr_assert_eq(fixture.outcomes.size(), 1, "the caller leaves 4 s after the last event");
+    cr_assert_eq(fixture.outcomes[0], ForwardOutcome::StreamBroken);
+}
+
+// Pauses that end after the caller has left are no reason to wait.
+Test(Forwarder, begunStreamBreaksOffIfAllServersPauseForLonger)
+{
+    ForwarderFixture fixture;
+    fixture.submit("plan");
+    const auto call = fixture.beginStream(start + 100ms);
+    fixture.receive(call, "id: 1\ndata: a\n\n", start + 200ms);
+    for (const auto i : { 2, 3 })
+        fixture.collectActions([&](auto& out) {
+            fixture.forwarder->onServerSignal(
+                fixture.servers[static_cast<std::size_t>(i)].server, { false, 20s, false }, start + 300ms, out);
+        });
+    fixture.endCall(call, ForwardCallOutcome::Broken, start + 300ms);
+    cr_assert_eq(fixture.outcomes.size(), 1);
+    cr_assert_eq(fixture.outcomes[0], ForwardOutcome::StreamBroken);
+}
+
+// A stream whose stages ran again after its server failed broke off at the first missing result.
+Test(Forwarder, begunStreamSurvivesAMissingResultAfterItsStagesRanAgain)
+{
+    ForwarderFixture fixture;
+    fixture.pieces = { 1, 1 };
+    fixture.submit("staged");
+    auto now = start;
+    const auto runStages = [&] {
+        for (int i = 0; i < 2; ++i) {
+            now += 217ms;
+            fixture.endBatch(fixture.batches.back(), now);
+        }
+    };
+    runStages();
+    const auto call = fixture.beginStream(now + 10ms);
+    fixture.receive(call, "id: 1\ndata: a\n\n", now + 20ms);
+    fixture.endCall(call, ForwardCallOutcome::Broken, now + 30ms);
+    runStages();
+    cr_assert_eq(fixture.sent.size(), 2);
+    fixture.endCall(fixture.sent[1].call, ForwardCallOutcome::InputMissing, now + 10ms);
+    cr_assert(fixture.outcomes.empty());
+    runStages();
+    cr_assert_eq(fixture.sent.size(), 3);
+    cr_assert_eq(*fixture.sent[2].lastEventId, 1);
+    fixture.endCall(fixture.sent[2].call, ForwardCallOutcome::InputMissing, now + 10ms);
+    cr_assert_eq(fixture.outcomes.size(), 1, "the stages run again once for a missing result");
+}
+
 Test(Forwarder, endlessEventBreaksItsStreamOnly)
 {
     ForwarderOptions options;
@@ -551,6 +734,46 @@
     cr_assert_eq(fixture.batches[2].service.value(), "portal");
 }
 
+// While a failed piece was requested again, the rest of its group was forgotten: handed over, it never came back.
+Test(Forwarder, otherPiecesOfAGroupAreKeptWhileOneIsRequestedAgain)
+{
+    const InstanceId owner("o");
+    ForwarderFixture fixture;
+    fixture.collectActions([&](auto& out) {
+        fixture.forwarder->setMembers({ InstanceId("i"), owner }, { owner }, {}, start, out);
+    });
+    fixture.pieces = { 3, 1 };
+    fixture.submit("staged");
+    const auto request = std::get<PieceRequest>(fixture.messages.at(0).message);
+    cr_assert_eq(request.pieces.size(), 3);
+    const auto deliver = [&](const std::vector<IndexedPieceResult>& results, TimePoint now) {
+        fixture.collectActions([&](auto& out) {
+            fixture.forwarder->onPeerMessage(
+                owner, PieceResults { request.group, request.service, results, {} }, now, out);
+        });
+    };
+    deliver({ { 0, PieceFailure::Failed } }, start + 100ms);
+    const auto again = std::get<PieceRequest>(fixture.messages.at(1).message);
+    cr_assert_eq(again.pieces.size(), 1);
+    cr_assert_eq(again.pieces[0].index, 0);
+    deliver({ { 1, PieceFailure::OwnerChanged }, { 2, PieceFailure::OwnerChanged } }, start + 200ms);
+    std::vector<std::uint32_t> running;
+    for (const auto& it : fixture.batches) {
+        for (const auto& piece : it.pieces)
+            running.push_back(piece.index);
+    }
+    cr_assert(running == std::vector<std::uint32_t>({ 1, 2 }));
+    // All three results are there: the next stage starts.
+    const auto deliverAgain = PieceResults { again.group, again.service,
+        { { 0, ResultHandle { "x", server("p1", "portal").server, again.service } } }, {} };
+    fixture.collectActions(
+        [&](auto& out) { fixture.forwarder->onPeerMessage(owner, deliverAgain, start + 300ms, out); });
+    fixture.endBatch(fixture.batches.at(0), start + 400ms);
+    const auto& next = std::get<PieceRequest>(fixture.messages.back().message);
+    cr_assert_eq(next.service.value(), "bill");
+    cr_assert_eq(next.pieces.at(0).inputs.size(), 3);
+}
+
 Test(Forwarder, serverIsSuspectedAfterCallersGiveUpOnItsSilence)
 {
     ForwarderFixture fixture;
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -12,6 +12,8 @@
 
 /// @brief Interval between attempts to find a usable server.
 constexpr Duration serverRetryInterval = std::chrono::milliseconds(25);
+/// @brief Interval between attempts to resume a stream that the retry budget or the servers' rejections hold up.
+constexpr Duration failoverRetryInterval = std::chrono::milliseconds(200);
 
 /// @brief Formats a number for logs, truncated to an integer.
 std::string formatInteger(double n);
@@ -126,7 +128,9 @@
 
     void startStages(ForwardRun& run, TimePoint now, ForwardActions& out);
     void requestPieces(ForwardRun& run, StageIndex stage, TimePoint now, ForwardActions& out);
+    void submitGroup(ForwardRun& run, StageIndex stage, PieceGroup group, TimePoint now, ForwardActions& out);
     void restartStages(ForwardRun& run, TimePoint now, ForwardActions& out);
+    void runStagesAgain(ForwardRun& run, TimePoint now, ForwardActions& out);
     Piece makePiece(const ForwardRun& run, StageIndex stage, std::uint32_t index) const;
     void applyBrokerActions(BrokerActions actions, TimePoint now, ForwardActions& out);
     Duration usualTimeToFirstByte(const ForwardRun& run) const;
@@ -157,7 +161,9 @@
     void resendRequest(ForwardRun& run, TimePoint now, ForwardActions& out);
     void onResponseComplete(ForwardRun& run, http::Response response, TimePoint now, ForwardActions& out);
     bool failOverStream(ForwardRun& run, TimePoint now, ForwardActions& out);
-    Duration streamSilenceTimeout(const ForwardRun& run) const;
+    static Duration callerGap(const ForwardRun& run);
+    static Duration streamSilenceTimeout(const ForwardRun& run);
+    TimePoint resumableUntil(const ForwardRun& run) const;
     void checkStreamSilence(ForwardRun& run, const Timer& timer, TimePoint now, ForwardActions& out);
     void clearPartialEvent(ForwardRun& run);
     void breakOversizedStreams(ForwardRun& run, CallId call, TimePoint now, ForwardActions& out);
@@ -168,6 +174,7 @@
     void closeRun(ForwardRun& run, TimePoint now, ForwardActions& out);
     void fail(ForwardRun& run, ForwardOutcome outcome, TimePoint now, ForwardActions& out);
     void handleTimer(const Timer& timer, TimePoint now, ForwardActions& out);
+    void findServer(ForwardRun& run, const Timer& timer, TimePoint now, ForwardActions& out);
     void onDeadline(ForwardRun& run, TimePoint now, ForwardActions& out);
 
     ForwarderOptions m_options;
