A read timeout is decided when it expires, with the limits then in force

Callers saw requests on kept connections closed without a response in two situations. After a change of the configuration that raises the idle timeout, a connection that was already waiting was closed at the old limit, although callers use it for up to four fifths of the new one; a raised body limit did not hold for its next request either (413). And after the process had stood still for longer than a timeout, requests that had arrived meanwhile were closed (idle timeout) or answered 408.

Cause: the limits were read when the wait began, and an expired timer ended the read without looking whether bytes had arrived. After a stall, timers and data are due in the same turn of the loop; epoll returns 128 events at a time, so timers come before the data of the other connections.

Now a connection waits for the first byte, reads the limits of the request when it arrives, and when a timer expires compares with the limit in force and looks for unread bytes first. A head or body of which bytes wait in the socket gets its time once more. The time of a head counts from its first byte. A request line in a segment of its own no longer counts as idleness, which a planned stop closed.

--- a/src/foxtailwheel/http/Server.cpp
+++ b/src/foxtailwheel/http/Server.cpp
@@ -32,6 +32,7 @@
     constexpr int listenBacklog = 1024;
     /// Pause after a connection could not be accepted, for example because the process has no free descriptor.
     constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50);
+    constexpr Duration cancelRetryDelay = std::chrono::milliseconds(50);
 
     /// State that the server shares with its connections, some of which may outlive it.
     struct SharedState {
@@ -223,17 +224,23 @@
         void closeIfIdle(Duration quietTime);
 
     private:
+        net::awaitable<bool> awaitRequest(bool first);
         net::awaitable<std::optional<Request>> readRequest(bool& keepAlive, bool first);
         net::awaitable<bool> sendComplete(Response response, bool keepAlive);
         net::awaitable<bool> sendHeaders(Response response, bool keepAlive);
         net::awaitable<bool> sendChunk(std::string chunk);
         net::awaitable<bool> sendLastChunk();
         net::awaitable<bool> writeResponse(const std::shared_ptr<Exchange>& exchange, bool keepAlive);
-        net::awaitable<void> sendReadError(const boost::system::error_code& ec, bool headerRead);
+        net::awaitable<void> sendReadError(const boost::system::error_code& ec);
         void watchForDisconnect();
         void startReadTimeout(Duration timeout);
+        void startIdleTimeout(bool first);
+        void scheduleReadTimer(std::chrono::steady_clock::time_point at, std::function<void()> work);
+        void closeWhenIdle(bool first);
+        void onReadTimeout(Duration timeout, bool mayExtend);
         void cancelReadTimeout();
         bool hasUnreadBytes();
+        bool hasBytesInSocket();
         bool mayStayOpen() { return (!m_state->stopping && !m_state->keepAliveDisabled) || hasUnreadBytes(); }
 
         beast::tcp_stream m_stream;
@@ -257,16 +264,21 @@
     {
         net::post(m_stream.get_executor(), [self = shared_from_this(), quietTime] {
             const bool quiet = std::chrono::steady_clock::now() - self->m_awaitingSince >= quietTime;
-            if (self->m_awaitingRequest && quiet && !self->hasUnreadBytes())
+            if (self->m_awaitingRequest && quiet && !self->hasBytesInSocket())
                 self->m_stream.cancel();
         });
     }
 
     /// Returns true if bytes of another request have arrived.
     bool Connection::hasUnreadBytes()
+    {
+        return m_buffer.size() > 0 || hasBytesInSocket();
+    }
+
+    bool Connection::hasBytesInSocket()
     {
         boost::system::error_code ec;
-        return m_buffer.size() > 0 || m_stream.socket().available(ec) > 0;
+        return m_stream.socket().available(ec) > 0;
     }
 
     /// Detects that the peer closes the connection while its request is being processed.
@@ -293,18 +305,56 @@
             });
     }
 
+    void Connection::scheduleReadTimer(std::chrono::steady_clock::time_point at, std::function<void()> work)
+    {
+        m_readTimer.expires_at(at);
+        m_readTimer.async_wait([self = shared_from_this(), n = ++m_readTimeoutId, work = std::move(work)](
+                                   const boost::system::error_code& ec) {
+            if (!ec && n == self->m_readTimeoutId)
+                work();
+        });
+    }
+
     /// Starts the timeout of the next read.
     void Connection::startReadTimeout(Duration timeout)
     {
         m_stream.expires_never();
         m_readTimedOut = false;
-        m_readTimer.expires_after(timeout);
-        m_readTimer.async_wait([self = shared_from_this(), n = ++m_readTimeoutId](const boost::system::error_code& ec) {
-            if (ec || n != self->m_readTimeoutId)
-                return;
-            self->m_readTimedOut = true;
-            self->m_stream.cancel();
-        });
+        scheduleReadTimer(
+            std::chrono::steady_clock::now() + timeout, [this, timeout] { onReadTimeout(timeout, true); });
+    }
+
+    /// Ends the read, unless bytes have arrived that this process was too slow to read.
+    void Connection::onReadTimeout(Duration timeout, bool mayExtend)
+    {
+        const auto now = std::chrono::steady_clock::now();
+        if (mayExtend && hasBytesInSocket()) {
+            scheduleReadTimer(now + timeout, [this, timeout] { onReadTimeout(timeout, false); });
+            return;
+        }
+        m_readTimedOut = true;
+        m_stream.cancel();
+        // A read that has completed already cannot be cancelled, and another may follow it.
+        scheduleReadTimer(now + cancelRetryDelay, [this, timeout] { onReadTimeout(timeout, false); });
+    }
+
+    /// Starts the timeout of the wait for a request.
+    void Connection::startIdleTimeout(bool first)
+    {
+        m_stream.expires_never();
+        m_awaitingSince = std::chrono::steady_clock::now();
+        closeWhenIdle(first);
+    }
+
+    /// Ends the wait at the limit in force then: callers keep connections for as long as the newest one allows.
+    void Connection::closeWhenIdle(bool first)
+    {
+        const auto limits = m_currentLimits->get();
+        const auto end = m_awaitingSince + (first ? limits.headerTimeout : limits.idleTimeout);
+        if (end > std::chrono::steady_clock::now())
+            scheduleReadTimer(end, [this, first] { closeWhenIdle(first); });
+        else
+            m_stream.cancel();
     }
 
     /// Cancels the read timeout; one that has already expired but was not yet handled is ignored.
@@ -314,7 +364,7 @@
         m_readTimer.cancel();
     }
 
-    net::awaitable<void> Connection::sendReadError(const boost::system::error_code& ec, bool headerRead)
+    net::awaitable<void> Connection::sendReadError(const boost::system::error_code& ec)
     {
         namespace bhttp = beast::http;
         cancelReadTimeout();
@@ -327,28 +377,41 @@
             response = errorResponse(413, "body_too_large");
         else if (ec == bhttp::error::header_limit)
             response = errorResponse(431, "header_too_large");
-        else if (m_readTimedOut && !headerRead && m_buffer.size() == 0)
-            co_return;
         else if (m_readTimedOut)
             response = errorResponse(408, "too_slow");
         co_await sendComplete(std::move(response), false);
     }
 
+    /// Waits until a byte of a request arrives.
+    /// @return False if the connection is to be closed.
+    net::awaitable<bool> Connection::awaitRequest(bool first)
+    {
+        if (m_buffer.size() > 0)
+            co_return true;
+        startIdleTimeout(first);
+        m_awaitingRequest = true;
+        auto [ec] = co_await m_stream.socket().async_wait(tcp::socket::wait_read, completionToken);
+        m_awaitingRequest = false;
+        cancelReadTimeout();
+        // A request may arrive while the wait is being cancelled.
+        co_return !ec || hasBytesInSocket();
+    }
+
     net::awaitable<std::optional<Request>> Connection::readRequest(bool& keepAlive, bool first)
     {
         namespace bhttp = beast::http;
+        const bool arrived = co_await awaitRequest(first);
+        if (!arrived)
+            co_return std::nullopt;
         bhttp::request_parser<bhttp::string_body> parser;
         const auto limits = m_currentLimits->get();
         parser.header_limit(limits.maxHeaderBytes);
         parser.body_limit(limits.maxBodyBytes);
-        startReadTimeout(first ? limits.headerTimeout : limits.idleTimeout);
-        m_awaitingRequest = true;
-        m_awaitingSince = std::chrono::steady_clock::now();
+        startReadTimeout(limits.headerTimeout);
         auto [headerError, headerBytes]
             = co_await bhttp::async_read_header(m_stream, m_buffer, parser, completionToken);
-        m_awaitingRequest = false;
         if (headerError) {
-            co_await sendReadError(headerError, false);
+            co_await sendReadError(headerError);
             co_return std::nullopt;
         }
         if (const auto error = findFramingError(parser.get())) {
@@ -359,7 +422,7 @@
         startReadTimeout(limits.bodyTimeout);
         auto [bodyError, bodyBytes] = co_await bhttp::async_read(m_stream, m_buffer, parser, completionToken);
         if (bodyError) {
-            co_await sendReadError(bodyError, true);
+            co_await sendReadError(bodyError);
             co_return std::nullopt;
         }
         cancelReadTimeout();
