--- a/include/foxtailwheel/control/TableFollower.h
+++ b/include/foxtailwheel/control/TableFollower.h
@@ -30,6 +30,8 @@
     TimePoint asOf; ///< Lower bound of the time at which the rows were current.
     TimePoint lastUnavailableAt; ///< Time at which the store was last found unavailable; unset for never.
     TimePoint recoveredAt; ///< Time at which the store recovered after that.
+    store::StoreEpoch epoch; ///< Epoch of the rows.
+    std::uint64_t version = 0; ///< Version of the rows within the epoch.
     bool available = false;
     bool forwarded = false; ///< The last change came from another instance, not from the store.
     bool confirmedByPeer = false; ///< The last response came from another instance, not from the store.
--- a/include/foxtailwheel/store/ChangeFeed.h
+++ b/include/foxtailwheel/store/ChangeFeed.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "foxtailwheel/base/StrongId.h"
 #include "foxtailwheel/base/TextDelta.h"
 #include "foxtailwheel/base/Units.h"
 
@@ -11,6 +12,9 @@
 
 namespace foxtailwheel::store {
 
+/// @brief Epoch of the store's history, which rises each time the store returns from an older copy; 0 if it gives none.
+using StoreEpoch = StrongNumber<struct StoreEpochTag>;
+
 /// @brief A row of a watched table, or the deletion of one.
 struct FeedRow {
     std::string key;
@@ -34,6 +38,7 @@
     std::vector<FeedRow> rows;
     std::uint64_t version = 0; ///< Version that `rows` are current to; pass it as `after` to the next `waitForChanges`.
     Duration storeTime {}; ///< Steady clock of the store at the time of its response.
+    StoreEpoch epoch {}; ///< Set for every outcome whose response has it.
 
     friend bool operator==(const FeedResult&, const FeedResult&) = default;
 };
--- a/src/foxtailwheel/control/TableFollower.cpp
+++ b/src/foxtailwheel/control/TableFollower.cpp
@@ -115,7 +115,6 @@
     Random random;
     TableReplica table;
     StoreClockBound bound;
-    std::uint64_t version = 0;
     std::uint64_t announcedVersion = 0; ///< Newest version of which another instance knows.
     bool synced = false; ///< The table was read completely and no change was missed since.
     bool polling = true;
@@ -127,7 +126,7 @@
 {
     const auto now = clock.now();
     callPending = true;
-    auto done = [weak = weak_from_this(), now, baseVersion = version](store::FeedResult result) {
+    auto done = [weak = weak_from_this(), now, baseVersion = table.version](store::FeedResult result) {
         if (const auto self = weak.lock())
             self->onResponse(std::move(result), now, baseVersion);
     };
@@ -139,7 +138,7 @@
     if (!synced)
         feed.readAll(options.table, now + timeout, std::move(done));
     else
-        feed.waitForChanges(options.table, version, wait, now + wait + timeout, std::move(done));
+        feed.waitForChanges(options.table, table.version, wait, now + wait + timeout, std::move(done));
 }
 
 void TableFollower::Impl::pollAfter(Duration delay)
@@ -155,7 +154,7 @@
 /// example when servers start.
 void TableFollower::Impl::scheduleNext(bool hasChanges)
 {
-    const bool outdated = version < announcedVersion;
+    const bool outdated = table.version < announcedVersion;
     if (outdated || ((polling || !synced) && hasChanges))
         pollAfter(options.coalesceDelay);
     else if (polling || !synced)
@@ -194,11 +193,11 @@
 
 void TableFollower::Impl::onUpdate(const TableUpdate& update)
 {
-    if (!synced || update.changes.version < version)
+    if (!synced || update.changes.version < table.version)
         return;
     // The same version contains no new changes, but confirms that the table was current at the store's time.
-    const bool isConfirmation = update.changes.version == version;
-    const bool hasGap = !isConfirmation && update.baseVersion > version;
+    const bool isConfirmation = update.changes.version == table.version;
+    const bool hasGap = !isConfirmation && update.baseVersion > table.version;
     auto rows
         = isConfirmation || hasGap ? std::vector<store::FeedRow>() : withoutDeltas(update.changes.rows, table.rows);
     if (hasGap || !rows) {
@@ -212,7 +211,7 @@
     table.asOf = std::max(table.asOf, *asOf);
     const bool rowsChanged = applyRows(std::move(*rows));
     table.forwarded = rowsChanged || table.forwarded;
-    version = update.changes.version;
+    table.version = update.changes.version;
     onChange(table, rowsChanged);
 }
 
@@ -267,11 +266,12 @@
     if (publish && polling && synced)
         publish({ options.table, baseVersion, withDeltas(result, table.rows) });
     // An update from another instance may have arrived before this response although the store sent it later.
-    const bool outdated = synced && result.version < version;
+    const bool outdated = synced && result.version < table.version;
     const bool rowsChanged = !outdated && applyRows(std::move(result.rows));
     table.forwarded = !rowsChanged && table.forwarded;
     const bool wasSynced = std::exchange(synced, true);
-    version = std::max(version, result.version);
+    table.version = std::max(table.version, result.version);
+    table.epoch = result.epoch;
     onChange(table, rowsChanged);
     scheduleNext(wasSynced && rowsChanged);
 }
