A store that returns from an older copy is read completely

Cause: versions of the store were compared across its return. It gives them out again, so a response or forwarded update with a lower version counted as outdated, and changes were asked for after a version that stands for other rows by then: those in between were never read. Members and pollers that had seen different histories rejected each other's updates.

A follower now keeps the epoch beside the version and compares versions only within an epoch. At the first sign of a newer one (a response of any kind, or an update of another instance) its copy no longer counts as synced: the rows stay in use until the table is read completely, updates and delayed responses of the older epoch are ignored, and so are changes whose base is of the older one. The bound on the age of the copy starts anew, since the store's clock may differ. The poller announces the epoch to its zone; members read after a random delay. A complete read sets the version also if it is lower. Updates between instances carry the epoch in a new last field. Without an epoch, a version lower than the one asked for leads to a complete read as well.

--- a/include/foxtailwheel/control/TableFollower.h
+++ b/include/foxtailwheel/control/TableFollower.h
@@ -53,7 +53,9 @@
 /// @brief Replicates a table of the store: reads it completely, then long-polls for changes.
 ///
 /// If several instances follow the same table, one of them polls and forwards the changes to the others, which call the
-/// store only if updates stop or one was missed. Not thread-safe: calls and the feed's callbacks run on one thread.
+/// store only if updates stop or one was missed. Versions are compared only within an epoch of the store: at the first
+/// sign of a new one, the table is read completely again. Not thread-safe: calls and the feed's callbacks run on one
+/// thread.
 class TableFollower {
 public:
     using OnChange = std::function<void(const TableReplica&, bool rowsChanged)>;
--- a/include/foxtailwheel/peer/Messages_generated.h
+++ b/include/foxtailwheel/peer/Messages_generated.h
@@ -2033,7 +2033,8 @@
     VT_AFTER = 8,
     VT_VERSION = 10,
     VT_STORE_US = 12,
-    VT_ROWS = 14
+    VT_ROWS = 14,
+    VT_EPOCH = 16
   };
   const foxtailwheel::peer::wire::Member *sender() const {
     return GetPointer<const foxtailwheel::peer::wire::Member *>(VT_SENDER);
@@ -2053,6 +2054,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::Row>> *rows() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::Row>> *>(VT_ROWS);
   }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -2065,6 +2069,7 @@
            VerifyOffset(verifier, VT_ROWS) &&
            verifier.VerifyVector(rows()) &&
            verifier.VerifyVectorOfTables(rows()) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
            verifier.EndTable();
   }
 };
@@ -2091,6 +2096,9 @@
   void add_rows(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::Row>>> rows) {
     fbb_.AddOffset(TableNews::VT_ROWS, rows);
   }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(TableNews::VT_EPOCH, epoch, 0);
+  }
   explicit TableNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2109,8 +2117,10 @@
     uint64_t after = 0,
     uint64_t version = 0,
     int64_t store_us = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::Row>>> rows = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::Row>>> rows = 0,
+    uint64_t epoch = 0) {
   TableNewsBuilder builder_(_fbb);
+  builder_.add_epoch(epoch);
   builder_.add_store_us(store_us);
   builder_.add_version(version);
   builder_.add_after(after);
@@ -2127,7 +2137,8 @@
     uint64_t after = 0,
     uint64_t version = 0,
     int64_t store_us = 0,
-    const std::vector<flatbuffers::Offset<foxtailwheel::peer::wire::Row>> *rows = nullptr) {
+    const std::vector<flatbuffers::Offset<foxtailwheel::peer::wire::Row>> *rows = nullptr,
+    uint64_t epoch = 0) {
   auto table__ = table ? _fbb.CreateString(table) : 0;
   auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<foxtailwheel::peer::wire::Row>>(*rows) : 0;
   return foxtailwheel::peer::wire::CreateTableNews(
@@ -2137,7 +2148,8 @@
       after,
       version,
       store_us,
-      rows__);
+      rows__,
+      epoch);
 }
 
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/foxtailwheel/control/TableFollower.cpp
+++ b/src/foxtailwheel/control/TableFollower.cpp
@@ -96,13 +96,22 @@
     {
     }
 
+    /// What was known when a call to the store began.
+    struct CallStart {
+        TimePoint sentAt;
+        store::StoreEpoch epoch;
+        std::uint64_t version = 0;
+        bool isCompleteRead = false;
+    };
+
     void poll();
     void pollAfter(Duration delay);
     void scheduleNext(bool hasChanges);
     void watchForSilence();
     void onUpdate(const TableUpdate& update);
     void onMissedChanges(std::uint64_t newerVersion);
-    void onResponse(store::FeedResult result, TimePoint sentAt, std::uint64_t baseVersion);
+    void enterEpoch(store::StoreEpoch newEpoch);
+    void onResponse(store::FeedResult result, const CallStart& start);
     bool applyRows(std::vector<store::FeedRow> rows);
     void onUnavailable();
 
@@ -115,7 +124,8 @@
     Random random;
     TableReplica table;
     StoreClockBound bound;
-    std::uint64_t announcedVersion = 0; ///< Newest version of which another instance knows.
+    store::StoreEpoch epoch; ///< Newest epoch known; that of the rows may be older until the table is read again.
+    std::uint64_t announcedVersion = 0; ///< Newest version of this epoch of which another instance knows.
     bool synced = false; ///< The table was read completely and no change was missed since.
     bool polling = true;
     bool callPending = false; ///< A call is in progress or scheduled.
@@ -126,9 +136,10 @@
 {
     const auto now = clock.now();
     callPending = true;
-    auto done = [weak = weak_from_this(), now, baseVersion = table.version](store::FeedResult result) {
+    const CallStart start { now, epoch, table.version, !synced };
+    auto done = [weak = weak_from_this(), start](store::FeedResult result) {
         if (const auto self = weak.lock())
-            self->onResponse(std::move(result), now, baseVersion);
+            self->onResponse(std::move(result), start);
     };
     // A follower that does not poll only catches up, so its call does not wait for a change.
     // While the store is unavailable, short calls in quick succession detect its recovery early.
@@ -191,9 +202,32 @@
         poll();
 }
 
+/// The store has returned from an older copy. It gives out versions again, its clock may differ, and rows may be gone,
+/// so nothing that was known before can be compared with its responses.
+void TableFollower::Impl::enterEpoch(store::StoreEpoch newEpoch)
+{
+    epoch = newEpoch;
+    synced = false;
+    announcedVersion = 0;
+    bound = {};
+    if (table.asOf == TimePoint {})
+        return;
+    table.lastUnavailableAt = clock.now();
+    table.recoveredAt = clock.now();
+    if (publish && polling)
+        publish({ options.table, 0, { store::FeedOutcome::Success, {}, 0, {}, epoch } });
+}
+
 void TableFollower::Impl::onUpdate(const TableUpdate& update)
 {
-    if (!synced || update.changes.version < table.version)
+    if (update.changes.epoch > epoch) {
+        enterEpoch(update.changes.epoch);
+        // All members of a zone receive the update at the same time.
+        if (!callPending)
+            pollAfter(fromSeconds(toSeconds(options.retryDelay) * random.uniform()));
+        return;
+    }
+    if (!synced || update.changes.epoch < epoch || update.changes.version < table.version)
         return;
     // The same version contains no new changes, but confirms that the table was current at the store's time.
     const bool isConfirmation = update.changes.version == table.version;
@@ -247,14 +281,25 @@
     pollAfter(retryDelay + fromSeconds(toSeconds(retryDelay) * random.uniform()));
 }
 
-void TableFollower::Impl::onResponse(store::FeedResult result, TimePoint sentAt, std::uint64_t baseVersion)
+void TableFollower::Impl::onResponse(store::FeedResult result, const CallStart& start)
 {
     callPending = false;
     if (result.outcome == store::FeedOutcome::Unavailable) {
+        if (result.epoch > epoch)
+            enterEpoch(result.epoch);
         onUnavailable();
         return;
     }
-    if (result.outcome == store::FeedOutcome::HistoryLost) {
+    // The response was delayed: the call began before the newer epoch was known.
+    if (result.epoch < epoch && start.epoch < epoch) {
+        poll();
+        return;
+    }
+    if (result.epoch != epoch)
+        enterEpoch(result.epoch);
+    // Changes follow from the rows at the start of the call, so they are of use only if these still count.
+    const bool isBaseLost = !start.isCompleteRead && (!synced || result.version < start.version);
+    if (result.outcome == store::FeedOutcome::HistoryLost || isBaseLost) {
         synced = false;
         poll();
         return;
@@ -262,16 +307,17 @@
     if (!std::exchange(table.available, true))
         table.recoveredAt = clock.now();
     table.confirmedByPeer = false;
-    table.asOf = std::max(table.asOf, bound.observe(sentAt, result.storeTime));
+    table.asOf = std::max(table.asOf, bound.observe(start.sentAt, result.storeTime));
     if (publish && polling && synced)
-        publish({ options.table, baseVersion, withDeltas(result, table.rows) });
+        publish({ options.table, start.version, withDeltas(result, table.rows) });
     // An update from another instance may have arrived before this response although the store sent it later.
     const bool outdated = synced && result.version < table.version;
     const bool rowsChanged = !outdated && applyRows(std::move(result.rows));
     table.forwarded = !rowsChanged && table.forwarded;
     const bool wasSynced = std::exchange(synced, true);
-    table.version = std::max(table.version, result.version);
-    table.epoch = result.epoch;
+    // Versions may be lower than before after a complete read.
+    table.version = wasSynced ? std::max(table.version, result.version) : result.version;
+    table.epoch = epoch;
     onChange(table, rowsChanged);
     scheduleNext(wasSynced && rowsChanged);
 }
--- a/src/foxtailwheel/control/TableFollowerTest.cpp
+++ b/src/foxtailwheel/control/TableFollowerTest.cpp
@@ -63,6 +63,13 @@
         return { FeedOutcome::Success, std::move(rows), version, stamp };
     }
 
+    /// Response or update of a store that has returned from an older copy `epoch` times.
+    static FeedResult inEpoch(
+        std::uint64_t epoch, std::uint64_t version, std::vector<store::FeedRow> rows, Duration stamp = 10s)
+    {
+        return { FeedOutcome::Success, std::move(rows), version, stamp, store::StoreEpoch(epoch) };
+    }
+
     void runScheduled(Duration passed)
     {
         clock.advance(passed);
@@ -287,6 +294,145 @@
     cr_assert_eq(fixture.feed.calls.front().after, 9);
 }
 
+// A store returned from an older copy and gave out versions again. Changes with versions that had been read before its
+// return were never read: routes that had been added were not served.
+Test(TableFollower, restoredStoreIsReadCompletelyThoughItsVersionsPassedTheOldOne)
+{
+    Fixture fixture;
+    fixture.feed.respond(Fixture::inEpoch(1, 50, { { "a", "lost" }, { "b", "1" }, { "c", "1" } }));
+    fixture.feed.respond({ FeedOutcome::Unavailable, {}, 0, {} });
+    fixture.runScheduled(500ms);
+    fixture.feed.respond(Fixture::inEpoch(2, 53, { { "c", "3" } }, 12s));
+    cr_assert_eq(fixture.feed.calls.size(), 1);
+    cr_assert(fixture.feed.calls.front().isReadAll, "changes after a version of the old epoch were taken");
+    cr_assert_eq(fixture.follower->table().rows.at("a"), "lost", "the rows stay until others are read");
+    fixture.feed.respond(Fixture::inEpoch(2, 53, { { "b", "2" }, { "c", "3" } }, 12s));
+    cr_assert_eq(fixture.follower->table().rows.at("b"), "2");
+    cr_assert_eq(fixture.follower->table().rows.count("a"), 0);
+    cr_assert_eq(fixture.feed.calls.front().after, 53);
+}
+
+Test(TableFollower, restoredStoreIsFollowedFromItsLowerVersion)
+{
+    Fixture fixture;
+    fixture.feed.respond(Fixture::inEpoch(1, 50, { { "a", "1" } }));
+    fixture.feed.respond({ FeedOutcome::HistoryLost, {}, 0, {}, store::StoreEpoch(2) });
+    cr_assert(fixture.feed.calls.front().isReadAll);
+    fixture.feed.respond(Fixture::inEpoch(2, 40, { { "a", "0" } }, 12s));
+    cr_assert_eq(fixture.feed.calls.front().after, 40, "changes up to version 50 would be missed");
+    fixture.feed.respond(Fixture::inEpoch(2, 45, { { "a", "2" } }, 13s));
+    cr_assert_eq(fixture.follower->table().rows.at("a"), "2");
+    cr_assert_eq(fixture.follower->table().version, 45);
+}
+
+Test(TableFollower, versionsThatGoBackAreReadCompletelyWithoutAnEpoch)
+{
+    Fixture fixture;
+    fixture.feed.respond(Fixture::rows(50, { { "a", "1" } }));
+    fixture.feed.respond(Fixture::rows(40, {}, 12s));
+    cr_assert(fixture.feed.calls.front().isReadAll);
+    fixture.feed.respond(Fixture::rows(40, { { "a", "0" } }, 12s));
+    cr_assert_eq(fixture.feed.calls.front().after, 40);
+}
+
+// Members rejected what the poller of their zone forwarded after the store had returned, to the end of the day.
+Test(TableFollower, updateOfANewerEpochLeadsToACompleteRead)
+{
+    Fixture fixture;
+    fixture.feed.respond(Fixture::inEpoch(1, 50, { { "a", "1" } }));
+    fixture.follower->setPolling(false);
+    fixture.feed.respond(Fixture::inEpoch(1, 50, {}));
+    fixture.follower->onUpdate({ "op", 41, Fixture::inEpoch(2, 42, { { "a", "2" } }, 12s) });
+    cr_assert_eq(fixture.follower->table().rows.at("a"), "1", "changes of one epoch were applied to rows of another");
+    fixture.runScheduled(250ms);
+    cr_assert_eq(fixture.feed.calls.size(), 1);
+    cr_assert(fixture.feed.calls.front().isReadAll);
+    fixture.follower->onUpdate({ "op", 42, Fixture::inEpoch(2, 43, { { "a", "3" } }, 13s) });
+    fixture.feed.respond(Fixture::inEpoch(2, 43, { { "a", "3" } }, 13s));
+    cr_assert_eq(fixture.follower->table().rows.at("a"), "3");
+    fixture.follower->onUpdate({ "op", 43, Fixture::inEpoch(2, 44, { { "a", "4" } }, 14s) });
+    cr_assert_eq(fixture.follower->table().rows.at("a"), "4");
+}
+
+Test(TableFollower, updatesOfAnOlderEpochAreIgnored)
+{
+    Fixture fixture;
+    fixture.feed.respond(Fixture::inEpoch(2, 40, { { "a", "new" } }));
+    fixture.follower->setPolling(false);
+    fixture.feed.respond(Fixture::inEpoch(2, 40, {}));
+    const auto asOf = fixture.follower->table().asOf;
+    fixture.clock.advance(1s);
+    fixture.follower->onUpdate({ "op", 40, Fixture::inEpoch(1, 51, { { "a", "old" } }, 11s) });
+    cr_assert_eq(fixture.follower->table().rows.at("a"), "new");
+    cr_assert_eq(fixture.follower->table().version, 40);
+    cr_assert(fixture.follower->table().asOf == asOf);
+    cr_assert(fixture.feed.calls.empty());
+}
+
+// The response had been sent before the store was away and arrived after the news of its return.
+Test(TableFollower, delayedResponseOfAnOlderEpochIsIgnored)
+{
+    Fixture fixture;
+    fixture.feed.respond(Fixture::inEpoch(1, 50, { { "a", "1" } }));
+    fixture.follower->onUpdate({ "op", 0, Fixture::inEpoch(2, 40, {}, 12s) });
+    fixture.feed.respond(Fixture::inEpoch(1, 51, { { "a", "lost" } }, 11s));
+    cr_assert_eq(fixture.follower->table().rows.at("a"), "1");
+    cr_assert(fixture.feed.calls.front().isReadAll);
+    fixture.feed.respond(Fixture::inEpoch(2, 41, { { "a", "2" } }, 12s));
+    cr_assert_eq(fixture.follower->table().rows.at("a"), "2");
+    cr_assert_eq(fixture.feed.calls.front().after, 41);
+}
+
+// The call began before the news of the store's return and was answered after it, as a difference to a lost version.
+Test(TableFollower, changesAfterALostVersionAreNotTaken)
+{
+    Fixture fixture;
+    fixture.feed.respond(Fixture::inEpoch(1, 50, { { "a", "1" }, { "b", "1" } }));
+    fixture.follower->onUpdate({ "op", 0, Fixture::inEpoch(2, 40, {}, 12s) });
+    fixture.feed.respond(Fixture::inEpoch(2, 52, { { "a", "2" } }, 12s));
+    cr_assert_eq(fixture.follower->table().rows.at("a"), "1");
+    cr_assert(fixture.feed.calls.front().isReadAll);
+}
+
+Test(TableFollower, pollerAnnouncesANewEpoch)
+{
+    Fixture poller;
+    Fixture member;
+    for (auto* it : { &poller, &member })
+        it->feed.respond(Fixture::inEpoch(1, 50, { { "a", "1" } }));
+    member.follower->setPolling(false);
+    member.feed.respond(Fixture::inEpoch(1, 50, {}));
+    poller.feed.respond({ FeedOutcome::HistoryLost, {}, 0, {}, store::StoreEpoch(2) });
+    cr_assert_eq(poller.forwarded.size(), 1);
+    member.follower->onUpdate(control::limitUpdate(poller.forwarded.back(), 10, 1000));
+    member.runScheduled(250ms);
+    cr_assert_eq(member.feed.calls.size(), 1);
+    cr_assert(member.feed.calls.front().isReadAll);
+}
+
+// Servers and operators write again what was lost; a member that did not see the store away has to wait for them, too.
+Test(TableFollower, newEpochCountsAsRecoveryOfTheStore)
+{
+    Fixture fixture;
+    fixture.feed.respond(Fixture::inEpoch(1, 50, { { "a", "1" } }));
+    cr_assert(fixture.follower->table().lastUnavailableAt == TimePoint {});
+    fixture.clock.advance(5s);
+    fixture.feed.respond({ FeedOutcome::HistoryLost, {}, 0, {}, store::StoreEpoch(2) });
+    fixture.feed.respond(Fixture::inEpoch(2, 40, {}, 15s));
+    cr_assert(fixture.follower->table().recoveredAt == fixture.clock.now());
+    cr_assert(fixture.follower->table().lastUnavailableAt == fixture.clock.now());
+}
+
+// The clock of the copy was ahead, so the copy of the table seemed to be current for longer than it was.
+Test(TableFollower, ageIsNotDerivedFromTheClockOfAnotherEpoch)
+{
+    Fixture fixture;
+    fixture.feed.respond(Fixture::inEpoch(1, 50, { { "a", "1" } }, 10s));
+    fixture.feed.respond({ FeedOutcome::HistoryLost, {}, 0, {}, store::StoreEpoch(2) });
+    fixture.feed.respond(Fixture::inEpoch(2, 40, { { "a", "1" } }, 100s));
+    cr_assert(fixture.follower->table().asOf <= fixture.clock.now());
+}
+
 Test(StoreClockBound, neverExceedsTheTimeOfTheResponse)
 {
     StoreClockBound bound;
--- a/src/foxtailwheel/peer/Message.cpp
+++ b/src/foxtailwheel/peer/Message.cpp
@@ -170,7 +170,7 @@
             }
             return wrap(wire::Body::TableNews,
                 wire::CreateTableNewsDirect(fbb, pack(fbb, it.sender), it.table.c_str(), it.baseVersion,
-                    it.changes.version, microseconds(it.changes.storeTime), &rows));
+                    it.changes.version, microseconds(it.changes.storeTime), &rows, it.changes.epoch.value()));
         }
         auto operator()(const PieceUpdate& it) const
         {
@@ -363,6 +363,7 @@
         TableUpdate out { unpack(update.sender()), stringOrEmpty(update.table()), update.after(), {} };
         out.changes.outcome = store::FeedOutcome::Success;
         out.changes.version = update.version();
+        out.changes.epoch = store::StoreEpoch(update.epoch());
         out.changes.storeTime = boundedMicroseconds(update.store_us());
         if (update.rows() == nullptr)
             return out;
--- a/src/foxtailwheel/peer/PeerTest.cpp
+++ b/src/foxtailwheel/peer/PeerTest.cpp
@@ -44,7 +44,7 @@
             { store::FeedOutcome::Success,
                 { { "a", "value" }, { "b", std::nullopt },
                     { "c", std::nullopt, TextDelta { { { 1, 2, 3 }, { 4, 5, 0 } }, "new", 6 } } },
-                7, 11s } },
+                7, 11s, store::StoreEpoch(3) } },
         peer::PieceUpdate { makeMember("x"),
             serving::PieceRequest { serving::PieceGroupId(3), ServiceId("portal"), { { "r", 1, 2, "k", { "h" } } }, 1,
                 -2ms, 3s, AvailabilityZoneId("a"), 4ms, 99, true } },
