--- a/include/foxtailwheel/control/TableFollower.h
+++ b/include/foxtailwheel/control/TableFollower.h
@@ -30,6 +30,8 @@
     TimePoint asOf; ///< Lower bound of the time at which the rows were current.
     TimePoint lastUnavailableAt; ///< Time at which the store was last found unavailable; unset for never.
     TimePoint recoveredAt; ///< Time at which the store recovered after that.
+    store::StoreEpoch epoch; ///< Epoch of the rows.
+    std::uint64_t version = 0; ///< Version of the rows within the epoch.
     bool available = false;
     bool forwarded = false; ///< The last change came from another instance, not from the store.
     bool confirmedByPeer = false; ///< The last response came from another instance, not from the store.
@@ -51,7 +53,9 @@
 /// @brief Replicates a table of the store: reads it completely, then long-polls for changes.
 ///
 /// If several instances follow the same table, one of them polls and forwards the changes to the others, which call the
-/// store only if updates stop or one was missed. Not thread-safe: calls and the feed's callbacks run on one thread.
+/// store only if updates stop or one was missed. Versions are compared only within an epoch of the store: at the first
+/// sign of a new one, the table is read completely again. Not thread-safe: calls and the feed's callbacks run on one
+/// thread.
 class TableFollower {
 public:
     using OnChange = std::function<void(const TableReplica&, bool rowsChanged)>;
