A service that a configuration makes a stage gets its queue

Callers of all routes with such a stage got 503. The queue for the pieces of a service was created with the service only. If a later configuration declared batch limits for a service that was there before, it never had one, and each request failed at that stage until the instance was restarted.

The queue is created when the service has batch limits for the first time.

serviceThatIsMadeAStageByAConfigurationGetsAQueue failed before with StageFailed. requestsGoOnAfterAConfigurationRemovesTheirServices passed before: a request in progress keeps its services, queues and servers under a configuration without them.

--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -774,6 +774,49 @@
     cr_assert_eq(next.pieces.at(0).inputs.size(), 3);
 }
 
+// A configuration made a stage of a service that was there before; all requests of its routes failed.
+Test(Forwarder, serviceThatIsMadeAStageByAConfigurationGetsAQueue)
+{
+    ForwarderFixture fixture;
+    auto changed = table(2);
+    for (auto& it : changed->services) {
+        if (it.id.value() == "desk")
+            it.batch = config::BatchLimits { 1, 2, 10, 200ms, 17ms, 4s, 0 };
+    }
+    auto added = route("added", config::RetryMode::Allowed, true);
+    added.stages = { { ServiceId("desk"), {}, 1000 } };
+    changed->routes.push_back(added);
+    changed->buildIndex();
+    fixture.collectActions([&](auto& out) { fixture.forwarder->configure(changed, start, out); });
+    fixture.pieces = { 2 };
+    fixture.submit("added");
+    cr_assert(fixture.replies.empty());
+    cr_assert_eq(fixture.batches.size(), 1);
+    cr_assert_eq(fixture.batches[0].service.value(), "desk");
+}
+
+// A request that waited for a stage kept its queue, whatever later configurations said about the service.
+Test(Forwarder, requestsGoOnAfterAConfigurationRemovesTheirServices)
+{
+    ForwarderFixture fixture;
+    fixture.pieces = { 1, 1 };
+    fixture.submit("staged");
+    auto changed = table(2);
+    std::erase_if(changed->services, [](const auto& it) { return it.id.value() != "desk"; });
+    std::erase_if(changed->routes, [](const auto& it) { return it.name != "safe"; });
+    changed->buildIndex();
+    fixture.collectActions([&](auto& out) { fixture.forwarder->configure(changed, start + 10ms, out); });
+    fixture.endBatch(fixture.batches.at(0), start + 217ms);
+    fixture.endBatch(fixture.batches.at(1), start + 434ms);
+    cr_assert_eq(fixture.sent.size(), 1);
+    fixture.endCall(fixture.sent[0].call, ForwardCallOutcome::Refused, start + 440ms);
+    cr_assert_eq(fixture.sent.size(), 2);
+    const auto call = fixture.beginStream(start + 500ms);
+    fixture.receive(call, "id: 1\ndata: a\n\n", start + 500ms);
+    fixture.endCall(call, ForwardCallOutcome::Complete, start + 600ms);
+    cr_assert_eq(fixture.outcomes.at(0), ForwardOutcome::Answered);
+}
+
 Test(Forwarder, serverIsSuspectedAfterCallersGiveUpOnItsSilence)
 {
     ForwarderFixture fixture;
--- a/src/foxtailwheel/serving/ServerDirectory.cpp
+++ b/src/foxtailwheel/serving/ServerDirectory.cpp
@@ -66,13 +66,7 @@
     limits::SlidingWindowRetryBudget retryBudget(
         m_options.retryBudgetFraction, m_options.retryBudgetReserve, m_options.retryBudgetWindow);
     retryBudget.setInstanceCount(m_instanceCount);
-    std::unique_ptr<BatchQueue> batchQueue;
-    if (service.batch)
-        batchQueue = std::make_unique<BatchQueue>(service.id, *service.batch, *pool,
-            BatchQueueCallbacks { m_allocateCallId, [this, id = service.id](std::size_t n, TimePoint now) {
-                                     return find(id)->retryBudget.tryAcquire(n, now);
-                                 } });
-    return { std::move(pool), std::move(retryBudget), std::move(batchQueue), {} };
+    return { std::move(pool), std::move(retryBudget), {}, {} };
 }
 
 void ServerDirectory::updateService(const config::RoutedService& service, ServiceState& state)
@@ -81,8 +75,16 @@
     state.announced = servers;
     state.pool->update(toService(service, servers), crossZoneLinks(servers));
     updateLeaving(service.id);
-    if (state.batchQueue && service.batch)
+    if (!service.batch)
+        return;
+    if (state.batchQueue) {
         state.batchQueue->setLimits(*service.batch);
+        return;
+    }
+    state.batchQueue = std::make_unique<BatchQueue>(service.id, *service.batch, *state.pool,
+        BatchQueueCallbacks { m_allocateCallId, [this, id = service.id](std::size_t n, TimePoint now) {
+                                 return find(id)->retryBudget.tryAcquire(n, now);
+                             } });
 }
 
 void ServerDirectory::updateLeaving(const ServiceId& id)
