Pieces of one group in two places are all handed over

Callers got no answer within their deadline. The broker kept the pieces of this instance's own groups under the requester's ID. If some pieces of a group were handed over and came back while the others were in a call, the record of the group was replaced by one of the returned pieces only, and removed when these were done. When the call was rejected and the queue was handed over again, its pieces were dropped: none of them was ever produced.

Each group in a local queue keeps its own pieces, under the ID that it has in the queue.

groupWhosePiecesAreInTwoPlacesIsHandedOverWhole failed before: ten of twelve pieces were never produced.

--- a/src/foxtailwheel/serving/PieceBroker.cpp
+++ b/src/foxtailwheel/serving/PieceBroker.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <unordered_map>
 
 namespace foxtailwheel::serving {
@@ -61,11 +62,28 @@
     /// A group in a local queue.
     struct QueuedGroup {
         InstanceId requester; ///< Empty for this instance.
-        PieceGroupId requesterGroup; ///< Group ID assigned by the requester.
         ServiceId service;
-        std::size_t pendingPieces = 0;
+        PieceGroup group; ///< Under the ID assigned by the requester; only pieces without a result.
     };
 
+    /// Removes a piece from a group and returns it.
+    std::optional<Piece> takePiece(PieceGroup& group, std::uint32_t index)
+    {
+        const auto it = std::find_if(
+            group.pieces.begin(), group.pieces.end(), [index](const Piece& p) { return p.index == index; });
+        if (it == group.pieces.end())
+            return std::nullopt;
+        auto piece = std::move(*it);
+        group.pieces.erase(it);
+        return piece;
+    }
+
+    PieceGroup withoutPieces(const PieceGroup& group)
+    {
+        return { group.id, {}, group.priority, group.targetTime, group.deadline, group.preferredZone,
+            group.crossZoneAfter, group.resultBytes };
+    }
+
     /// Returns the expected waits for additional pieces.
     QueueWaits queueWaits(const BatchQueue& queue, std::size_t pieces, TimePoint now)
     {
@@ -84,7 +102,7 @@
 
     void appendResult(PieceResults& message, const QueuedGroup& group, const PieceDone& done)
     {
-        message.group = group.requesterGroup;
+        message.group = group.group.id;
         message.service = group.service;
         message.pieces.push_back({ done.index, done.result });
     }
@@ -102,8 +120,7 @@
     void enqueueLocally(const ServiceId& service, PieceGroup group, TimePoint now, BrokerActions& out);
     void sendToOwner(
         const InstanceId& owner, const ServiceId& service, PieceGroup group, TimePoint now, BrokerActions& out);
-    std::vector<PieceGroupId> routeActions(const std::vector<BatchAction>& actions, TimePoint now, BrokerActions& out);
-    void applyActions(const std::vector<BatchAction>& actions, TimePoint now, BrokerActions& out);
+    std::vector<PieceGroup> routeActions(const std::vector<BatchAction>& actions, TimePoint now, BrokerActions& out);
     void reassign(PieceGroupId group, TimePoint now, BrokerActions& out);
     void onRequest(const InstanceId& from, const PieceRequest& request, TimePoint now, BrokerActions& out);
     void onAck(const InstanceId& from, const PieceRequestAck& ack, TimePoint now);
@@ -112,15 +129,13 @@
     void resubmit(const ServiceId& service, PieceGroup group, TimePoint now, BrokerActions& out);
     void handOver(TimePoint now, BrokerActions& out);
     void sendHeartbeats(TimePoint now, BrokerActions& out);
-    void resubmitOwnPieces(const ServiceId& service, BrokerActions results, TimePoint now, BrokerActions& out);
     InstanceId ownerOf(const ServiceId& service, TimePoint now) const;
     bool releaseLocally(const ReleaseResults& release, TimePoint now);
     /// Finds a group of another instance in the local queues.
     std::map<PieceGroupId, QueuedGroup>::iterator findQueued(const InstanceId& requester, PieceGroupId group)
     {
-        return std::find_if(queuedGroups.begin(), queuedGroups.end(), [&](const auto& entry) {
-            return entry.second.requester == requester && entry.second.requesterGroup == group;
-        });
+        return std::find_if(queuedGroups.begin(), queuedGroups.end(),
+            [&](const auto& entry) { return entry.second.requester == requester && entry.second.group.id == group; });
     }
 
     InstanceId self;
@@ -130,8 +145,6 @@
     std::map<InstanceId, TimePoint> avoidedUntil;
     std::map<PieceGroupId, OutgoingGroup> outgoingGroups;
     std::map<PieceGroupId, QueuedGroup> queuedGroups; ///< Keyed by the group ID in the local queues.
-    /// Groups of this instance in its own queues, keyed by the ID that this instance assigned as the requester.
-    std::map<PieceGroupId, PieceGroup> ownGroups;
     std::map<ServiceId, ReportedWaits> reportedWaits;
     /// Services for which other instances recently sent requests here.
     std::map<ServiceId, TimePoint> actingOwnerUntil;
@@ -144,19 +157,17 @@
 void PieceBroker::Impl::enqueueLocally(const ServiceId& service, PieceGroup group, TimePoint now, BrokerActions& out)
 {
     auto* queue = findQueue(service);
-    const auto requesterGroup = group.id;
     if (queue == nullptr) {
         for (const auto& it : group.pieces)
-            out.emplace_back(PieceDone { requesterGroup, it.index, PieceFailure::Failed });
+            out.emplace_back(PieceDone { group.id, it.index, PieceFailure::Failed });
         return;
     }
-    group.id = PieceGroupId(++lastGroupId);
-    queuedGroups[group.id] = { {}, requesterGroup, service, group.pieces.size() };
-    ownGroups[requesterGroup] = group;
-    ownGroups[requesterGroup].id = requesterGroup;
+    const PieceGroupId id(++lastGroupId);
+    queuedGroups[id] = { {}, service, group };
+    group.id = id;
     std::vector<BatchAction> actions;
     queue->add(std::move(group), now, actions);
-    applyActions(actions, now, out);
+    routeActions(actions, now, out);
 }
 
 void PieceBroker::Impl::sendToOwner(
@@ -169,11 +180,11 @@
 }
 
 /// Forwards calls, and results to their requesters; all results for one group of a requester go in one message.
-/// @return Completed groups of this instance.
-std::vector<PieceGroupId> PieceBroker::Impl::routeActions(
+/// @return Pieces of this instance that its queues hand over.
+std::vector<PieceGroup> PieceBroker::Impl::routeActions(
     const std::vector<BatchAction>& actions, TimePoint now, BrokerActions& out)
 {
-    std::vector<PieceGroupId> finished;
+    std::map<PieceGroupId, PieceGroup> returned;
     std::map<std::pair<InstanceId, PieceGroupId>, PieceResults> remoteResults;
     for (const auto& it : actions) {
         if (const auto* send = std::get_if<SendBatch>(&it)) {
@@ -188,28 +199,28 @@
             continue;
         }
         auto& group = entry->second;
-        if (group.requester.empty())
-            out.emplace_back(PieceDone { group.requesterGroup, done.index, done.result });
-        else
-            appendResult(remoteResults[{ group.requester, group.requesterGroup }], group, done);
-        if (--group.pendingPieces > 0)
-            continue;
-        if (group.requester.empty())
-            finished.push_back(group.requesterGroup);
-        queuedGroups.erase(entry);
+        auto piece = takePiece(group.group, done.index);
+        const auto* failure = std::get_if<PieceFailure>(&done.result);
+        if (!group.requester.empty()) {
+            appendResult(remoteResults[{ group.requester, group.group.id }], group, done);
+        } else if (piece && failure != nullptr && *failure == PieceFailure::OwnerChanged) {
+            auto& pieces = returned.try_emplace(done.group, withoutPieces(group.group)).first->second.pieces;
+            pieces.push_back(std::move(*piece));
+        } else {
+            out.emplace_back(PieceDone { group.group.id, done.index, done.result });
+        }
+        if (group.group.pieces.empty())
+            queuedGroups.erase(entry);
     }
     for (auto& it : remoteResults) {
         if (const auto* queue = findQueue(it.second.service))
             it.second.waits = queueWaits(*queue, 1, now);
         out.emplace_back(SendToInstance { it.first.first, std::move(it.second) });
     }
-    return finished;
-}
-
-void PieceBroker::Impl::applyActions(const std::vector<BatchAction>& actions, TimePoint now, BrokerActions& out)
-{
-    for (const auto id : routeActions(actions, now, out))
-        ownGroups.erase(id);
+    std::vector<PieceGroup> groups;
+    for (auto& it : returned)
+        groups.push_back(std::move(it.second));
+    return groups;
 }
 
 /// Cancels a group at a silent owner and submits it to another instance.
@@ -241,9 +252,8 @@
     auto* queue = findQueue(request.service);
     if (queue == nullptr)
         return;
-    PieceGroup group { PieceGroupId(++lastGroupId), request.pieces, request.priority,
-        now + request.remainingTimeToTarget, now + request.remainingTime, std::nullopt,
-        now + request.remainingTimeInZone, request.resultBytes };
+    PieceGroup group { request.group, request.pieces, request.priority, now + request.remainingTimeToTarget,
+        now + request.remainingTime, std::nullopt, now + request.remainingTimeInZone, request.resultBytes };
     if (!request.preferredZone.empty())
         group.preferredZone = request.preferredZone;
     const PieceRequestAck ack { request.group, queueWaits(*queue, request.pieces.size(), now) };
@@ -251,12 +261,14 @@
         out.emplace_back(SendToInstance { from, ack });
         return;
     }
-    queuedGroups[group.id] = { from, request.group, request.service, request.pieces.size() };
+    const PieceGroupId id(++lastGroupId);
+    queuedGroups[id] = { from, request.service, group };
+    group.id = id;
     actingOwnerUntil[request.service] = now + actingOwnerLifetime;
     out.emplace_back(SendToInstance { from, ack });
     std::vector<BatchAction> actions;
     queue->add(std::move(group), now, actions);
-    applyActions(actions, now, out);
+    routeActions(actions, now, out);
 }
 
 void PieceBroker::Impl::onAck(const InstanceId& from, const PieceRequestAck& ack, TimePoint now)
@@ -355,37 +367,8 @@
             continue;
         std::vector<BatchAction> actions;
         queue->handOver(actions);
-        BrokerActions results;
-        const auto finished = routeActions(actions, now, results);
-        resubmitOwnPieces(service, std::move(results), now, out);
-        for (const auto id : finished)
-            ownGroups.erase(id);
-    }
-}
-
-/// Submits the returned pieces of this instance again; passes all other actions on.
-void PieceBroker::Impl::resubmitOwnPieces(
-    const ServiceId& service, BrokerActions results, TimePoint now, BrokerActions& out)
-{
-    std::map<PieceGroupId, std::vector<std::uint32_t>> own;
-    for (auto& it : results) {
-        const auto* done = std::get_if<PieceDone>(&it);
-        const auto* failure = done == nullptr ? nullptr : std::get_if<PieceFailure>(&done->result);
-        if (failure != nullptr && *failure == PieceFailure::OwnerChanged)
-            own[done->group].push_back(done->index);
-        else
-            out.push_back(std::move(it));
-    }
-    for (auto& [id, indexes] : own) {
-        const auto it = ownGroups.find(id);
-        if (it == ownGroups.end())
-            continue;
-        auto group = it->second;
-        const auto& returned = indexes;
-        std::erase_if(group.pieces, [&returned](const Piece& p) {
-            return std::find(returned.begin(), returned.end(), p.index) == returned.end();
-        });
-        resubmit(service, std::move(group), now, out);
+        for (auto& it : routeActions(actions, now, out))
+            resubmit(service, std::move(it), now, out);
     }
 }
 
@@ -469,13 +452,12 @@
         m_impl->outgoingGroups.erase(it);
     }
     std::erase_if(m_impl->queuedGroups, [this, group](const auto& it) {
-        if (!it.second.requester.empty() || it.second.requesterGroup != group)
+        if (!it.second.requester.empty() || it.second.group.id != group)
             return false;
         if (auto* queue = m_impl->findQueue(it.second.service))
             queue->cancel(it.first);
         return true;
     });
-    m_impl->ownGroups.erase(group);
 }
 
 void PieceBroker::onMessage(const InstanceId& from, const PieceMessage& message, TimePoint now, BrokerActions& out)
@@ -525,7 +507,7 @@
         return;
     std::vector<BatchAction> actions;
     queue->onCallEnd(call, outcome, results, now, actions);
-    m_impl->applyActions(actions, now, out);
+    m_impl->routeActions(actions, now, out);
 }
 
 void PieceBroker::dispatch(const ServiceId& service, TimePoint now, BrokerActions& out)
@@ -535,7 +517,7 @@
         return;
     std::vector<BatchAction> actions;
     queue->dispatch(now, actions);
-    m_impl->applyActions(actions, now, out);
+    m_impl->routeActions(actions, now, out);
 }
 
 void PieceBroker::onTimer(TimePoint now, BrokerActions& out)
@@ -559,7 +541,7 @@
     std::map<std::pair<InstanceId, ServiceId>, PieceGroupId> requesters;
     for (const auto& it : queuedGroups) {
         if (!it.second.requester.empty())
-            requesters[{ it.second.requester, it.second.service }] = it.second.requesterGroup;
+            requesters[{ it.second.requester, it.second.service }] = it.second.group.id;
     }
     for (const auto& [requester, group] : requesters) {
         if (const auto* queue = findQueue(requester.second))
--- a/src/foxtailwheel/serving/PieceBrokerTest.cpp
+++ b/src/foxtailwheel/serving/PieceBrokerTest.cpp
@@ -329,6 +329,45 @@
     cr_assert_eq(cluster.instances.at(successor()).sent.size(), 1);
 }
 
+// Pieces that were handed back and forth took the place of the rest of their group, which was forgotten.
+Test(PieceBroker, groupWhosePiecesAreInTwoPlacesIsHandedOverWhole)
+{
+    Cluster cluster(2, 1);
+    const auto owner = cluster.owner();
+    const auto other = cluster.nonOwner();
+    const auto setOwner = [&](const InstanceId& id, TimePoint now) {
+        for (const auto& it : { owner, other })
+            cluster.setMembers(it, { id }, {}, now);
+    };
+    setOwner(other, start);
+    cluster.submit(other, 1, 1, start);
+    setOwner(owner, start);
+    cluster.submit(owner, 1, 12, start);
+    const auto call = cluster.instances.at(owner).sent.at(0);
+    cr_assert_eq(call.pieces.size(), 10);
+    // The other two are handed over and back. Then the server refuses the call, and all are handed over.
+    setOwner(other, start + 10ms);
+    setOwner(owner, start + 20ms);
+    cluster.submit(other, 2, 1, start + 30ms);
+    cluster.instances.at(owner).sent.clear();
+    cluster.execute(owner, start + 40ms, [&](PieceBroker& broker, BrokerActions& out) {
+        broker.onBatchEnd(portal, call.call, BatchOutcome::NotStarted, {}, start + 40ms, out);
+    });
+    setOwner(other, start + 50ms);
+    for (int i = 1; i < 8; ++i) {
+        for (const auto& it : { owner, other }) {
+            const auto now = start + 300ms + i * 400ms;
+            cluster.execute(
+                it, now, [&](PieceBroker& broker, BrokerActions& out) { broker.dispatch(portal, now, out); });
+            cluster.finishCalls(it, now);
+        }
+    }
+    std::set<std::uint32_t> indexes;
+    for (const auto& it : cluster.instances.at(owner).done)
+        indexes.insert(it.index);
+    cr_assert_eq(indexes.size(), 12);
+}
+
 Test(PieceBroker, resultsReportTheCurrentQueueWaits)
 {
     Cluster cluster(3, 1);
