A repeated request produces the pieces again whose results were lost

Callers got no answer within their deadline. A request for pieces is repeated when the connection to the owner is lost. The owner acknowledged it and did nothing else if any piece of the group was still in its queue, although the results of the others may have been lost. It had forgotten those pieces, and the requester waited for them for as long as the owner sent messages.

The owner compares the pieces, not the group: it queues those that it doesn't have. A cancellation removes all parts of a group from the queues.

--- a/src/foxtailwheel/serving/PieceBroker.cpp
+++ b/src/foxtailwheel/serving/PieceBroker.cpp
@@ -131,12 +131,8 @@
     void sendHeartbeats(TimePoint now, BrokerActions& out);
     InstanceId ownerOf(const ServiceId& service, TimePoint now) const;
     bool releaseLocally(const ReleaseResults& release, TimePoint now);
-    /// Finds a group of another instance in the local queues.
-    std::map<PieceGroupId, QueuedGroup>::iterator findQueued(const InstanceId& requester, PieceGroupId group)
-    {
-        return std::find_if(queuedGroups.begin(), queuedGroups.end(),
-            [&](const auto& entry) { return entry.second.requester == requester && entry.second.group.id == group; });
-    }
+    bool isQueued(const InstanceId& requester, PieceGroupId group, std::uint32_t piece) const;
+    void cancelQueued(const InstanceId& requester, PieceGroupId group);
 
     InstanceId self;
     QueueLookup findQueue;
@@ -252,20 +248,20 @@
     auto* queue = findQueue(request.service);
     if (queue == nullptr)
         return;
+    out.emplace_back(
+        SendToInstance { from, PieceRequestAck { request.group, queueWaits(*queue, request.pieces.size(), now) } });
     PieceGroup group { request.group, request.pieces, request.priority, now + request.remainingTimeToTarget,
         now + request.remainingTime, std::nullopt, now + request.remainingTimeInZone, request.resultBytes };
     if (!request.preferredZone.empty())
         group.preferredZone = request.preferredZone;
-    const PieceRequestAck ack { request.group, queueWaits(*queue, request.pieces.size(), now) };
-    if (request.repeated && findQueued(from, request.group) != queuedGroups.end()) {
-        out.emplace_back(SendToInstance { from, ack });
+    if (request.repeated)
+        std::erase_if(group.pieces, [&](const Piece& it) { return isQueued(from, request.group, it.index); });
+    if (group.pieces.empty())
         return;
-    }
     const PieceGroupId id(++lastGroupId);
     queuedGroups[id] = { from, request.service, group };
     group.id = id;
     actingOwnerUntil[request.service] = now + actingOwnerLifetime;
-    out.emplace_back(SendToInstance { from, ack });
     std::vector<BatchAction> actions;
     queue->add(std::move(group), now, actions);
     routeActions(actions, now, out);
@@ -282,12 +278,30 @@
 
 void PieceBroker::Impl::onCancel(const InstanceId& from, const PieceRequestCancel& cancel)
 {
-    const auto it = findQueued(from, cancel.group);
-    if (it == queuedGroups.end())
-        return;
-    if (auto* queue = findQueue(it->second.service))
-        queue->cancel(it->first);
-    queuedGroups.erase(it);
+    cancelQueued(from, cancel.group);
+}
+
+/// Returns true if a piece is in a local queue or in one of its calls.
+bool PieceBroker::Impl::isQueued(const InstanceId& requester, PieceGroupId group, std::uint32_t piece) const
+{
+    return std::any_of(queuedGroups.begin(), queuedGroups.end(), [&](const auto& it) {
+        const auto& pieces = it.second.group.pieces;
+        return it.second.requester == requester && it.second.group.id == group
+            && std::any_of(pieces.begin(), pieces.end(), [piece](const Piece& p) { return p.index == piece; });
+    });
+}
+
+/// Cancels a group in the local queues.
+/// @param requester Empty for this instance.
+void PieceBroker::Impl::cancelQueued(const InstanceId& requester, PieceGroupId group)
+{
+    std::erase_if(queuedGroups, [&](const auto& it) {
+        if (it.second.requester != requester || it.second.group.id != group)
+            return false;
+        if (auto* queue = findQueue(it.second.service))
+            queue->cancel(it.first);
+        return true;
+    });
 }
 
 void PieceBroker::Impl::onResults(
@@ -451,13 +465,7 @@
         out.emplace_back(SendToInstance { it->second.owner, PieceRequestCancel { group } });
         m_impl->outgoingGroups.erase(it);
     }
-    std::erase_if(m_impl->queuedGroups, [this, group](const auto& it) {
-        if (!it.second.requester.empty() || it.second.group.id != group)
-            return false;
-        if (auto* queue = m_impl->findQueue(it.second.service))
-            queue->cancel(it.first);
-        return true;
-    });
+    m_impl->cancelQueued({}, group);
 }
 
 void PieceBroker::onMessage(const InstanceId& from, const PieceMessage& message, TimePoint now, BrokerActions& out)
--- a/src/foxtailwheel/serving/PieceBrokerTest.cpp
+++ b/src/foxtailwheel/serving/PieceBrokerTest.cpp
@@ -329,6 +329,27 @@
     cr_assert_eq(cluster.instances.at(successor()).sent.size(), 1);
 }
 
+// The owner still had the rest of the group in its queue and took the request for a copy.
+Test(PieceBroker, partOfTheResultsThatWasLostIsProducedAgain)
+{
+    Cluster cluster(3, 1);
+    const auto owner = cluster.owner();
+    const auto id = cluster.nonOwner();
+    cluster.submit(id, 1, 12, start);
+    cluster.disconnected.insert(id);
+    cluster.finishCalls(owner, start + 370ms);
+    cluster.disconnected.clear();
+    cluster.execute(id, start + 400ms,
+        [&](PieceBroker& broker, BrokerActions& out) { broker.onConnectionLost(owner, start + 400ms, out); });
+    for (int i = 1; i < 5; ++i)
+        cluster.finishCalls(owner, start + 400ms + i * 300ms);
+    std::set<std::uint32_t> indexes;
+    for (const auto& it : cluster.instances.at(id).done)
+        indexes.insert(it.index);
+    cr_assert_eq(indexes.size(), 12);
+    cr_assert_eq(cluster.instances.at(id).done.size(), 12, "each piece has one result");
+}
+
 // Pieces that were handed back and forth took the place of the rest of their group, which was forgotten.
 Test(PieceBroker, groupWhosePiecesAreInTwoPlacesIsHandedOverWhole)
 {
