Lost results of pieces are missed although their owner sends other messages

Callers got no answer within their deadline. Results travel on a connection from the owner to the requester; requests on another one. If the former is lost, or can't be opened for a moment, results are dropped, and the requester does not notice: it took any message of the owner as a sign that all its groups were in hand. On a busy system there is always one, so the request waited for its stage until its deadline, at which its caller has left.

A group of which a live owner has said nothing for 1.3 s is requested again with the mark of a repeated request: the owner acknowledges what it has and produces the rest. The owner is not replaced for that.

lostResultsAreProducedAgainAlthoughTheOwnerSendsOtherMessages failed before: the pieces were not there after 2 s. longQueueDoesNotCauseReassignmentWhileHeartbeatsArrive passes unchanged: a long wait in the queue is still no reason to replace the owner.

--- a/src/foxtailwheel/serving/PieceBroker.cpp
+++ b/src/foxtailwheel/serving/PieceBroker.cpp
@@ -20,6 +20,9 @@
     constexpr Duration heartbeatPeriod = 500ms;
     /// An owner without any message for this time counts as unreachable: two heartbeats and some network delay.
     constexpr Duration heartbeatTimeout = 1300ms;
+    /// A group of which a live owner has said nothing for this time is requested again: its results may have been lost
+    /// with a connection. Heartbeats name one of the groups only.
+    constexpr Duration groupCheckPeriod = 1300ms;
     /// Time for which a silent owner receives no further requests.
     constexpr Duration silentOwnerBackoff = 2s;
     /// Time for which an instance that handed over its queue receives no further requests, until the membership update
@@ -41,11 +44,14 @@
         InstanceId owner;
         TimePoint sentAt;
         TimePoint lastMessageAt; ///< Time of the last message from the owner.
+        TimePoint checkedAt; ///< Time of the last message about this group, from or to the owner.
         bool acknowledged = false;
         bool reassigned = false; ///< A previous owner was silent.
 
         /// Time at which the owner counts as silent unless another message arrives.
         TimePoint timeoutAt() const { return acknowledged ? lastMessageAt + heartbeatTimeout : sentAt + ackTimeout; }
+        /// Time at which the group is requested again unless a message about it arrives.
+        TimePoint checkAt() const { return checkedAt + groupCheckPeriod; }
     };
 
     /// Wait times that an owner reported for its queue.
@@ -121,6 +127,7 @@
     void sendToOwner(
         const InstanceId& owner, const ServiceId& service, PieceGroup group, TimePoint now, BrokerActions& out);
     std::vector<PieceGroup> routeActions(const std::vector<BatchAction>& actions, TimePoint now, BrokerActions& out);
+    void repeatRequest(OutgoingGroup& entry, TimePoint now, BrokerActions& out);
     void reassign(PieceGroupId group, TimePoint now, BrokerActions& out);
     void onRequest(const InstanceId& from, const PieceRequest& request, TimePoint now, BrokerActions& out);
     void onAck(const InstanceId& from, const PieceRequestAck& ack, TimePoint now);
@@ -171,7 +178,7 @@
 {
     auto message = makeRequest(service, group, now);
     const auto id = group.id;
-    outgoingGroups[id] = { service, std::move(group), owner, now, now };
+    outgoingGroups[id] = { service, std::move(group), owner, now, now, now };
     out.emplace_back(SendToInstance { owner, std::move(message) });
 }
 
@@ -219,6 +226,15 @@
     return groups;
 }
 
+/// Sends a request again to its owner, which may have it in its queue.
+void PieceBroker::Impl::repeatRequest(OutgoingGroup& entry, TimePoint now, BrokerActions& out)
+{
+    entry.checkedAt = now;
+    auto request = makeRequest(entry.service, entry.group, now);
+    request.repeated = true;
+    out.emplace_back(SendToInstance { entry.owner, std::move(request) });
+}
+
 /// Cancels a group at a silent owner and submits it to another instance.
 void PieceBroker::Impl::reassign(PieceGroupId id, TimePoint now, BrokerActions& out)
 {
@@ -273,6 +289,7 @@
     if (it == outgoingGroups.end() || it->second.owner != from)
         return;
     it->second.acknowledged = true;
+    it->second.checkedAt = now;
     reportedWaits[it->second.service] = { ack.waits, now };
 }
 
@@ -329,6 +346,7 @@
     }
     if (it == outgoingGroups.end())
         return;
+    it->second.checkedAt = now;
     auto returnedPieces = std::move(returned.pieces);
     returned = it->second.group;
     returned.pieces = std::move(returnedPieces);
@@ -422,9 +440,7 @@
         entry.sentAt = now;
         entry.lastMessageAt = now;
         entry.acknowledged = false;
-        auto request = makeRequest(entry.service, entry.group, now);
-        request.repeated = true;
-        out.emplace_back(SendToInstance { instance, std::move(request) });
+        m_impl->repeatRequest(entry, now, out);
     }
 }
 
@@ -537,6 +553,10 @@
     }
     for (const auto id : timedOut)
         m_impl->reassign(id, now, out);
+    for (auto& it : m_impl->outgoingGroups) {
+        if (it.second.checkAt() <= now)
+            m_impl->repeatRequest(it.second, now, out);
+    }
     m_impl->sendHeartbeats(now, out);
 }
 
@@ -561,7 +581,7 @@
 {
     auto next = TimePoint::max();
     for (const auto& it : m_impl->outgoingGroups)
-        next = std::min(next, it.second.timeoutAt());
+        next = std::min({ next, it.second.timeoutAt(), it.second.checkAt() });
     if (!m_impl->queuedGroups.empty())
         next = std::min(next, m_impl->lastHeartbeatAt + heartbeatPeriod);
     return next;
--- a/src/foxtailwheel/serving/PieceBrokerTest.cpp
+++ b/src/foxtailwheel/serving/PieceBrokerTest.cpp
@@ -1,5 +1,6 @@
 #include "foxtailwheel/serving/PieceBroker.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 #include <map>
 #include <set>
@@ -329,6 +330,32 @@
     cr_assert_eq(cluster.instances.at(successor()).sent.size(), 1);
 }
 
+// Results that were lost on the way were never missed while other messages of the owner arrived.
+Test(PieceBroker, lostResultsAreProducedAgainAlthoughTheOwnerSendsOtherMessages)
+{
+    Cluster cluster(3, 1);
+    const auto owner = cluster.owner();
+    const auto id = cluster.nonOwner();
+    cluster.submit(id, 1, 2, start);
+    cluster.disconnected.insert(id);
+    cluster.finishCalls(owner, start + 217ms);
+    cluster.disconnected.clear();
+    cr_assert(cluster.instances.at(id).done.empty());
+    for (int i = 0; i < 20; ++i) {
+        const auto now = start + 250ms + i * 100ms;
+        cluster.submit(id, 100 + static_cast<std::uint64_t>(i), 1, now);
+        cluster.finishCalls(owner, now + 50ms);
+        for (const auto& it : cluster.ids)
+            cluster.execute(
+                it, now + 60ms, [&](PieceBroker& broker, BrokerActions& out) { broker.onTimer(now + 60ms, out); });
+    }
+    const auto& done = cluster.instances.at(id).done;
+    cr_assert_eq(
+        std::count_if(done.begin(), done.end(), [](const auto& it) { return it.group == PieceGroupId(1); }), 2);
+    cr_assert_eq(cluster.instances.at(id).lastCall, 0);
+    cr_assert_eq(cluster.instances.at(cluster.nonOwner(1)).lastCall, 0, "the owner is not replaced");
+}
+
 // The owner still had the rest of the group in its queue and took the request for a copy.
 Test(PieceBroker, partOfTheResultsThatWasLostIsProducedAgain)
 {
