--- a/src/foxtailwheel/serving/PieceBrokerTest.cpp
+++ b/src/foxtailwheel/serving/PieceBrokerTest.cpp
@@ -1,5 +1,6 @@
 #include "foxtailwheel/serving/PieceBroker.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 #include <map>
 #include <set>
@@ -329,6 +330,92 @@
     cr_assert_eq(cluster.instances.at(successor()).sent.size(), 1);
 }
 
+// Results that were lost on the way were never missed while other messages of the owner arrived.
+Test(PieceBroker, lostResultsAreProducedAgainAlthoughTheOwnerSendsOtherMessages)
+{
+    Cluster cluster(3, 1);
+    const auto owner = cluster.owner();
+    const auto id = cluster.nonOwner();
+    cluster.submit(id, 1, 2, start);
+    cluster.disconnected.insert(id);
+    cluster.finishCalls(owner, start + 217ms);
+    cluster.disconnected.clear();
+    cr_assert(cluster.instances.at(id).done.empty());
+    for (int i = 0; i < 20; ++i) {
+        const auto now = start + 250ms + i * 100ms;
+        cluster.submit(id, 100 + static_cast<std::uint64_t>(i), 1, now);
+        cluster.finishCalls(owner, now + 50ms);
+        for (const auto& it : cluster.ids)
+            cluster.execute(
+                it, now + 60ms, [&](PieceBroker& broker, BrokerActions& out) { broker.onTimer(now + 60ms, out); });
+    }
+    const auto& done = cluster.instances.at(id).done;
+    cr_assert_eq(
+        std::count_if(done.begin(), done.end(), [](const auto& it) { return it.group == PieceGroupId(1); }), 2);
+    cr_assert_eq(cluster.instances.at(id).lastCall, 0);
+    cr_assert_eq(cluster.instances.at(cluster.nonOwner(1)).lastCall, 0, "the owner is not replaced");
+}
+
+// The owner still had the rest of the group in its queue and took the request for a copy.
+Test(PieceBroker, partOfTheResultsThatWasLostIsProducedAgain)
+{
+    Cluster cluster(3, 1);
+    const auto owner = cluster.owner();
+    const auto id = cluster.nonOwner();
+    cluster.submit(id, 1, 12, start);
+    cluster.disconnected.insert(id);
+    cluster.finishCalls(owner, start + 370ms);
+    cluster.disconnected.clear();
+    cluster.execute(id, start + 400ms,
+        [&](PieceBroker& broker, BrokerActions& out) { broker.onConnectionLost(owner, start + 400ms, out); });
+    for (int i = 1; i < 5; ++i)
+        cluster.finishCalls(owner, start + 400ms + i * 300ms);
+    std::set<std::uint32_t> indexes;
+    for (const auto& it : cluster.instances.at(id).done)
+        indexes.insert(it.index);
+    cr_assert_eq(indexes.size(), 12);
+    cr_assert_eq(cluster.instances.at(id).done.size(), 12, "each piece has one result");
+}
+
+// Pieces that were handed back and forth took the place of the rest of their group, which was forgotten.
+Test(PieceBroker, groupWhosePiecesAreInTwoPlacesIsHandedOverWhole)
+{
+    Cluster cluster(2, 1);
+    const auto owner = cluster.owner();
+    const auto other = cluster.nonOwner();
+    const auto setOwner = [&](const InstanceId& id, TimePoint now) {
+        for (const auto& it : { owner, other })
+            cluster.setMembers(it, { id }, {}, now);
+    };
+    setOwner(other, start);
+    cluster.submit(other, 1, 1, start);
+    setOwner(owner, start);
+    cluster.submit(owner, 1, 12, start);
+    const auto call = cluster.instances.at(owner).sent.at(0);
+    cr_assert_eq(call.pieces.size(), 10);
+    // The other two are handed over and back. Then the server refuses the call, and all are handed over.
+    setOwner(other, start + 10ms);
+    setOwner(owner, start + 20ms);
+    cluster.submit(other, 2, 1, start + 30ms);
+    cluster.instances.at(owner).sent.clear();
+    cluster.execute(owner, start + 40ms, [&](PieceBroker& broker, BrokerActions& out) {
+        broker.onBatchEnd(portal, call.call, BatchOutcome::NotStarted, {}, start + 40ms, out);
+    });
+    setOwner(other, start + 50ms);
+    for (int i = 1; i < 8; ++i) {
+        for (const auto& it : { owner, other }) {
+            const auto now = start + 300ms + i * 400ms;
+            cluster.execute(
+                it, now, [&](PieceBroker& broker, BrokerActions& out) { broker.dispatch(portal, now, out); });
+            cluster.finishCalls(it, now);
+        }
+    }
+    std::set<std::uint32_t> indexes;
+    for (const auto& it : cluster.instances.at(owner).done)
+        indexes.insert(it.index);
+    cr_assert_eq(indexes.size(), 12);
+}
+
 Test(PieceBroker, resultsReportTheCurrentQueueWaits)
 {
     Cluster cluster(3, 1);
