A TRACE request with a body is forwarded

A caller that sent a TRACE request with a body got no response until the timeout of its route. Beast throws when it prepares the payload of such a request; the exception ended the coroutine of the call without a result.

The client sets the length itself. Evidence: traceRequestWithABodyIsSent failed before with "the call has not ended" after 10 s at a deadline of 2 s.

--- a/src/foxtailwheel/http/Client.cpp
+++ b/src/foxtailwheel/http/Client.cpp
@@ -328,7 +328,11 @@
             m_message.set(identityField, m_identity);
         m_message.keep_alive(true);
         m_message.body() = request.body;
-        m_message.prepare_payload();
+        // Beast does not prepare the payload of a TRACE request that has one.
+        if (m_message.method() == bhttp::verb::trace)
+            m_message.content_length(request.body.size());
+        else
+            m_message.prepare_payload();
         if (!m_sendStarted && m_callbacks.onSendStart)
             m_callbacks.onSendStart();
         m_sendStarted = true;
--- /dev/null
+++ b/src/foxtailwheel/http/ResponseEndTest.cpp
@@ -0,0 +1,95 @@
+#include "RawServer.h"
+#include "foxtailwheel/http/Client.h"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <criterion/criterion.h>
+#include <future>
+#include <optional>
+
+using namespace foxtailwheel;
+using namespace std::chrono_literals;
+
+namespace {
+
+namespace net = boost::asio;
+
+enum class ConnectionEnd { KeepOpen, Close, Reset };
+
+/// Server that answers each request with the same bytes.
+class FixedServer {
+public:
+    FixedServer(std::string response, ConnectionEnd end)
+        : m_response(std::move(response))
+        , m_end(end)
+    {
+    }
+
+    std::uint16_t port() const { return m_server.port(); }
+
+private:
+    void serve(http::RawServer::Socket& socket) const
+    {
+        std::string received;
+        boost::system::error_code ec;
+        while (!ec) {
+            const auto n = net::read_until(socket, net::dynamic_buffer(received), "\r\n\r\n", ec);
+            received.erase(0, n);
+            if (ec)
+                return;
+            net::write(socket, net::buffer(m_response), ec);
+            if (m_end == ConnectionEnd::Reset) {
+                std::this_thread::sleep_for(100ms);
+                socket.set_option(net::socket_base::linger(true, 0), ec);
+            }
+            if (m_end != ConnectionEnd::KeepOpen) {
+                socket.close(ec);
+                return;
+            }
+        }
+    }
+
+    std::string m_response;
+    ConnectionEnd m_end;
+    http::RawServer m_server { [this](http::RawServer::Socket& socket) { serve(socket); } };
+};
+
+/// Sends a request and returns the result; times out after 2 s.
+http::CallResult call(std::uint16_t port, const std::string& method = "GET", const std::string& body = {})
+{
+    const auto clock = systemClock();
+    const auto pool = http::IoPool::create(1);
+    const auto client = http::Client::create(*pool, *clock);
+    std::promise<http::CallResult> done;
+    http::CallCallbacks callbacks;
+    callbacks.onDone = [&](http::CallResult result) { done.set_value(std::move(result)); };
+    const auto deadline = clock->now() + 2s;
+    http::CallRequest request { { "127.0.0.1", port }, { method, "/", {}, body }, deadline, deadline };
+    request.newConnection = true;
+    client->start(std::move(request), std::move(callbacks));
+    auto future = done.get_future();
+    cr_assert(future.wait_for(10s) == std::future_status::ready, "the call has not ended");
+    auto result = future.get();
+    pool->stop();
+    return result;
+}
+
+} // namespace
+
+Test(HttpClient, responseWithoutALengthIsCompleteOnlyIfTheConnectionWasClosed)
+{
+    FixedServer closing("HTTP/1.1 200 OK\r\n\r\nbody", ConnectionEnd::Close);
+    const auto complete = call(closing.port());
+    cr_assert_eq(complete.outcome, http::TransportOutcome::Complete);
+    cr_assert_eq(complete.response.body, "body");
+    FixedServer resetting("HTTP/1.1 200 OK\r\n\r\nbody", ConnectionEnd::Reset);
+    cr_assert_eq(call(resetting.port()).outcome, http::TransportOutcome::ConnectionLost);
+}
+
+Test(HttpClient, traceRequestWithABodyIsSent)
+{
+    FixedServer server("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", ConnectionEnd::Close);
+    const auto result = call(server.port(), "TRACE", "body");
+    cr_assert_eq(result.outcome, http::TransportOutcome::Complete);
+    cr_assert_eq(result.response.status, 200);
+}
