An exception fails the request that caused it, with a response and a log line

A request whose handling threw ended its connection without a response or a log line, and its call or session stayed behind. An exception in an action of the forwarder dropped the actions behind it, which belong to other requests, and one in a timer or in posted work ended the process with all requests in progress.

Cause: coroutines are started detached, which discards exceptions, and nothing caught them in the pool, the server, the client and the loop over actions.

Now each level catches what concerns one piece of work: the server answers 500, or aborts a response that has begun, and calls the disconnect callback; the client ends the call with NotSent if nothing was written, otherwise with ConnectionLost; a call or a batch that cannot be sent ends like one that was not sent or is broken; the pool goes on with other work. All report to one handler, which logs. A pool without a handler ends the process as before.

--- a/include/foxtailwheel/http/IoPool.h
+++ b/include/foxtailwheel/http/IoPool.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace boost::asio {
 class io_context; // NOLINT(readability-identifier-naming)
@@ -15,8 +16,12 @@
 /// @brief Pool of threads that run one Asio I/O context.
 class IoPool {
 public:
+    /// @brief Called with the message of an exception that ended a piece of work; may run on any thread of the pool.
+    using ErrorHandler = std::function<void(std::string_view)>;
+
     /// @brief Creates the pool and starts `threads` threads.
-    static std::unique_ptr<IoPool> create(std::size_t threads);
+    /// @param onError Other work goes on after it. If empty, an exception ends the process.
+    static std::unique_ptr<IoPool> create(std::size_t threads, ErrorHandler onError = {});
     ~IoPool();
     IoPool(const IoPool&) = delete;
     IoPool& operator=(const IoPool&) = delete;
@@ -29,6 +34,8 @@
     void onTerminate(std::function<void(int)> work);
     /// @brief Runs `work` on each SIGHUP.
     void onReload(std::function<void()> work);
+    /// @brief Returns the handler of exceptions; may be empty.
+    const ErrorHandler& errorHandler() const;
     /// @brief Stops the context without running pending work and joins the threads; also called by the destructor.
     void stop();
     /// @brief Returns the context that the threads run.
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -3,6 +3,7 @@
 #include "foxtailwheel/serving/ReleaseQueue.h"
 #include "foxtailwheel/telemetry/Log.h"
 
+#include <exception>
 #include <unordered_map>
 
 namespace foxtailwheel::daemon {
@@ -50,6 +51,9 @@
     }
 
     void executeAll(serving::ForwardActions actions);
+    void onFailed(const serving::SendUpstreamRequest& send);
+    void onFailed(const serving::SendBatch& batch);
+    template <class Action> void onFailed(const Action& /*action*/) { }
     void execute(serving::SendUpstreamRequest& send);
     void execute(serving::CancelUpstreamRequest& cancel);
     void execute(serving::SendBatch& batch);
@@ -91,11 +95,38 @@
 
 void ForwardService::Impl::executeAll(serving::ForwardActions actions)
 {
-    for (auto& it : actions)
-        std::visit([this](auto& action) { execute(action); }, it);
+    for (auto& it : actions) {
+        // Actions of other requests may follow.
+        try {
+            std::visit([this](auto& action) { execute(action); }, it);
+        } catch (const std::exception& error) {
+            telemetry::logError("action_failed", { { "detail", error.what() } });
+            std::visit([this](const auto& action) { onFailed(action); }, it);
+        }
+    }
     scheduleTimer();
 }
 
+/// Ends a call that could not be sent.
+void ForwardService::Impl::onFailed(const serving::SendUpstreamRequest& send)
+{
+    pool.post([self = shared_from_this(), id = send.call] {
+        serving::ForwardActions actions;
+        self->forwarder->onCallEnd(id, ForwardCallOutcome::NotSent, {}, self->clock.now(), actions);
+        self->executeAll(std::move(actions));
+    });
+}
+
+/// Ends a batch that could not be sent. Its pieces count as broken: one of them may be the cause.
+void ForwardService::Impl::onFailed(const serving::SendBatch& batch)
+{
+    pool.post([self = shared_from_this(), id = batch.call] {
+        serving::ForwardActions actions;
+        self->forwarder->onBatchEnd(id, serving::BatchOutcome::Broken, {}, self->clock.now(), actions);
+        self->executeAll(std::move(actions));
+    });
+}
+
 void ForwardService::Impl::scheduleTimer()
 {
     const auto next = forwarder->nextTimerAt();
--- a/src/foxtailwheel/daemon/Instance.cpp
+++ b/src/foxtailwheel/daemon/Instance.cpp
@@ -111,7 +111,10 @@
 
     InstanceImpl::InstanceImpl(config::Settings settings)
         : m_settings(std::move(settings))
-        , m_pool(http::IoPool::create(m_settings.threads))
+        , m_pool(http::IoPool::create(m_settings.threads,
+              [](std::string_view detail) {
+                  telemetry::logError("work_failed", { { "detail", std::string(detail) } });
+              }))
         , m_client(http::Client::create(*m_pool, *m_clock))
         , m_table(store::tableClient(*m_client, *m_clock, m_settings.table, m_seed))
         , m_instanceList(store::instanceListClient(*m_client, m_settings.instanceList))
--- a/src/foxtailwheel/http/Client.cpp
+++ b/src/foxtailwheel/http/Client.cpp
@@ -15,6 +15,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <exception>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -161,11 +162,19 @@
 
     /// State that the calls of a client share.
     struct ClientState {
-        explicit ClientState(const ClientOptions& options)
-            : bodyBudget(options.maxBufferedBytes)
+        ClientState(const ClientOptions& options, IoPool::ErrorHandler errorHandler)
+            : onError(std::move(errorHandler))
+            , bodyBudget(options.maxBufferedBytes)
         {
         }
 
+        void reportError(const std::exception& error) const
+        {
+            if (onError)
+                onError(error.what());
+        }
+
+        IoPool::ErrorHandler onError;
         IdleConnectionPool idlePool;
         BodyBudget bodyBudget;
     };
@@ -195,6 +204,7 @@
     private:
         net::awaitable<bool> connect();
         net::awaitable<CallResult> attempt();
+        net::awaitable<CallResult> attemptSafely();
         net::awaitable<bool> write();
         net::awaitable<void> writeConcurrently();
         net::awaitable<CallResult> read();
@@ -226,6 +236,7 @@
         bhttp::request<bhttp::string_body> m_message;
         bool m_writeIncomplete = false;
         bool m_sendStarted = false;
+        bool m_writeStarted = false;
         bool m_reused = false;
         bool m_responseStarted = false;
     };
@@ -337,6 +348,7 @@
             m_callbacks.onSendStart();
         m_sendStarted = true;
         setStreamDeadline(m_request.deadline);
+        m_writeStarted = true;
         if (request.body.size() > maxSequentialWriteBytes) {
             m_writeIncomplete = true;
             net::co_spawn(
@@ -439,14 +451,27 @@
         co_return result;
     }
 
+    /// Like `attempt`; an exception ends the call.
+    net::awaitable<CallResult> PooledCall::attemptSafely()
+    {
+        try {
+            auto result = co_await attempt();
+            co_return result;
+        } catch (const std::exception& error) {
+            m_state->reportError(error);
+            co_return makeResult(
+                m_writeStarted ? TransportOutcome::ConnectionLost : TransportOutcome::NotSent, error.what());
+        }
+    }
+
     net::awaitable<void> PooledCall::run()
     {
-        auto result = co_await attempt();
+        auto result = co_await attemptSafely();
         const bool stale = m_reused && !m_responseStarted && result.outcome == TransportOutcome::ConnectionLost
             && !m_writeIncomplete;
         if (stale) {
             m_stream.reset();
-            result = co_await attempt();
+            result = co_await attemptSafely();
         }
         const bool unresponsive = !m_responseStarted && m_sendStarted
             && (result.outcome == TransportOutcome::TimedOut || result.outcome == TransportOutcome::Cancelled);
@@ -456,7 +481,11 @@
             m_stream->close();
         m_state->bodyBudget.remove(*this);
         const auto callbacks = std::move(m_callbacks);
-        callbacks.onDone(std::move(result));
+        try {
+            callbacks.onDone(std::move(result));
+        } catch (const std::exception& error) {
+            m_state->reportError(error);
+        }
     }
 
     class PooledClient final : public Client {
@@ -465,7 +494,7 @@
             : m_context(pool.context())
             , m_clock(clock)
             , m_identifyRequests(options.identifyRequests)
-            , m_state(std::make_shared<ClientState>(options))
+            , m_state(std::make_shared<ClientState>(options, pool.errorHandler()))
         {
         }
 
--- a/src/foxtailwheel/http/IoPool.cpp
+++ b/src/foxtailwheel/http/IoPool.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
+#include <exception>
 #include <thread>
 #include <vector>
 
@@ -14,8 +15,9 @@
 namespace net = boost::asio;
 
 struct IoPool::Impl {
-    explicit Impl(std::size_t n)
-        : shared(std::make_shared<net::io_context>(static_cast<int>(n)))
+    Impl(std::size_t n, ErrorHandler handler)
+        : onError(std::move(handler))
+        , shared(std::make_shared<net::io_context>(static_cast<int>(n)))
         , context(*shared)
         , workGuard(net::make_work_guard(context))
         , terminationSignals(context)
@@ -23,6 +25,20 @@
     {
     }
 
+    /// Runs the context until it is stopped.
+    void run()
+    {
+        while (!context.stopped()) {
+            try {
+                context.run();
+            } catch (const std::exception& error) {
+                if (!onError)
+                    throw;
+                onError(error.what());
+            }
+        }
+    }
+
     void waitForTermination()
     {
         terminationSignals.async_wait([this](const boost::system::error_code& ec, int /*signal*/) {
@@ -43,6 +59,7 @@
         });
     }
 
+    ErrorHandler onError;
     std::shared_ptr<net::io_context> shared;
     net::io_context& context;
     net::executor_work_guard<net::io_context::executor_type> workGuard;
@@ -64,12 +81,11 @@
     stop();
 }
 
-std::unique_ptr<IoPool> IoPool::create(std::size_t threads)
+std::unique_ptr<IoPool> IoPool::create(std::size_t threads, ErrorHandler onError)
 {
-    auto impl = std::make_unique<Impl>(threads);
-    auto* context = &impl->context;
+    auto impl = std::make_unique<Impl>(threads, std::move(onError));
     for (std::size_t i = 0; i < threads; ++i)
-        impl->threads.emplace_back([context] { context->run(); });
+        impl->threads.emplace_back([self = impl.get()] { self->run(); });
     return std::unique_ptr<IoPool>(new IoPool(std::move(impl)));
 }
 
@@ -102,6 +118,11 @@
     m_impl->waitForReload();
 }
 
+const IoPool::ErrorHandler& IoPool::errorHandler() const
+{
+    return m_impl->onError;
+}
+
 void IoPool::stop()
 {
     m_impl->workGuard.reset();
--- a/src/foxtailwheel/http/Server.cpp
+++ b/src/foxtailwheel/http/Server.cpp
@@ -16,6 +16,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
+#include <exception>
 #include <mutex>
 #include <optional>
 #include <vector>
@@ -94,6 +95,8 @@
 
         /// Waits for the next part; must run on the connection's strand.
         net::awaitable<ResponsePart> nextPart();
+        /// Ends a response whose handler has thrown: status 500, or an abort if a part of it is queued.
+        void fail();
         /// Discards queued parts, and calls the disconnect callback if the response is incomplete.
         void close();
 
@@ -104,6 +107,7 @@
         std::deque<ResponsePart> m_parts;
         std::size_t m_queuedBytes = 0;
         bool m_closed = false;
+        bool m_begun = false;
         bool m_ended = false;
         std::function<void()> m_onDisconnect;
         net::steady_timer m_wakeTimer;
@@ -119,6 +123,7 @@
             m_queuedBytes += part.chunk.size();
             if (m_queuedBytes > m_maxQueuedBytes)
                 part = { ResponsePartKind::Abort, {}, {} };
+            m_begun = true;
             m_ended = part.kind != ResponsePartKind::Headers && part.kind != ResponsePartKind::Chunk;
             m_parts.push_back(std::move(part));
         }
@@ -139,6 +144,26 @@
         work();
     }
 
+    void Exchange::fail()
+    {
+        std::function<void()> work;
+        bool begun = false;
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_ended)
+                return;
+            begun = m_begun;
+            work = std::exchange(m_onDisconnect, nullptr);
+        }
+        if (begun)
+            abort();
+        else
+            respond({ 500, { { "Content-Type", "application/json" } },
+                "{\"outcome\":\"failed\",\"reason\":\"internal_error\"}" });
+        if (work)
+            work();
+    }
+
     void Exchange::close()
     {
         std::function<void()> work;
@@ -205,12 +230,13 @@
     class Connection : public std::enable_shared_from_this<Connection> {
     public:
         Connection(tcp::socket socket, const ServerOptions& options, std::shared_ptr<const CurrentLimits> limits,
-            Handler handler, std::shared_ptr<SharedState> state)
+            Handler handler, IoPool::ErrorHandler onError, std::shared_ptr<SharedState> state)
             : m_stream(std::move(socket))
             , m_readTimer(m_stream.get_executor())
             , m_options(options)
             , m_currentLimits(std::move(limits))
             , m_handler(std::move(handler))
+            , m_onError(std::move(onError))
             , m_state(std::move(state))
         {
             ++m_state->connections;
@@ -230,6 +256,8 @@
         net::awaitable<bool> sendHeaders(Response response, bool keepAlive);
         net::awaitable<bool> sendChunk(std::string chunk);
         net::awaitable<bool> sendLastChunk();
+        void handle(Request request, const std::shared_ptr<Exchange>& exchange);
+        void reportError(const std::exception& error) const;
         net::awaitable<bool> writeResponse(const std::shared_ptr<Exchange>& exchange, bool keepAlive);
         net::awaitable<void> sendReadError(const boost::system::error_code& ec);
         void watchForDisconnect();
@@ -252,6 +280,7 @@
         const ServerOptions& m_options;
         std::shared_ptr<const CurrentLimits> m_currentLimits;
         Handler m_handler;
+        IoPool::ErrorHandler m_onError;
         std::shared_ptr<SharedState> m_state;
         std::weak_ptr<Exchange> m_currentExchange;
         bool m_watchingForDisconnect = false;
@@ -512,6 +541,23 @@
         co_return false;
     }
 
+    void Connection::reportError(const std::exception& error) const
+    {
+        if (m_onError)
+            m_onError(error.what());
+    }
+
+    /// Calls the handler; an exception fails this request only.
+    void Connection::handle(Request request, const std::shared_ptr<Exchange>& exchange)
+    {
+        try {
+            m_handler(std::move(request), exchange);
+        } catch (const std::exception& error) {
+            reportError(error);
+            exchange->fail();
+        }
+    }
+
     net::awaitable<void> Connection::serve()
     {
         boost::system::error_code ignored;
@@ -526,8 +572,13 @@
             auto exchange = std::make_shared<Exchange>(m_stream.get_executor(), m_options.maxQueuedBytes);
             m_currentExchange = exchange;
             watchForDisconnect();
-            m_handler(std::move(*request), exchange);
-            reusable = co_await writeResponse(exchange, keepAlive);
+            handle(std::move(*request), exchange);
+            try {
+                reusable = co_await writeResponse(exchange, keepAlive);
+            } catch (const std::exception& error) {
+                reportError(error);
+                reusable = false;
+            }
             m_currentExchange.reset();
             exchange->close();
             --m_state->requestsInProgress;
@@ -539,9 +590,10 @@
 } // namespace
 
 struct Server::Impl : std::enable_shared_from_this<Server::Impl> {
-    Impl(net::io_context& ioContext, ServerOptions o, Handler h)
-        : context(ioContext)
-        , acceptor(net::make_strand(ioContext))
+    Impl(IoPool& pool, ServerOptions o, Handler h)
+        : context(pool.context())
+        , onError(pool.errorHandler())
+        , acceptor(net::make_strand(context))
         , options(std::move(o))
         , limits(std::make_shared<CurrentLimits>(options))
         , handler(std::move(h))
@@ -554,6 +606,7 @@
     void acceptQueuedConnections();
 
     net::io_context& context;
+    IoPool::ErrorHandler onError;
     tcp::acceptor acceptor;
     ServerOptions options;
     std::shared_ptr<CurrentLimits> limits;
@@ -600,7 +653,7 @@
     if (state->connections >= options.maxConnections)
         return;
     const auto executor = socket.get_executor();
-    auto connection = std::make_shared<Connection>(std::move(socket), options, limits, handler, state);
+    auto connection = std::make_shared<Connection>(std::move(socket), options, limits, handler, onError, state);
     {
         const std::lock_guard lock(connectionsMutex);
         if (openConnections.size() >= pruneAt) {
@@ -641,7 +694,7 @@
 
 Result<std::unique_ptr<Server>> Server::listen(IoPool& pool, ServerOptions options, Handler handler)
 {
-    auto impl = std::make_shared<Impl>(pool.context(), std::move(options), std::move(handler));
+    auto impl = std::make_shared<Impl>(pool, std::move(options), std::move(handler));
     if (const auto ec = impl->open())
         return fail(Errc::Unreachable, "cannot listen on " + impl->options.listen.toString() + ": " + ec.message());
     net::co_spawn(
