Interim responses and responses to HEAD requests end calls correctly

A request whose backend server first sent an interim response (100, 103) was answered 502, as the interim response was taken for the response. A forwarded HEAD request waited until its deadline for a body that does not follow.

The client skips interim responses, except for 101, and expects no body after the head of a response to HEAD (RFC 9110, 15.2 and 9.3.2).

Evidence: interimResponsesAreNotTakenForTheResponse (status 100) and responseToAHeadRequestHasNoBody (timed out) failed before.

A call whose server sends more than 16 interim responses ends with ConnectionLost. endlessResponsesEndAtTheirBound exempted this case from the check of the outcome, as an interim response completed the call; the exemption is gone.

--- a/src/foxtailwheel/http/Client.cpp
+++ b/src/foxtailwheel/http/Client.cpp
@@ -37,6 +37,7 @@
     constexpr auto completionToken = net::as_tuple(net::use_awaitable);
     /// Limit of a body that is delivered in pieces and not buffered.
     constexpr std::uint64_t maxStreamBytes = std::uint64_t { 64 } << 20U;
+    constexpr int maxInterimResponses = 16;
     constexpr std::size_t readChunkBytes = 16U << 10U;
     constexpr std::size_t maxIdleConnectionsPerServer = 64;
     constexpr Duration maxIdleTime = 10s;
@@ -50,6 +51,12 @@
 
     using Stream = beast::tcp_stream;
 
+    /// Returns true for a response that another one to the same request follows (RFC 9110, section 15.2).
+    bool isInterim(unsigned status)
+    {
+        return status / 100 == 1 && status != static_cast<unsigned>(bhttp::status::switching_protocols);
+    }
+
     /// Idle connections by server, for reuse by later calls.
     class IdleConnectionPool {
     public:
@@ -398,13 +405,21 @@
 
     net::awaitable<CallResult> PooledCall::read()
     {
-        bhttp::response_parser<bhttp::buffer_body> parser;
-        parser.header_limit(Client::maxHeadBytes);
-        parser.body_limit(m_callbacks.onData ? maxStreamBytes : m_request.maxBodyBytes);
-        auto [ec, n] = co_await bhttp::async_read_header(*m_stream, m_buffer, parser, completionToken);
-        m_responseStarted = n > 0;
-        if (ec)
-            co_return errorResult(ec);
+        std::optional<bhttp::response_parser<bhttp::buffer_body>> head;
+        int responses = 0;
+        do {
+            if (responses++ > maxInterimResponses)
+                co_return makeResult(TransportOutcome::ConnectionLost, "too many interim responses");
+            head.emplace();
+            head->header_limit(Client::maxHeadBytes);
+            head->body_limit(m_callbacks.onData ? maxStreamBytes : m_request.maxBodyBytes);
+            head->skip(m_message.method() == bhttp::verb::head);
+            auto [ec, n] = co_await bhttp::async_read_header(*m_stream, m_buffer, *head, completionToken);
+            m_responseStarted = m_responseStarted || n > 0;
+            if (ec)
+                co_return errorResult(ec);
+        } while (isInterim(head->get().result_int()));
+        auto& parser = *head;
         CallResult result { TransportOutcome::Complete, {}, {} };
         result.response.status = parser.get().result_int();
         for (const auto& it : parser.get())
--- a/src/foxtailwheel/http/EndlessResponseTest.cpp
+++ b/src/foxtailwheel/http/EndlessResponseTest.cpp
@@ -122,8 +122,7 @@
         auto future = fixture.start(server.port(), bodyLimit);
         cr_assert(future.wait_for(20s) == std::future_status::ready, "%s", it.name);
         const auto result = future.get();
-        const bool interim = std::string_view(it.name) == "interim responses";
-        cr_assert(interim || result.outcome == http::TransportOutcome::ConnectionLost, "%s", it.name);
+        cr_assert(result.outcome == http::TransportOutcome::ConnectionLost, "%s", it.name);
         cr_assert_leq(result.response.body.size(), bodyLimit, "%s", it.name);
         cr_assert_lt(server.sentBytes(), bodyLimit + maxSocketBytes, "%s: %zu bytes", it.name, server.sentBytes());
     }
--- a/src/foxtailwheel/http/ResponseEndTest.cpp
+++ b/src/foxtailwheel/http/ResponseEndTest.cpp
@@ -76,6 +76,25 @@
 
 } // namespace
 
+Test(HttpClient, interimResponsesAreNotTakenForTheResponse)
+{
+    FixedServer server("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+                       "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+        ConnectionEnd::KeepOpen);
+    const auto result = call(server.port());
+    cr_assert_eq(result.outcome, http::TransportOutcome::Complete);
+    cr_assert_eq(result.response.status, 200);
+    cr_assert_eq(result.response.body, "body");
+}
+
+Test(HttpClient, responseToAHeadRequestHasNoBody)
+{
+    FixedServer server("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", ConnectionEnd::KeepOpen);
+    const auto result = call(server.port(), "HEAD");
+    cr_assert_eq(result.outcome, http::TransportOutcome::Complete);
+    cr_assert_eq(result.response.status, 200);
+}
+
 Test(HttpClient, responseWithoutALengthIsCompleteOnlyIfTheConnectionWasClosed)
 {
     FixedServer closing("HTTP/1.1 200 OK\r\n\r\nbody", ConnectionEnd::Close);
