A call that is cancelled while its response arrives ends

A cancelled call went on until its response paused or ended, so a backend server went on working for a caller that had gone, or beside its successor.

Cause: cancelling a stream ends only the operation in progress. If that one has completed already, as it does while data keeps arriving, the next read started after the cancellation. The same held between write and read, and for the second attempt after a stale connection.

The call checks the flag before it starts another operation. Evidence: callThatIsCancelledWhileDataArrivesEnds received bytes after the cancellation before.

--- a/src/foxtailwheel/http/Client.cpp
+++ b/src/foxtailwheel/http/Client.cpp
@@ -397,6 +397,9 @@
             }
             if (ec && ec != bhttp::error::need_buffer)
                 co_return ec;
+            // The read had completed already when the stream was cancelled.
+            if (m_cancelled && !parser.is_done())
+                co_return net::error::operation_aborted;
             if (m_overBudget || body.size() > m_request.maxBodyBytes)
                 co_return bhttp::error::body_limit;
         }
@@ -462,6 +465,8 @@
         if (!written)
             co_return makeResult(
                 m_cancelled ? TransportOutcome::Cancelled : TransportOutcome::ConnectionLost, "cannot write");
+        if (m_cancelled)
+            co_return makeResult(TransportOutcome::Cancelled, "cancelled");
         auto result = co_await read();
         co_return result;
     }
@@ -484,7 +489,7 @@
         auto result = co_await attemptSafely();
         const bool stale = m_reused && !m_responseStarted && result.outcome == TransportOutcome::ConnectionLost
             && !m_writeIncomplete;
-        if (stale) {
+        if (stale && !m_cancelled) {
             m_stream.reset();
             result = co_await attemptSafely();
         }
--- a/src/foxtailwheel/http/ResponseEndTest.cpp
+++ b/src/foxtailwheel/http/ResponseEndTest.cpp
@@ -105,6 +105,45 @@
     cr_assert_eq(call(resetting.port()).outcome, http::TransportOutcome::ConnectionLost);
 }
 
+Test(HttpClient, callThatIsCancelledWhileDataArrivesEnds)
+{
+    std::atomic<std::size_t> sent { 0 };
+    http::RawServer server([&](http::RawServer::Socket& socket) {
+        boost::system::error_code ec;
+        std::string request;
+        net::read_until(socket, net::dynamic_buffer(request), "\r\n\r\n", ec);
+        net::write(socket, net::buffer(std::string("HTTP/1.1 200 OK\r\n\r\n")), ec);
+        for (const std::string block(64U << 10U, 'x'); !ec && sent < (1U << 30U); sent += block.size())
+            net::write(socket, net::buffer(block), ec);
+    });
+    const auto clock = systemClock();
+    const auto pool = http::IoPool::create(1);
+    const auto client = http::Client::create(*pool, *clock);
+    std::promise<http::CallResult> done;
+    std::shared_ptr<http::Call> httpCall;
+    std::size_t received = 0;
+    std::size_t receivedAfterCancel = 0;
+    http::CallCallbacks callbacks;
+    callbacks.onData = [&](std::string_view bytes) {
+        received += bytes.size();
+        if (received > (1U << 20U))
+            receivedAfterCancel += bytes.size();
+        if (received > (1U << 20U) && httpCall)
+            std::exchange(httpCall, nullptr)->cancel();
+    };
+    callbacks.onDone = [&](http::CallResult result) { done.set_value(std::move(result)); };
+    pool->post([&] {
+        const auto deadline = clock->now() + 10s;
+        http::CallRequest request { { "127.0.0.1", server.port() }, { "GET", "/", {}, {} }, deadline, deadline };
+        request.newConnection = true;
+        httpCall = client->start(std::move(request), std::move(callbacks));
+    });
+    const auto result = done.get_future().get();
+    pool->stop();
+    cr_assert_eq(result.outcome, http::TransportOutcome::Cancelled);
+    cr_assert_lt(receivedAfterCancel, 1U << 20U, "%zu bytes after the cancellation", receivedAfterCancel);
+}
+
 Test(HttpClient, traceRequestWithABodyIsSent)
 {
     FixedServer server("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", ConnectionEnd::Close);
