The server answers HEAD without a body and Expect with 100 Continue

The body of a response to a HEAD request was read by the caller as the response to its next request. A caller that sent Expect: 100-continue got no interim response and, if it waits for one, a 408.

Evidence: responseToAHeadRequestHasNoBody and clientThatExpectsContinueIsAskedForTheBody (408 after 10 s) failed before.

--- a/src/foxtailwheel/http/Server.cpp
+++ b/src/foxtailwheel/http/Server.cpp
@@ -30,6 +30,7 @@
 namespace {
 
     constexpr auto completionToken = net::as_tuple(net::use_awaitable);
+    constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
     constexpr int listenBacklog = 1024;
     /// Pause after a connection could not be accepted, for example because the process has no free descriptor.
     constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50);
@@ -253,7 +254,8 @@
         net::awaitable<bool> awaitRequest(bool first);
         net::awaitable<std::optional<Request>> readRequest(bool& keepAlive, bool first);
         net::awaitable<bool> sendComplete(Response response, bool keepAlive);
-        net::awaitable<bool> sendHeaders(Response response, bool keepAlive);
+        net::awaitable<bool> sendHeaders(Response response, bool keepAlive, bool chunked);
+        net::awaitable<bool> sendContinue();
         net::awaitable<bool> sendChunk(std::string chunk);
         net::awaitable<bool> sendLastChunk();
         void handle(Request request, const std::shared_ptr<Exchange>& exchange);
@@ -284,6 +286,7 @@
         std::shared_ptr<SharedState> m_state;
         std::weak_ptr<Exchange> m_currentExchange;
         bool m_watchingForDisconnect = false;
+        bool m_isHeadRequest = false; ///< The response to the current request has no body.
         std::string m_requestId; ///< Identity of the current request; may be empty.
         bool m_awaitingRequest = false;
         std::chrono::steady_clock::time_point m_awaitingSince;
@@ -429,6 +432,7 @@
     net::awaitable<std::optional<Request>> Connection::readRequest(bool& keepAlive, bool first)
     {
         namespace bhttp = beast::http;
+        m_isHeadRequest = false;
         const bool arrived = co_await awaitRequest(first);
         if (!arrived)
             co_return std::nullopt;
@@ -448,6 +452,13 @@
             co_await sendComplete(errorResponse(error->status, error->code), false);
             co_return std::nullopt;
         }
+        const bool expectsContinue = beast::iequals(parser.get()[bhttp::field::expect], "100-continue");
+        if (expectsContinue && !parser.is_done() && m_buffer.size() == 0) {
+            cancelReadTimeout();
+            const bool sent = co_await sendContinue();
+            if (!sent)
+                co_return std::nullopt;
+        }
         startReadTimeout(limits.bodyTimeout);
         auto [bodyError, bodyBytes] = co_await bhttp::async_read(m_stream, m_buffer, parser, completionToken);
         if (bodyError) {
@@ -457,6 +468,7 @@
         cancelReadTimeout();
         auto message = parser.release();
         keepAlive = message.keep_alive();
+        m_isHeadRequest = message.method() == bhttp::verb::head;
         Request request { std::string(message.method_string()), std::string(message.target()), {},
             std::move(message.body()) };
         for (const auto& it : message)
@@ -466,9 +478,21 @@
         co_return request;
     }
 
+    /// Asks a client that sent `Expect: 100-continue` for the body.
+    net::awaitable<bool> Connection::sendContinue()
+    {
+        m_stream.expires_after(m_options.writeTimeout);
+        auto [ec, n] = co_await net::async_write(m_stream, net::buffer(continueResponse), completionToken);
+        co_return !ec;
+    }
+
     net::awaitable<bool> Connection::sendComplete(Response response, bool keepAlive)
     {
         namespace bhttp = beast::http;
+        if (m_isHeadRequest) {
+            const bool sent = co_await sendHeaders(std::move(response), keepAlive, false);
+            co_return sent;
+        }
         bhttp::response<bhttp::string_body> message { static_cast<bhttp::status>(response.status), 11 };
         for (const auto& it : response.headers)
             message.insert(it.name, it.value);
@@ -482,7 +506,7 @@
         co_return !ec;
     }
 
-    net::awaitable<bool> Connection::sendHeaders(Response response, bool keepAlive)
+    net::awaitable<bool> Connection::sendHeaders(Response response, bool keepAlive, bool chunked)
     {
         namespace bhttp = beast::http;
         bhttp::response<bhttp::empty_body> message { static_cast<bhttp::status>(response.status), 11 };
@@ -491,7 +515,7 @@
         if (!m_requestId.empty())
             message.set(identityField, m_requestId);
         message.keep_alive(keepAlive);
-        message.chunked(true);
+        message.chunked(chunked);
         bhttp::response_serializer<bhttp::empty_body> serializer(message);
         m_stream.expires_after(m_options.writeTimeout);
         auto [ec, n] = co_await bhttp::async_write_header(m_stream, serializer, completionToken);
@@ -526,13 +550,15 @@
                 co_return sent&& keepAlive;
             case ResponsePartKind::Headers:
                 keepAlive = keepAlive && mayStayOpen();
-                sent = co_await sendHeaders(std::move(part.response), keepAlive);
+                sent = co_await sendHeaders(std::move(part.response), keepAlive, !m_isHeadRequest);
                 break;
             case ResponsePartKind::Chunk:
-                sent = co_await sendChunk(std::move(part.chunk));
+                if (!m_isHeadRequest)
+                    sent = co_await sendChunk(std::move(part.chunk));
                 break;
             case ResponsePartKind::LastChunk:
-                sent = co_await sendLastChunk();
+                if (!m_isHeadRequest)
+                    sent = co_await sendLastChunk();
                 co_return sent&& keepAlive;
             case ResponsePartKind::Abort:
                 co_return false;
