A handler learns that its response was aborted because the client reads slowly

The response to a client that reads too slowly is aborted, but the disconnect callback was not called, as an aborted response counts as ended. The request stayed in progress, and its backend server kept working for nobody.

--- a/src/foxtailwheel/http/Server.cpp
+++ b/src/foxtailwheel/http/Server.cpp
@@ -110,6 +110,7 @@
         bool m_closed = false;
         bool m_begun = false;
         bool m_ended = false;
+        bool m_overflowed = false; ///< The response was aborted because the client reads too slowly.
         std::function<void()> m_onDisconnect;
         net::steady_timer m_wakeTimer;
         std::size_t m_maxQueuedBytes;
@@ -122,8 +123,10 @@
             if (m_closed || m_ended)
                 return false;
             m_queuedBytes += part.chunk.size();
-            if (m_queuedBytes > m_maxQueuedBytes)
+            if (m_queuedBytes > m_maxQueuedBytes) {
                 part = { ResponsePartKind::Abort, {}, {} };
+                m_overflowed = true;
+            }
             m_begun = true;
             m_ended = part.kind != ResponsePartKind::Headers && part.kind != ResponsePartKind::Chunk;
             m_parts.push_back(std::move(part));
@@ -173,7 +176,7 @@
             if (m_closed)
                 return;
             m_closed = true;
-            if (!m_ended)
+            if (!m_ended || m_overflowed)
                 work = std::move(m_onDisconnect);
             m_onDisconnect = nullptr;
             m_parts.clear();
--- a/src/foxtailwheel/http/ServerResponseTest.cpp
+++ b/src/foxtailwheel/http/ServerResponseTest.cpp
@@ -82,3 +82,17 @@
     it.send("body");
     cr_assert(it.readAll().ends_with("\r\n\r\nbody"));
 }
+
+Test(HttpServer, handlerLearnsThatItsResponseWasAbortedBecauseTheClientReadsTooSlowly)
+{
+    std::promise<void> disconnected;
+    Connection it(
+        [&](const http::Request&, const std::shared_ptr<http::Responder>& responder) {
+            responder->onDisconnect([&] { disconnected.set_value(); });
+            responder->beginStream({ 200, {}, {} });
+            while (responder->write(std::string(16U << 10U, 'x'))) { }
+        },
+        64U << 10U);
+    it.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    cr_assert(disconnected.get_future().wait_for(10s) == std::future_status::ready);
+}
