Messages that a peer could not deliver are noticed when it connects again

A request could wait until its timeout for a result that its owner had sent: if the owner's connection to this instance failed, the results in flight and those queued while no connection could be made were dropped, and only the owner knew. Any other message of the owner, such as a heartbeat for other requests, postponed the timeout of the lost one.

A connection that replaces an earlier one of the same peer is now reported as a loss before its first message is handled, so outstanding requests are repeated as they are when this instance's own connection to the peer is lost.

Evidence: connectionThatReplacesAnotherOneOfItsPeerIsReportedAsALoss failed before: no loss was reported.

--- a/include/foxtailwheel/peer/Transport.h
+++ b/include/foxtailwheel/peer/Transport.h
@@ -18,7 +18,7 @@
 
 /// @brief Why a peer is disconnected.
 enum class DisconnectReason {
-    Lost, ///< An established connection ended; messages sent before may be lost.
+    Lost, ///< An established connection ended or was replaced; messages to or from the peer may be lost.
     Refused, ///< The peer's address refuses connections, so its process has ended.
 };
 
--- a/src/foxtailwheel/peer/PeerTest.cpp
+++ b/src/foxtailwheel/peer/PeerTest.cpp
@@ -199,3 +199,32 @@
     pool->stop();
 }
 #endif
+
+Test(Transport, connectionThatReplacesAnotherOneOfItsPeerIsReportedAsALoss)
+{
+    const auto pool = http::IoPool::create(1);
+    std::atomic<int> received { 0 };
+    std::atomic<int> losses { 0 };
+    const auto listening = peer::Transport::listen(
+        *pool, { "127.0.0.1", 0 }, "key", [&](const Message& /*message*/) { ++received; },
+        [&](const config::Endpoint& address, peer::DisconnectReason reason) {
+            cr_assert_eq(address.port, makeMember("x").endpoint.port);
+            cr_assert_eq(reason, peer::DisconnectReason::Lost);
+            ++losses;
+        });
+    cr_assert(listening.has_value());
+    const config::Endpoint address { "127.0.0.1", listening.value()->port() };
+    const Message message
+        = peer::PieceUpdate { makeMember("x"), serving::PieceRequestCancel { serving::PieceGroupId(3) } };
+    std::vector<std::unique_ptr<peer::Transport>> senders;
+    for (int i = 1; i <= 3; ++i) {
+        senders.push_back(listenWith(*pool, "key", [](const Message& /*message*/) {}));
+        senders.back()->send(address, message);
+        senders.back()->send(address, message);
+        cr_assert(eventually([&] { return received == 2 * i; }));
+        cr_assert_eq(losses, i - 1);
+        senders.back()->close();
+    }
+    listening.value()->close();
+    pool->stop();
+}
--- a/src/foxtailwheel/peer/Transport.cpp
+++ b/src/foxtailwheel/peer/Transport.cpp
@@ -20,6 +20,7 @@
 #include <mutex>
 #include <netinet/tcp.h>
 #include <optional>
+#include <set>
 
 namespace foxtailwheel::peer {
 
@@ -56,6 +57,36 @@
         void countRefusal(RefusalReason refusal) { ++refused.at(static_cast<std::size_t>(refusal)); }
     };
 
+    /// Returns the address of the sender of a message; null if the message does not name it.
+    const config::Endpoint* senderOf(const Message& message)
+    {
+        return std::visit(
+            [](const auto& it) -> const config::Endpoint* {
+                if constexpr (requires { it.sender.endpoint; })
+                    return &it.sender.endpoint;
+                else if constexpr (requires { it.digest.sender.endpoint; })
+                    return &it.digest.sender.endpoint;
+                else
+                    return nullptr;
+            },
+            message);
+    }
+
+    /// Peers that have sent a message.
+    class KnownSenders {
+    public:
+        /// Returns true if the peer was not known.
+        bool add(const config::Endpoint& peer)
+        {
+            const std::lock_guard lock(m_mutex);
+            return m_peers.insert(peer).second;
+        }
+
+    private:
+        std::mutex m_mutex;
+        std::set<config::Endpoint> m_peers;
+    };
+
     std::string encodeFrame(const std::string& body)
     {
         std::string frame;
@@ -262,10 +293,13 @@
     class IncomingConnection {
     public:
         IncomingConnection(tcp::socket socket, const std::string& key, Transport::MessageHandler onMessage,
+            Transport::DisconnectHandler onDisconnect, std::shared_ptr<KnownSenders> senders,
             std::shared_ptr<Counters> counters)
             : m_stream(std::move(socket))
             , m_key(key)
             , m_onMessage(std::move(onMessage))
+            , m_onDisconnect(std::move(onDisconnect))
+            , m_senders(std::move(senders))
             , m_counters(std::move(counters))
         {
             ++m_counters->incoming;
@@ -279,10 +313,14 @@
     private:
         net::awaitable<bool> performHandshake();
         net::awaitable<bool> readFrame();
+        void checkSender(const Message& message);
 
         beast::tcp_stream m_stream;
         const std::string& m_key;
         Transport::MessageHandler m_onMessage;
+        Transport::DisconnectHandler m_onDisconnect;
+        std::shared_ptr<KnownSenders> m_senders;
+        bool m_senderChecked = false;
         std::shared_ptr<Counters> m_counters;
     };
 
@@ -321,6 +359,17 @@
         co_return authenticated;
     }
 
+    /// Reports a loss if this connection replaces an earlier one: its peer dropped what it could not send in between.
+    void IncomingConnection::checkSender(const Message& message)
+    {
+        const auto* peer = m_senderChecked ? nullptr : senderOf(message);
+        if (peer == nullptr)
+            return;
+        m_senderChecked = true;
+        if (!m_senders->add(*peer) && m_onDisconnect && !m_counters->closing)
+            m_onDisconnect(*peer, DisconnectReason::Lost);
+    }
+
     net::awaitable<bool> IncomingConnection::readFrame()
     {
         m_stream.expires_after(readIdleTimeout);
@@ -348,6 +397,7 @@
             co_return false;
         }
         ++m_counters->receivedFrames;
+        checkSender(message.value());
         m_onMessage(std::move(message).value());
         co_return true;
     }
@@ -387,6 +437,7 @@
         MessageHandler m_onMessage;
         DisconnectHandler m_onDisconnect;
         std::shared_ptr<Counters> m_counters = std::make_shared<Counters>();
+        std::shared_ptr<KnownSenders> m_senders = std::make_shared<KnownSenders>();
         std::mutex m_mutex;
         std::map<config::Endpoint, std::shared_ptr<OutgoingConnection>> m_outgoing;
     };
@@ -426,7 +477,8 @@
             if (m_counters->incoming >= maxIncomingConnections)
                 continue;
             const auto executor = socket.get_executor();
-            auto incoming = std::make_shared<IncomingConnection>(std::move(socket), m_key, m_onMessage, m_counters);
+            auto incoming = std::make_shared<IncomingConnection>(
+                std::move(socket), m_key, m_onMessage, m_onDisconnect, m_senders, m_counters);
             net::co_spawn(
                 executor, [incoming]() -> net::awaitable<void> { co_await incoming->serve(); }, net::detached);
         }
