--- a/src/foxtailwheel/http/Client.cpp
+++ b/src/foxtailwheel/http/Client.cpp
@@ -15,6 +15,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <exception>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -36,6 +37,7 @@
     constexpr auto completionToken = net::as_tuple(net::use_awaitable);
     /// Limit of a body that is delivered in pieces and not buffered.
     constexpr std::uint64_t maxStreamBytes = std::uint64_t { 64 } << 20U;
+    constexpr int maxInterimResponses = 16;
     constexpr std::size_t readChunkBytes = 16U << 10U;
     constexpr std::size_t maxIdleConnectionsPerServer = 64;
     constexpr Duration maxIdleTime = 10s;
@@ -49,6 +51,12 @@
 
     using Stream = beast::tcp_stream;
 
+    /// Returns true for a response that another one to the same request follows (RFC 9110, section 15.2).
+    bool isInterim(unsigned status)
+    {
+        return status / 100 == 1 && status != static_cast<unsigned>(bhttp::status::switching_protocols);
+    }
+
     /// Idle connections by server, for reuse by later calls.
     class IdleConnectionPool {
     public:
@@ -161,11 +169,19 @@
 
     /// State that the calls of a client share.
     struct ClientState {
-        explicit ClientState(const ClientOptions& options)
-            : bodyBudget(options.maxBufferedBytes)
+        ClientState(const ClientOptions& options, IoPool::ErrorHandler errorHandler)
+            : onError(std::move(errorHandler))
+            , bodyBudget(options.maxBufferedBytes)
         {
         }
 
+        void reportError(const std::exception& error) const
+        {
+            if (onError)
+                onError(error.what());
+        }
+
+        IoPool::ErrorHandler onError;
         IdleConnectionPool idlePool;
         BodyBudget bodyBudget;
     };
@@ -195,6 +211,7 @@
     private:
         net::awaitable<bool> connect();
         net::awaitable<CallResult> attempt();
+        net::awaitable<CallResult> attemptSafely();
         net::awaitable<bool> write();
         net::awaitable<void> writeConcurrently();
         net::awaitable<CallResult> read();
@@ -226,6 +243,7 @@
         bhttp::request<bhttp::string_body> m_message;
         bool m_writeIncomplete = false;
         bool m_sendStarted = false;
+        bool m_writeStarted = false;
         bool m_reused = false;
         bool m_responseStarted = false;
     };
@@ -328,11 +346,16 @@
             m_message.set(identityField, m_identity);
         m_message.keep_alive(true);
         m_message.body() = request.body;
-        m_message.prepare_payload();
+        // Beast does not prepare the payload of a TRACE request that has one.
+        if (m_message.method() == bhttp::verb::trace)
+            m_message.content_length(request.body.size());
+        else
+            m_message.prepare_payload();
         if (!m_sendStarted && m_callbacks.onSendStart)
             m_callbacks.onSendStart();
         m_sendStarted = true;
         setStreamDeadline(m_request.deadline);
+        m_writeStarted = true;
         if (request.body.size() > maxSequentialWriteBytes) {
             m_writeIncomplete = true;
             net::co_spawn(
@@ -374,6 +397,9 @@
             }
             if (ec && ec != bhttp::error::need_buffer)
                 co_return ec;
+            // The read had completed already when the stream was cancelled.
+            if (m_cancelled && !parser.is_done())
+                co_return net::error::operation_aborted;
             if (m_overBudget || body.size() > m_request.maxBodyBytes)
                 co_return bhttp::error::body_limit;
         }
@@ -382,13 +408,21 @@
 
     net::awaitable<CallResult> PooledCall::read()
     {
-        bhttp::response_parser<bhttp::buffer_body> parser;
-        parser.header_limit(Client::maxHeadBytes);
-        parser.body_limit(m_callbacks.onData ? maxStreamBytes : m_request.maxBodyBytes);
-        auto [ec, n] = co_await bhttp::async_read_header(*m_stream, m_buffer, parser, completionToken);
-        m_responseStarted = n > 0;
-        if (ec)
-            co_return errorResult(ec);
+        std::optional<bhttp::response_parser<bhttp::buffer_body>> head;
+        int responses = 0;
+        do {
+            if (responses++ > maxInterimResponses)
+                co_return makeResult(TransportOutcome::ConnectionLost, "too many interim responses");
+            head.emplace();
+            head->header_limit(Client::maxHeadBytes);
+            head->body_limit(m_callbacks.onData ? maxStreamBytes : m_request.maxBodyBytes);
+            head->skip(m_message.method() == bhttp::verb::head);
+            auto [ec, n] = co_await bhttp::async_read_header(*m_stream, m_buffer, *head, completionToken);
+            m_responseStarted = m_responseStarted || n > 0;
+            if (ec)
+                co_return errorResult(ec);
+        } while (isInterim(head->get().result_int()));
+        auto& parser = *head;
         CallResult result { TransportOutcome::Complete, {}, {} };
         result.response.status = parser.get().result_int();
         for (const auto& it : parser.get())
@@ -431,18 +465,33 @@
         if (!written)
             co_return makeResult(
                 m_cancelled ? TransportOutcome::Cancelled : TransportOutcome::ConnectionLost, "cannot write");
+        if (m_cancelled)
+            co_return makeResult(TransportOutcome::Cancelled, "cancelled");
         auto result = co_await read();
         co_return result;
     }
 
+    /// Like `attempt`; an exception ends the call.
+    net::awaitable<CallResult> PooledCall::attemptSafely()
+    {
+        try {
+            auto result = co_await attempt();
+            co_return result;
+        } catch (const std::exception& error) {
+            m_state->reportError(error);
+            co_return makeResult(
+                m_writeStarted ? TransportOutcome::ConnectionLost : TransportOutcome::NotSent, error.what());
+        }
+    }
+
     net::awaitable<void> PooledCall::run()
     {
-        auto result = co_await attempt();
+        auto result = co_await attemptSafely();
         const bool stale = m_reused && !m_responseStarted && result.outcome == TransportOutcome::ConnectionLost
             && !m_writeIncomplete;
-        if (stale) {
+        if (stale && !m_cancelled) {
             m_stream.reset();
-            result = co_await attempt();
+            result = co_await attemptSafely();
         }
         const bool unresponsive = !m_responseStarted && m_sendStarted
             && (result.outcome == TransportOutcome::TimedOut || result.outcome == TransportOutcome::Cancelled);
@@ -452,7 +501,11 @@
             m_stream->close();
         m_state->bodyBudget.remove(*this);
         const auto callbacks = std::move(m_callbacks);
-        callbacks.onDone(std::move(result));
+        try {
+            callbacks.onDone(std::move(result));
+        } catch (const std::exception& error) {
+            m_state->reportError(error);
+        }
     }
 
     class PooledClient final : public Client {
@@ -461,7 +514,7 @@
             : m_context(pool.context())
             , m_clock(clock)
             , m_identifyRequests(options.identifyRequests)
-            , m_state(std::make_shared<ClientState>(options))
+            , m_state(std::make_shared<ClientState>(options, pool.errorHandler()))
         {
         }
 
--- a/src/foxtailwheel/http/Server.cpp
+++ b/src/foxtailwheel/http/Server.cpp
@@ -16,6 +16,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
+#include <exception>
 #include <mutex>
 #include <optional>
 #include <vector>
@@ -29,6 +30,7 @@
 namespace {
 
     constexpr auto completionToken = net::as_tuple(net::use_awaitable);
+    constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
     constexpr int listenBacklog = 1024;
     /// Pause after a connection could not be accepted, for example because the process has no free descriptor.
     constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50);
@@ -94,6 +96,8 @@
 
         /// Waits for the next part; must run on the connection's strand.
         net::awaitable<ResponsePart> nextPart();
+        /// Ends a response whose handler has thrown: status 500, or an abort if a part of it is queued.
+        void fail();
         /// Discards queued parts, and calls the disconnect callback if the response is incomplete.
         void close();
 
@@ -104,7 +108,9 @@
         std::deque<ResponsePart> m_parts;
         std::size_t m_queuedBytes = 0;
         bool m_closed = false;
+        bool m_begun = false;
         bool m_ended = false;
+        bool m_overflowed = false; ///< The response was aborted because the client reads too slowly.
         std::function<void()> m_onDisconnect;
         net::steady_timer m_wakeTimer;
         std::size_t m_maxQueuedBytes;
@@ -117,8 +123,11 @@
             if (m_closed || m_ended)
                 return false;
             m_queuedBytes += part.chunk.size();
-            if (m_queuedBytes > m_maxQueuedBytes)
+            if (m_queuedBytes > m_maxQueuedBytes) {
                 part = { ResponsePartKind::Abort, {}, {} };
+                m_overflowed = true;
+            }
+            m_begun = true;
             m_ended = part.kind != ResponsePartKind::Headers && part.kind != ResponsePartKind::Chunk;
             m_parts.push_back(std::move(part));
         }
@@ -139,6 +148,26 @@
         work();
     }
 
+    void Exchange::fail()
+    {
+        std::function<void()> work;
+        bool begun = false;
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_ended)
+                return;
+            begun = m_begun;
+            work = std::exchange(m_onDisconnect, nullptr);
+        }
+        if (begun)
+            abort();
+        else
+            respond({ 500, { { "Content-Type", "application/json" } },
+                "{\"outcome\":\"failed\",\"reason\":\"internal_error\"}" });
+        if (work)
+            work();
+    }
+
     void Exchange::close()
     {
         std::function<void()> work;
@@ -147,7 +176,7 @@
             if (m_closed)
                 return;
             m_closed = true;
-            if (!m_ended)
+            if (!m_ended || m_overflowed)
                 work = std::move(m_onDisconnect);
             m_onDisconnect = nullptr;
             m_parts.clear();
@@ -205,12 +234,13 @@
     class Connection : public std::enable_shared_from_this<Connection> {
     public:
         Connection(tcp::socket socket, const ServerOptions& options, std::shared_ptr<const CurrentLimits> limits,
-            Handler handler, std::shared_ptr<SharedState> state)
+            Handler handler, IoPool::ErrorHandler onError, std::shared_ptr<SharedState> state)
             : m_stream(std::move(socket))
             , m_readTimer(m_stream.get_executor())
             , m_options(options)
             , m_currentLimits(std::move(limits))
             , m_handler(std::move(handler))
+            , m_onError(std::move(onError))
             , m_state(std::move(state))
         {
             ++m_state->connections;
@@ -227,9 +257,12 @@
         net::awaitable<bool> awaitRequest(bool first);
         net::awaitable<std::optional<Request>> readRequest(bool& keepAlive, bool first);
         net::awaitable<bool> sendComplete(Response response, bool keepAlive);
-        net::awaitable<bool> sendHeaders(Response response, bool keepAlive);
+        net::awaitable<bool> sendHeaders(Response response, bool keepAlive, bool chunked);
+        net::awaitable<bool> sendContinue();
         net::awaitable<bool> sendChunk(std::string chunk);
         net::awaitable<bool> sendLastChunk();
+        void handle(Request request, const std::shared_ptr<Exchange>& exchange);
+        void reportError(const std::exception& error) const;
         net::awaitable<bool> writeResponse(const std::shared_ptr<Exchange>& exchange, bool keepAlive);
         net::awaitable<void> sendReadError(const boost::system::error_code& ec);
         void watchForDisconnect();
@@ -252,9 +285,11 @@
         const ServerOptions& m_options;
         std::shared_ptr<const CurrentLimits> m_currentLimits;
         Handler m_handler;
+        IoPool::ErrorHandler m_onError;
         std::shared_ptr<SharedState> m_state;
         std::weak_ptr<Exchange> m_currentExchange;
         bool m_watchingForDisconnect = false;
+        bool m_isHeadRequest = false; ///< The response to the current request has no body.
         std::string m_requestId; ///< Identity of the current request; may be empty.
         bool m_awaitingRequest = false;
         std::chrono::steady_clock::time_point m_awaitingSince;
@@ -400,6 +435,7 @@
     net::awaitable<std::optional<Request>> Connection::readRequest(bool& keepAlive, bool first)
     {
         namespace bhttp = beast::http;
+        m_isHeadRequest = false;
         const bool arrived = co_await awaitRequest(first);
         if (!arrived)
             co_return std::nullopt;
@@ -419,6 +455,13 @@
             co_await sendComplete(errorResponse(error->status, error->code), false);
             co_return std::nullopt;
         }
+        const bool expectsContinue = beast::iequals(parser.get()[bhttp::field::expect], "100-continue");
+        if (expectsContinue && !parser.is_done() && m_buffer.size() == 0) {
+            cancelReadTimeout();
+            const bool sent = co_await sendContinue();
+            if (!sent)
+                co_return std::nullopt;
+        }
         startReadTimeout(limits.bodyTimeout);
         auto [bodyError, bodyBytes] = co_await bhttp::async_read(m_stream, m_buffer, parser, completionToken);
         if (bodyError) {
@@ -428,6 +471,7 @@
         cancelReadTimeout();
         auto message = parser.release();
         keepAlive = message.keep_alive();
+        m_isHeadRequest = message.method() == bhttp::verb::head;
         Request request { std::string(message.method_string()), std::string(message.target()), {},
             std::move(message.body()) };
         for (const auto& it : message)
@@ -437,9 +481,21 @@
         co_return request;
     }
 
+    /// Asks a client that sent `Expect: 100-continue` for the body.
+    net::awaitable<bool> Connection::sendContinue()
+    {
+        m_stream.expires_after(m_options.writeTimeout);
+        auto [ec, n] = co_await net::async_write(m_stream, net::buffer(continueResponse), completionToken);
+        co_return !ec;
+    }
+
     net::awaitable<bool> Connection::sendComplete(Response response, bool keepAlive)
     {
         namespace bhttp = beast::http;
+        if (m_isHeadRequest) {
+            const bool sent = co_await sendHeaders(std::move(response), keepAlive, false);
+            co_return sent;
+        }
         bhttp::response<bhttp::string_body> message { static_cast<bhttp::status>(response.status), 11 };
         for (const auto& it : response.headers)
             message.insert(it.name, it.value);
@@ -453,7 +509,7 @@
         co_return !ec;
     }
 
-    net::awaitable<bool> Connection::sendHeaders(Response response, bool keepAlive)
+    net::awaitable<bool> Connection::sendHeaders(Response response, bool keepAlive, bool chunked)
     {
         namespace bhttp = beast::http;
         bhttp::response<bhttp::empty_body> message { static_cast<bhttp::status>(response.status), 11 };
@@ -462,7 +518,7 @@
         if (!m_requestId.empty())
             message.set(identityField, m_requestId);
         message.keep_alive(keepAlive);
-        message.chunked(true);
+        message.chunked(chunked);
         bhttp::response_serializer<bhttp::empty_body> serializer(message);
         m_stream.expires_after(m_options.writeTimeout);
         auto [ec, n] = co_await bhttp::async_write_header(m_stream, serializer, completionToken);
@@ -497,13 +553,15 @@
                 co_return sent&& keepAlive;
             case ResponsePartKind::Headers:
                 keepAlive = keepAlive && mayStayOpen();
-                sent = co_await sendHeaders(std::move(part.response), keepAlive);
+                sent = co_await sendHeaders(std::move(part.response), keepAlive, !m_isHeadRequest);
                 break;
             case ResponsePartKind::Chunk:
-                sent = co_await sendChunk(std::move(part.chunk));
+                if (!m_isHeadRequest)
+                    sent = co_await sendChunk(std::move(part.chunk));
                 break;
             case ResponsePartKind::LastChunk:
-                sent = co_await sendLastChunk();
+                if (!m_isHeadRequest)
+                    sent = co_await sendLastChunk();
                 co_return sent&& keepAlive;
             case ResponsePartKind::Abort:
                 co_return false;
@@ -512,6 +570,23 @@
         co_return false;
     }
 
+    void Connection::reportError(const std::exception& error) const
+    {
+        if (m_onError)
+            m_onError(error.what());
+    }
+
+    /// Calls the handler; an exception fails this request only.
+    void Connection::handle(Request request, const std::shared_ptr<Exchange>& exchange)
+    {
+        try {
+            m_handler(std::move(request), exchange);
+        } catch (const std::exception& error) {
+            reportError(error);
+            exchange->fail();
+        }
+    }
+
     net::awaitable<void> Connection::serve()
     {
         boost::system::error_code ignored;
@@ -526,8 +601,13 @@
             auto exchange = std::make_shared<Exchange>(m_stream.get_executor(), m_options.maxQueuedBytes);
             m_currentExchange = exchange;
             watchForDisconnect();
-            m_handler(std::move(*request), exchange);
-            reusable = co_await writeResponse(exchange, keepAlive);
+            handle(std::move(*request), exchange);
+            try {
+                reusable = co_await writeResponse(exchange, keepAlive);
+            } catch (const std::exception& error) {
+                reportError(error);
+                reusable = false;
+            }
             m_currentExchange.reset();
             exchange->close();
             --m_state->requestsInProgress;
@@ -539,9 +619,10 @@
 } // namespace
 
 struct Server::Impl : std::enable_shared_from_this<Server::Impl> {
-    Impl(net::io_context& ioContext, ServerOptions o, Handler h)
-        : context(ioContext)
-        , acceptor(net::make_strand(ioContext))
+    Impl(IoPool& pool, ServerOptions o, Handler h)
+        : context(pool.context())
+        , onError(pool.errorHandler())
+        , acceptor(net::make_strand(context))
         , options(std::move(o))
         , limits(std::make_shared<CurrentLimits>(options))
         , handler(std::move(h))
@@ -554,6 +635,7 @@
     void acceptQueuedConnections();
 
     net::io_context& context;
+    IoPool::ErrorHandler onError;
     tcp::acceptor acceptor;
     ServerOptions options;
     std::shared_ptr<CurrentLimits> limits;
@@ -600,7 +682,7 @@
     if (state->connections >= options.maxConnections)
         return;
     const auto executor = socket.get_executor();
-    auto connection = std::make_shared<Connection>(std::move(socket), options, limits, handler, state);
+    auto connection = std::make_shared<Connection>(std::move(socket), options, limits, handler, onError, state);
     {
         const std::lock_guard lock(connectionsMutex);
         if (openConnections.size() >= pruneAt) {
@@ -641,7 +723,7 @@
 
 Result<std::unique_ptr<Server>> Server::listen(IoPool& pool, ServerOptions options, Handler handler)
 {
-    auto impl = std::make_shared<Impl>(pool.context(), std::move(options), std::move(handler));
+    auto impl = std::make_shared<Impl>(pool, std::move(options), std::move(handler));
     if (const auto ec = impl->open())
         return fail(Errc::Unreachable, "cannot listen on " + impl->options.listen.toString() + ": " + ec.message());
     net::co_spawn(
