Deeply nested JSON or invalid UTF-8 does not end the process

Callers of foxtailwheeld saw their connections break: one request whose prompt was an array nested half a million times, within the limit of a body, ended the process, and so did such a rejection by a plain service, or a rejection whose text was not UTF-8. The library parses and destroys nodes without recursion, but copies and writes them recursively, and its `dump` throws on invalid UTF-8.

All code that reads JSON of others now uses `parseJson`, which treats a text nested more deeply than 256 as invalid before it builds a node; texts of servers are written with replacement characters.

--- a/include/foxtailwheel/base/Json.h
+++ b/include/foxtailwheel/base/Json.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -8,6 +9,16 @@
 
 namespace foxtailwheel {
 
+/// @brief Depth of arrays and objects above which JSON is invalid: a node is copied and written recursively.
+constexpr std::size_t maxJsonDepth = 256;
+
+/// @brief Parses a JSON text of any origin; never throws. The node is discarded if the text is invalid or nested more
+/// deeply than `maxJsonDepth`.
+nlohmann::json parseJson(std::string_view text);
+
+/// @brief Returns true if `parseJson` accepts the text.
+bool isJson(std::string_view text);
+
 /// @brief Returns the string at `key`, or `fallback` if it is missing or of another type; never throws.
 inline std::string textAt(const nlohmann::json& node, std::string_view key, std::string fallback = {})
 {
--- a/src/foxtailwheel/backend/EngineProtocol.cpp
+++ b/src/foxtailwheel/backend/EngineProtocol.cpp
@@ -48,7 +48,7 @@
                 m_finished ? StreamEvent(StreamDone { m_totalTokens }) : StreamEvent(pipeline::CallFailure::Truncated));
             return;
         }
-        const auto event = json::parse(data, nullptr, false);
+        const auto event = parseJson(data);
         if (!event.is_object() || !event.contains("choices") || !event["choices"].is_array()
             || event["choices"].empty()) {
             events.emplace_back(pipeline::CallFailure::ServerError);
--- a/src/foxtailwheel/backend/JsonProtocol.cpp
+++ b/src/foxtailwheel/backend/JsonProtocol.cpp
@@ -1,12 +1,14 @@
 #include "foxtailwheel/backend/JsonProtocol.h"
 
+#include "foxtailwheel/base/Json.h"
+
 namespace foxtailwheel::backend {
 
 using nlohmann::json;
 
 json parseJsonOrString(const std::string& text)
 {
-    auto value = json::parse(text, nullptr, false);
+    auto value = parseJson(text);
     return value.is_discarded() ? json(text) : value;
 }
 
@@ -37,7 +39,8 @@
 http::Request JsonProtocol::encode(const serving::SendCall& call, Duration remainingTime) const
 {
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(remainingTime).count();
-    http::Request request { "POST", m_target, {}, requestBody(call).dump() };
+    http::Request request { "POST", m_target, {},
+        requestBody(call).dump(-1, ' ', false, json::error_handler_t::replace) };
     request.headers.push_back({ "Content-Type", "application/json" });
     request.headers.push_back({ "X-Deadline-Ms", std::to_string(milliseconds) });
     request.headers.push_back({ "X-Priority", std::to_string(call.priority) });
@@ -48,7 +51,7 @@
 {
     if (response.status != 200)
         return classifyFailure(response);
-    if (json::accept(response.body))
+    if (isJson(response.body))
         return pipeline::makePayload(response.body);
     return pipeline::CallFailure::Truncated;
 }
--- a/src/foxtailwheel/backend/Protocol.cpp
+++ b/src/foxtailwheel/backend/Protocol.cpp
@@ -25,8 +25,8 @@
             const auto* failure = std::get_if<pipeline::CallFailure>(&decoded);
             if (failure == nullptr || *failure != pipeline::CallFailure::InvalidRequest)
                 return decoded;
-            return pipeline::makePayload(
-                json { { "rejected", response.status }, { "body", parseJsonOrString(response.body) } }.dump());
+            const json result { { "rejected", response.status }, { "body", parseJsonOrString(response.body) } };
+            return pipeline::makePayload(result.dump(-1, ' ', false, json::error_handler_t::replace));
         }
     };
 
--- a/src/foxtailwheel/backend/ProtocolTest.cpp
+++ b/src/foxtailwheel/backend/ProtocolTest.cpp
@@ -102,3 +102,23 @@
     cr_assert_eq(rejection["body"]["stock"], 0);
     cr_assert(decodeFailure(503, {}, config::ServiceKind::Plain) == CallFailure::ServerError);
 }
+
+// A response with nested arrays or bytes that are no UTF-8 ended the process.
+Test(PlainProtocol, rejectionWithAnyBodyIsAResult)
+{
+    const auto& protocol = backend::protocolFor(config::ServiceKind::Plain);
+    for (const std::string& body :
+        { std::string(500000, '[') + std::string(500000, ']'), std::string("\xff\xfe"), std::string("1e400") }) {
+        const auto decoded = protocol.decode({ 404, {}, body });
+        const auto* payload = std::get_if<pipeline::Payload>(&decoded);
+        cr_assert(payload != nullptr);
+        cr_assert(nlohmann::json::accept(**payload));
+    }
+}
+
+Test(JsonProtocol, deeplyNestedResponseIsAFailure)
+{
+    const auto body = std::string(500000, '[') + std::string(500000, ']');
+    const auto decoded = backend::protocolFor(config::ServiceKind::Encoder).decode({ 200, {}, body });
+    cr_assert(std::holds_alternative<CallFailure>(decoded));
+}
--- a/src/foxtailwheel/cli/Commands.cpp
+++ b/src/foxtailwheel/cli/Commands.cpp
@@ -167,7 +167,7 @@
             code = reportError(ExitCode::Unavailable, response.error().message());
             return std::nullopt;
         }
-        auto body = json::parse(response.value().body, nullptr, false);
+        auto body = parseJson(response.value().body);
         if (response.value().status != 200) {
             code = reportError(response.value().status == 503 ? ExitCode::Unavailable : ExitCode::Failed,
                 textAt(body, "message", "the instance rejected the request"));
@@ -271,7 +271,7 @@
 
     ExitCode CommandRunner::reportApplyResult(const http::Response& response)
     {
-        const auto body = json::parse(response.body, nullptr, false);
+        const auto body = parseJson(response.body);
         if (isJsonOutput())
             m_out << body.dump(2) << "\n";
         if (response.status == 200) {
@@ -308,7 +308,7 @@
         while (std::chrono::steady_clock::now() < deadline) {
             const auto response = client.send({ "GET", "/v1/status", {}, {} }, operatorTimeout);
             laggingInstances = response.has_value() ? std::string() : "unreachable";
-            const auto body = response.has_value() ? json::parse(response.value().body, nullptr, false) : json();
+            const auto body = response.has_value() ? parseJson(response.value().body) : json();
             for (const auto& it : arrayAt(body, "members")) {
                 if (unsignedAt(it, "config_version") < version && textAt(it, "state") != "leaving")
                     laggingInstances += (laggingInstances.empty() ? "" : ", ") + textAt(it, "instance");
@@ -352,7 +352,7 @@
             m_err << "  retry with --change-id " << changeId << "\n";
         if (code != ExitCode::Ok || m_args.count("wait") == 0)
             return code;
-        return waitUntilActive(*client, unsignedAt(json::parse(response.value().body, nullptr, false), "version"));
+        return waitUntilActive(*client, unsignedAt(parseJson(response.value().body), "version"));
     }
 
     ExitCode CommandRunner::configShow()
@@ -518,13 +518,13 @@
             return reportError(ambiguous ? ExitCode::Unknown : ExitCode::NotRun, response.error().message());
         }
         if (events.empty())
-            return reportOutcome(json::parse(response.value().body, nullptr, false));
+            return reportOutcome(parseJson(response.value().body));
         std::istringstream lines(events);
         json last;
         for (std::string line; std::getline(lines, line);) {
             if (!line.starts_with("data: "))
                 continue;
-            last = json::parse(line.substr(6), nullptr, false);
+            last = parseJson(line.substr(6));
             if (!isJsonOutput() && last.contains("text"))
                 m_out << textAt(last, "text");
         }
--- a/src/foxtailwheel/control/Claim.cpp
+++ b/src/foxtailwheel/control/Claim.cpp
@@ -50,7 +50,7 @@
 
 std::optional<ClaimRow> decodeClaimRow(const std::string& text)
 {
-    const auto node = json::parse(text, nullptr, false);
+    const auto node = parseJson(text);
     const auto progress = textAt(node, "progress");
     const auto name = std::find(progressNames.begin(), progressNames.end(), progress);
     if (textAt(node, "token").empty() || name == progressNames.end())
--- a/src/foxtailwheel/control/ConfigStore.cpp
+++ b/src/foxtailwheel/control/ConfigStore.cpp
@@ -91,7 +91,7 @@
 
 std::optional<ConfigHead> decodeConfigHead(const std::string& text)
 {
-    const auto node = json::parse(text, nullptr, false);
+    const auto node = parseJson(text);
     ConfigHead head { ConfigVersion(unsignedAt(node, "version")), ChangeId(textAt(node, "change")),
         textAt(node, "text_hash") };
     if (head.version.value() == 0)
@@ -119,7 +119,7 @@
 
 std::optional<ConfigChange> decodeConfigChange(const std::string& text)
 {
-    const auto node = json::parse(text, nullptr, false);
+    const auto node = parseJson(text);
     if (unsignedAt(node, "version") == 0)
         return std::nullopt;
     ConfigChange change;
--- a/src/foxtailwheel/control/Lease.cpp
+++ b/src/foxtailwheel/control/Lease.cpp
@@ -27,7 +27,7 @@
 
 std::optional<LeaseRow> decodeLeaseRow(const std::string& text)
 {
-    const auto node = nlohmann::json::parse(text, nullptr, false);
+    const auto node = parseJson(text);
     if (unsignedAt(node, "fencing") == 0)
         return std::nullopt;
     return LeaseRow { InstanceId(textAt(node, "holder")), FencingToken(unsignedAt(node, "fencing")),
--- a/src/foxtailwheel/daemon/CallerRequest.cpp
+++ b/src/foxtailwheel/daemon/CallerRequest.cpp
@@ -88,7 +88,7 @@
     const auto plan = snapshot->plans.find(out.pipeline);
     if (plan == snapshot->plans.end())
         return RequestError { 404, "unknown_pipeline", "no pipeline '" + out.pipeline.value() + "' is declared" };
-    const auto body = json::parse(request.body, nullptr, false);
+    const auto body = parseJson(request.body);
     if (!body.is_object())
         return RequestError { 400, "malformed_json", "the body must be a JSON object" };
     if (body.contains("max_tokens") && !body["max_tokens"].is_number_unsigned())
@@ -142,7 +142,7 @@
     if (reply.outcome.reason != Reason::None)
         body["reason"] = toString(reply.outcome.reason);
     if (withResult && reply.outcome.answer) {
-        auto parsed = json::parse(*reply.outcome.answer, nullptr, false);
+        auto parsed = parseJson(*reply.outcome.answer);
         body["result"] = parsed.is_discarded() ? json(*reply.outcome.answer) : std::move(parsed);
     }
     body["waited_ms"] = toMilliseconds(reply.queueTime);
--- a/src/foxtailwheel/daemon/CallerRequestTest.cpp
+++ b/src/foxtailwheel/daemon/CallerRequestTest.cpp
@@ -67,6 +67,16 @@
     cr_assert_eq(errorCodeOf(wrongPath), std::string("unknown_path"));
 }
 
+// A request with deeply nested arrays ended the process.
+Test(CallerRequest, deeplyNestedBodyIsMalformed)
+{
+    const std::string body = "{\"prompt\":" + std::string(500000, '[') + std::string(500000, ']') + "}";
+    cr_assert_eq(errorCodeOf(requestTo("answer", body)), std::string("malformed_json"));
+    serving::Reply reply;
+    reply.outcome.answer = pipeline::makePayload(body);
+    cr_assert_lt(daemon::replyBody(reply, true).size(), 3 * body.size());
+}
+
 Test(CallerRequest, unknownOutcomesNeverGetAStatusThatLoadBalancersRetry)
 {
     for (int i = 0; i <= static_cast<int>(pipeline::Reason::ShuttingDown); ++i) {
--- a/src/foxtailwheel/daemon/LoadPoller.cpp
+++ b/src/foxtailwheel/daemon/LoadPoller.cpp
@@ -86,7 +86,7 @@
     callbacks.onDone = [this, service, id = server.id](const http::CallResult& result) {
         if (result.outcome != http::TransportOutcome::Complete || result.response.status != 200)
             return;
-        const auto body = nlohmann::json::parse(result.response.body, nullptr, false);
+        const auto body = parseJson(result.response.body);
         for (const auto& it : arrayAt(body, "events")) {
             const routing::CacheEvent event { unsignedAt(it, "sequence"), unsignedAt(it, "prefix"),
                 flagAt(it, "evicted") };
--- a/src/foxtailwheel/daemon/OperatorApi.cpp
+++ b/src/foxtailwheel/daemon/OperatorApi.cpp
@@ -155,7 +155,7 @@
 
 void OperatorApi::applyConfig(const http::Request& request, const ResponderPtr& responder)
 {
-    const auto body = json::parse(request.body, nullptr, false);
+    const auto body = parseJson(request.body);
     control::ConfigChangeRequest change;
     change.text = textAt(body, "text");
     change.id = control::ChangeId(textAt(body, "change"));
@@ -226,7 +226,7 @@
             }
             json rows = json::array();
             for (const auto& it : result.rows) {
-                auto row = json::parse(it.value, nullptr, false);
+                auto row = parseJson(it.value);
                 rows.push_back({ { "key", it.key }, { "record", row.is_discarded() ? json() : std::move(row) } });
             }
             responder->respond(jsonResponse(200, { { "rows", rows } }));
@@ -252,7 +252,7 @@
 
 void OperatorApi::drain(const http::Request& request, const ResponderPtr& responder)
 {
-    const auto body = json::parse(request.body, nullptr, false);
+    const auto body = parseJson(request.body);
     const auto author = textAt(body, "author", "unknown");
     const auto at = m_clock.wallNow().time_since_epoch().count();
     const json record { { "action", "drain" }, { "instance", m_settings.instance.value() }, { "author", author },
--- a/src/foxtailwheel/store/InstanceListClient.cpp
+++ b/src/foxtailwheel/store/InstanceListClient.cpp
@@ -11,7 +11,7 @@
     InstanceListResult parseInstanceList(const std::string& body)
     {
         InstanceListResult result;
-        const auto root = json::parse(body, nullptr, false);
+        const auto root = parseJson(body);
         if (!root.is_object() || !root.contains("instances"))
             return result;
         for (const auto& it : arrayAt(root, "instances")) {
--- a/src/foxtailwheel/store/TableClient.cpp
+++ b/src/foxtailwheel/store/TableClient.cpp
@@ -25,7 +25,7 @@
 
     bool parseRows(const std::string& body, std::vector<Row>& rows)
     {
-        const auto root = json::parse(body, nullptr, false);
+        const auto root = parseJson(body);
         if (!root.is_object() || !root.contains("rows") || !root["rows"].is_array())
             return false;
         for (const auto& it : root["rows"]) {
