Odd values in the rows of other writers are rejected or bounded

Another writer can leave any row among those of the servers, the instances and the crash records. None of those tried ended the process, but several were taken as they were: port 0, an address such as 10.0.0.256, a slot count cut to 32 bits, a start time or crash time whose arithmetic overflows, negative or infinite cores (one such row makes its instance the only candidate for owning services while it counts as alive), and ids with line breaks, which are written into headers.

An entry that turns odd counts as gone until it is valid again.

YamlReader passed unchanged: yaml-cpp bounds nesting and shares aliases.

--- a/src/foxtailwheel/config/Settings.cpp
+++ b/src/foxtailwheel/config/Settings.cpp
@@ -4,6 +4,7 @@
 #include "foxtailwheel/config/YamlReader.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <array>
 #include <charconv>
 
@@ -61,12 +62,11 @@
     if (colon == std::string::npos || colon == 0)
         return false;
     const auto host = text.substr(0, colon);
-    const bool numeric
-        = host.find_first_not_of("0123456789.") == std::string::npos && std::count(host.begin(), host.end(), '.') == 3;
+    in_addr address {};
     std::uint16_t port = 0;
     const auto* last = text.data() + text.size();
     const auto [end, ec] = std::from_chars(text.data() + colon + 1, last, port);
-    if (!numeric || ec != std::errc {} || end != last)
+    if (inet_pton(AF_INET, host.c_str(), &address) != 1 || ec != std::errc {} || end != last)
         return false;
     endpoint = { host, port };
     return true;
--- a/src/foxtailwheel/control/CrashRecordRows.cpp
+++ b/src/foxtailwheel/control/CrashRecordRows.cpp
@@ -9,6 +9,8 @@
 
     /// Key: part, number and server, separated by slashes. Value: milliseconds since the epoch.
     constexpr char separator = '/';
+    /// Times of records are subtracted from each other.
+    constexpr std::int64_t maxTime = 9'000'000'000'000;
 
     std::string keyOf(const serving::CrashRecord& record)
     {
@@ -48,7 +50,8 @@
     serving::CrashRecord record;
     std::int64_t at = 0;
     const auto [end, ec] = std::from_chars(value.data(), value.data() + value.size(), at);
-    if (!takeNumber(rest, part) || !takeNumber(rest, record.number) || rest.empty() || ec != std::errc())
+    if (!takeNumber(rest, part) || !takeNumber(rest, record.number) || rest.empty() || ec != std::errc()
+        || end != value.data() + value.size() || at < 0 || at > maxTime)
         return std::nullopt;
     record.part = serving::PromptPartId(part);
     record.at = WallTime(std::chrono::milliseconds(at));
