--- a/include/foxtailwheel/http/Client.h
+++ b/include/foxtailwheel/http/Client.h
@@ -25,6 +25,7 @@
     TransportOutcome outcome = TransportOutcome::NotSent;
     Response response; ///< The body is empty if it was delivered through `onData`.
     std::string detail; ///< Error description for logs.
+    bool oversized = false; ///< The body was larger than its limit.
 };
 
 /// @brief Time that the body of a response may take after its head was received in time.
--- a/src/foxtailwheel/http/Client.cpp
+++ b/src/foxtailwheel/http/Client.cpp
@@ -284,7 +284,9 @@
             return makeResult(TransportOutcome::Cancelled, "cancelled");
         if (ec == beast::error::timeout)
             return makeResult(TransportOutcome::TimedOut, "timed out");
-        return makeResult(TransportOutcome::ConnectionLost, ec.message());
+        auto result = makeResult(TransportOutcome::ConnectionLost, ec.message());
+        result.oversized = ec == bhttp::error::body_limit;
+        return result;
     }
 
     net::awaitable<bool> PooledCall::connect()
