A response without an id on a reused connection is not taken

A connection is reused only if its server identified the previous response. A refusal that such a server wrote once more without an id was nevertheless taken for the response to the next request, which the server then ran as well: callers of foxtailwheeld could be told that a request had not run, or it ran at a second server.

On a reused connection a response without an id now fails the call. Only calls that may run twice reuse connections, so they are sent again.

HttpClient/responseWithoutAnIdOnAReusedConnectionIsNotTaken failed before.

--- a/src/foxtailwheel/http/Client.cpp
+++ b/src/foxtailwheel/http/Client.cpp
@@ -396,7 +396,8 @@
         for (const auto& it : parser.get())
             result.response.headers.push_back({ std::string(it.name_string()), std::string(it.value()) });
         const auto own = isOwnResponse(result.response);
-        if (!own.value_or(true))
+        // The server has identified the previous response of a reused connection.
+        if (!own.value_or(!m_reused))
             co_return makeResult(TransportOutcome::ConnectionLost, "the response to another request");
         if (m_callbacks.onHead)
             m_callbacks.onHead(result.response);
@@ -444,6 +445,7 @@
             && !m_writeIncomplete;
         if (stale) {
             m_stream.reset();
+            m_reused = false;
             result = co_await attempt();
         }
         const bool unresponsive = !m_responseStarted && m_sendStarted
--- a/src/foxtailwheel/http/LateCopyTest.cpp
+++ b/src/foxtailwheel/http/LateCopyTest.cpp
@@ -53,6 +53,32 @@
     http::RawServer m_server { [this](http::RawServer::Socket& socket) { serve(socket); } };
 };
 
+/// Server that identifies its responses, and writes a refusal without an id before the second one of a connection.
+class RefusingServer {
+public:
+    std::uint16_t port() const { return m_server.port(); }
+
+private:
+    static void serve(http::RawServer::Socket& socket)
+    {
+        static const std::string refusal = "HTTP/1.1 503 Full\r\nX-Not-Started: 1\r\nContent-Length: 0\r\n\r\n";
+        std::string received;
+        for (int requests = 1;; ++requests) {
+            boost::system::error_code ec;
+            const auto n = net::read_until(socket, net::dynamic_buffer(received), "\r\n\r\n", ec);
+            if (ec)
+                return;
+            const auto at = received.find("Request-Id: ");
+            const auto id = received.substr(at, received.find("\r\n", at) + 2 - at);
+            received.erase(0, n);
+            const auto response = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n" + id + "\r\nx";
+            net::write(socket, net::buffer((requests == 2 ? refusal : "") + response), ec);
+        }
+    }
+
+    http::RawServer m_server { serve };
+};
+
 /// Calls the server with targets that differ, one after another, and returns the results.
 std::vector<http::CallResult> callInTurn(std::uint16_t port, int calls)
 {
@@ -98,3 +124,17 @@
         cr_assert_eq(results[i].response.body, "/" + std::to_string(i));
     cr_assert_eq(server.connections(), 5);
 }
+
+// A refusal of an earlier request was taken for the response to the next one, which the server ran.
+Test(HttpClient, responseWithoutAnIdOnAReusedConnectionIsNotTaken)
+{
+    RefusingServer server;
+    int complete = 0;
+    for (const auto& it : callInTurn(server.port(), 10)) {
+        if (it.outcome != http::TransportOutcome::Complete)
+            continue;
+        ++complete;
+        cr_assert_eq(it.response.status, 200);
+    }
+    cr_assert_geq(complete, 5);
+}
