Interim responses are skipped

A 100 or 103 response was taken for the final one: it was forwarded to the caller if it had the id of the attempt, and the response behind it was dropped.

The client reads on until the final head (RFC 9110, 15.2). The limit of a head is for all of them together, so endless ones end as before. A status below 200 is no valid response of a server.

HttpClient/interimResponsesAreNotTakenForTheResponse failed before.

--- a/src/foxtailwheel/http/Client.cpp
+++ b/src/foxtailwheel/http/Client.cpp
@@ -48,6 +48,7 @@
     constexpr int keepAliveProbeCount = 2;
 
     using Stream = beast::tcp_stream;
+    using Parser = bhttp::response_parser<bhttp::buffer_body>;
 
     /// Idle connections by server, for reuse by later calls.
     class IdleConnectionPool {
@@ -199,8 +200,8 @@
         net::awaitable<void> writeConcurrently();
         net::awaitable<CallResult> read();
         void enableKeepAlive();
-        net::awaitable<boost::system::error_code> readBody(
-            bhttp::response_parser<bhttp::buffer_body>& parser, BodyBuffer& body);
+        net::awaitable<boost::system::error_code> readHead(std::optional<Parser>& parser);
+        net::awaitable<boost::system::error_code> readBody(Parser& parser, BodyBuffer& body);
         CallResult makeResult(TransportOutcome outcome, std::string detail) const
         {
             return { outcome, {}, std::move(detail) };
@@ -354,8 +355,7 @@
         m_writeIncomplete = static_cast<bool>(ec);
     }
 
-    net::awaitable<boost::system::error_code> PooledCall::readBody(
-        bhttp::response_parser<bhttp::buffer_body>& parser, BodyBuffer& body)
+    net::awaitable<boost::system::error_code> PooledCall::readBody(Parser& parser, BodyBuffer& body)
     {
         std::string chunk(readChunkBytes, '\0');
         const bool streaming = m_callbacks.onData && parser.get().result_int() == 200;
@@ -382,15 +382,32 @@
         co_return boost::system::error_code();
     }
 
+    /// Reads the head of the final response, after any interim ones (RFC 9110, 15.2). The limit is for all of them.
+    net::awaitable<boost::system::error_code> PooledCall::readHead(std::optional<Parser>& parser)
+    {
+        std::size_t headBytes = 0;
+        do {
+            parser.emplace();
+            parser->header_limit(Client::maxHeadBytes);
+            parser->body_limit(m_callbacks.onData ? maxStreamBytes : m_request.maxBodyBytes);
+            auto [ec, n] = co_await bhttp::async_read_header(*m_stream, m_buffer, *parser, completionToken);
+            m_responseStarted = m_responseStarted || n > 0;
+            if (ec)
+                co_return ec;
+            headBytes += n;
+            if (headBytes > Client::maxHeadBytes)
+                co_return bhttp::error::header_limit;
+        } while (bhttp::to_status_class(parser->get().result_int()) == bhttp::status_class::informational);
+        co_return boost::system::error_code();
+    }
+
     net::awaitable<CallResult> PooledCall::read()
     {
-        bhttp::response_parser<bhttp::buffer_body> parser;
-        parser.header_limit(Client::maxHeadBytes);
-        parser.body_limit(m_callbacks.onData ? maxStreamBytes : m_request.maxBodyBytes);
-        auto [ec, n] = co_await bhttp::async_read_header(*m_stream, m_buffer, parser, completionToken);
-        m_responseStarted = n > 0;
-        if (ec)
-            co_return errorResult(ec);
+        std::optional<Parser> optionalParser;
+        const auto headError = co_await readHead(optionalParser);
+        if (headError)
+            co_return errorResult(headError);
+        auto& parser = *optionalParser;
         CallResult result { TransportOutcome::Complete, {}, {} };
         result.response.status = parser.get().result_int();
         for (const auto& it : parser.get())
--- a/src/foxtailwheel/http/LateCopyTest.cpp
+++ b/src/foxtailwheel/http/LateCopyTest.cpp
@@ -138,3 +138,20 @@
     }
     cr_assert_geq(complete, 5);
 }
+
+Test(HttpClient, interimResponsesAreNotTakenForTheResponse)
+{
+    http::RawServer server([](http::RawServer::Socket& socket) {
+        std::string received;
+        boost::system::error_code ec;
+        net::read_until(socket, net::dynamic_buffer(received), "\r\n\r\n", ec);
+        const std::string response = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+                                     "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
+        if (!ec)
+            net::write(socket, net::buffer(response), ec);
+    });
+    const auto results = callInTurn(server.port(), 1);
+    cr_assert(results[0].outcome == http::TransportOutcome::Complete);
+    cr_assert_eq(results[0].response.status, 200);
+    cr_assert_eq(results[0].response.body, "x");
+}
