Only a response of the same type continues a stream

A stream had begun and broke off, and the next server responded with status 200, the attempt's id and a signature, but with a page or JSON: its text was forwarded in the middle of the stream, which then ended as if complete. An empty response that nothing but the end of the connection delimited also ended the stream as complete, although its server may just have broken it off.

A response whose media type differs from that of the stream is now invalid, so the stream is resumed elsewhere or broken off. A rest without events ends the stream only if a length or last chunk marks its end; with one, a stream that has nothing left to send stays whole.

--- a/include/foxtailwheel/http/Client.h
+++ b/include/foxtailwheel/http/Client.h
@@ -26,6 +26,7 @@
     Response response; ///< The body is empty if it was delivered through `onData`.
     std::string detail; ///< Error description for logs.
     bool oversized = false; ///< The body was larger than its limit.
+    bool delimited = true; ///< False if only the end of the connection marked the end of the body.
 };
 
 /// @brief Time that the body of a response may take after its head was received in time.
--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -145,6 +145,7 @@
 /// @brief Outcome of one call for a caller's request.
 enum class ForwardCallOutcome {
     Complete, ///< The whole response was received.
+    Undelimited, ///< The response ended with its connection, and nothing else marked its end.
     NotSent, ///< No byte was written to a socket.
     Refused, ///< The server reported that it has not run and will not run the request.
     Misdirected, ///< Another server uses the address; the request did not run.
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -3,6 +3,7 @@
 #include "foxtailwheel/serving/ReleaseQueue.h"
 #include "foxtailwheel/telemetry/Log.h"
 
+#include <cctype>
 #include <unordered_map>
 
 namespace foxtailwheel::daemon {
@@ -25,6 +26,7 @@
     struct Session {
         std::shared_ptr<http::Responder> responder;
         TimePoint startedAt;
+        std::optional<std::string> mediaType; ///< Of a response that has begun.
     };
 
     struct ActiveCall {
@@ -34,6 +36,17 @@
         bool streaming = false;
     };
 
+    std::string mediaTypeOf(const http::Response& head)
+    {
+        const auto type = http::findHeader(head.headers, "Content-Type");
+        std::string out;
+        for (const char c : type.substr(0, type.find(';'))) {
+            if (c != ' ' && c != '\t')
+                out += static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+        }
+        return out;
+    }
+
 } // namespace
 
 struct ForwardService::Impl : std::enable_shared_from_this<ForwardService::Impl> {
@@ -62,6 +75,7 @@
     void execute(serving::CrashRecordUpdate& update);
     void execute(serving::LeavingServer& server);
     void onServerSignal(const config::BackendServer& server, serving::ServerSignal signal);
+    bool mayContinueStream(ForwardId id, const http::Response& head) const;
     void onHead(CallId id, const http::Response& head);
     void onData(CallId id, std::string_view bytes);
     void onDone(CallId id, http::CallResult result);
@@ -146,6 +160,13 @@
     calls.erase(it);
 }
 
+/// A response of another type than the one that has begun is no rest of its stream.
+bool ForwardService::Impl::mayContinueStream(ForwardId id, const http::Response& head) const
+{
+    const auto it = sessions.find(id);
+    return it == sessions.end() || !it->second.mediaType || *it->second.mediaType == mediaTypeOf(head);
+}
+
 void ForwardService::Impl::onHead(CallId id, const http::Response& head)
 {
     const auto it = calls.find(id);
@@ -157,6 +178,8 @@
     onServerSignal(call.request.server, protocol.parseSignal(head, clock.wallNow()));
     if (const auto load = protocol.parseLoad(head))
         forwarder->onLoadReport(id, *load, now);
+    if (call.responseClass == ResponseClass::Valid && !mayContinueStream(call.request.request, head))
+        call.responseClass = ResponseClass::Invalid;
     if (call.responseClass == ResponseClass::Invalid) {
         call.httpCall->cancel();
         return;
@@ -198,7 +221,7 @@
     else if (result.outcome == http::TransportOutcome::TimedOut)
         outcome = ForwardCallOutcome::TimedOut;
     else if (result.outcome == http::TransportOutcome::Complete && responseClass == ResponseClass::Valid)
-        outcome = ForwardCallOutcome::Complete;
+        outcome = result.delimited ? ForwardCallOutcome::Complete : ForwardCallOutcome::Undelimited;
     serving::ForwardActions actions;
     forwarder->onCallEnd(id, outcome, protocol.toCallerResponse(std::move(result.response)), clock.now(), actions);
     executeAll(std::move(actions));
@@ -324,8 +347,11 @@
 
 void ForwardService::Impl::execute(serving::SendResponseHead& reply)
 {
-    if (const auto it = sessions.find(reply.request); it != sessions.end())
-        it->second.responder->beginStream(std::move(reply.head));
+    const auto it = sessions.find(reply.request);
+    if (it == sessions.end())
+        return;
+    it->second.mediaType = mediaTypeOf(reply.head);
+    it->second.responder->beginStream(std::move(reply.head));
 }
 
 void ForwardService::Impl::execute(serving::SendResponseData& reply)
@@ -398,7 +424,7 @@
         return;
     }
     const auto id = m_impl->forwarder->allocateRequestId();
-    m_impl->sessions.emplace(id, Session { responder, m_impl->clock.now() });
+    m_impl->sessions.emplace(id, Session { responder, m_impl->clock.now(), {} });
     responder->onDisconnect([weak = std::weak_ptr(m_impl), id] {
         const auto self = weak.lock();
         if (!self || self->sessions.find(id) == self->sessions.end())
--- a/src/foxtailwheel/http/Client.cpp
+++ b/src/foxtailwheel/http/Client.cpp
@@ -426,6 +426,7 @@
             co_return failure;
         }
         result.response.body = body.take();
+        result.delimited = !parser.need_eof();
         if (parser.keep_alive() && m_buffer.size() == 0 && !m_cancelled && !m_writeIncomplete
             && !m_request.newConnection && own) {
             m_stream->expires_never();
--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -246,8 +246,11 @@
         return;
     const auto openCall = *run->findCall(call);
     const bool headReceived = openCall.headReceived;
-    if (outcome == ForwardCallOutcome::Complete && run->route->streaming && headReceived
-        && !isWholeStream(*run, openCall))
+    const bool isStream = run->route->streaming && headReceived;
+    // An empty rest of a resumed stream looks like one that broke off.
+    if (outcome == ForwardCallOutcome::Undelimited)
+        outcome = isStream && !openCall.eventReceived ? ForwardCallOutcome::Broken : ForwardCallOutcome::Complete;
+    if (outcome == ForwardCallOutcome::Complete && isStream && !isWholeStream(*run, openCall))
         outcome = ForwardCallOutcome::Broken;
     if (outcome != ForwardCallOutcome::Complete)
         logDecision(*run, "call_failed",
@@ -258,6 +261,7 @@
                 { "parts", formatSharedParts(run->request.prompt) } });
     switch (outcome) {
     case ForwardCallOutcome::Complete:
+    case ForwardCallOutcome::Undelimited:
         closeCall(*run, call, response.status >= 500 ? routing::CallOutcome::Failed : routing::CallOutcome::Success,
             false, now, out);
         if (run->route->streaming && headReceived)
--- a/src/foxtailwheel/serving/ForwardNames.cpp
+++ b/src/foxtailwheel/serving/ForwardNames.cpp
@@ -73,6 +73,8 @@
     switch (outcome) {
     case ForwardCallOutcome::Complete:
         return "complete";
+    case ForwardCallOutcome::Undelimited:
+        return "undelimited";
     case ForwardCallOutcome::NotSent:
         return "not_sent";
     case ForwardCallOutcome::Refused:
