--- a/src/foxtailwheel/http/Client.cpp
+++ b/src/foxtailwheel/http/Client.cpp
@@ -50,6 +50,7 @@
     constexpr int keepAliveProbeCount = 2;
 
     using Stream = beast::tcp_stream;
+    using Parser = bhttp::response_parser<bhttp::buffer_body>;
 
     /// Returns true for a response that another one to the same request follows (RFC 9110, section 15.2).
     bool isInterim(unsigned status)
@@ -216,8 +217,8 @@
         net::awaitable<void> writeConcurrently();
         net::awaitable<CallResult> read();
         void enableKeepAlive();
-        net::awaitable<boost::system::error_code> readBody(
-            bhttp::response_parser<bhttp::buffer_body>& parser, BodyBuffer& body);
+        net::awaitable<boost::system::error_code> readHead(std::optional<Parser>& parser);
+        net::awaitable<boost::system::error_code> readBody(Parser& parser, BodyBuffer& body);
         CallResult makeResult(TransportOutcome outcome, std::string detail) const
         {
             return { outcome, {}, std::move(detail) };
@@ -302,7 +303,9 @@
             return makeResult(TransportOutcome::Cancelled, "cancelled");
         if (ec == beast::error::timeout)
             return makeResult(TransportOutcome::TimedOut, "timed out");
-        return makeResult(TransportOutcome::ConnectionLost, ec.message());
+        auto result = makeResult(TransportOutcome::ConnectionLost, ec.message());
+        result.oversized = ec == bhttp::error::body_limit;
+        return result;
     }
 
     net::awaitable<bool> PooledCall::connect()
@@ -375,8 +378,7 @@
         m_writeIncomplete = static_cast<bool>(ec);
     }
 
-    net::awaitable<boost::system::error_code> PooledCall::readBody(
-        bhttp::response_parser<bhttp::buffer_body>& parser, BodyBuffer& body)
+    net::awaitable<boost::system::error_code> PooledCall::readBody(Parser& parser, BodyBuffer& body)
     {
         std::string chunk(readChunkBytes, '\0');
         const bool streaming = m_callbacks.onData && parser.get().result_int() == 200;
@@ -406,29 +408,43 @@
         co_return boost::system::error_code();
     }
 
-    net::awaitable<CallResult> PooledCall::read()
+    /// Reads the head of the final response, after any interim ones (RFC 9110, 15.2). The limit is for all of them.
+    net::awaitable<boost::system::error_code> PooledCall::readHead(std::optional<Parser>& parser)
     {
-        std::optional<bhttp::response_parser<bhttp::buffer_body>> head;
+        std::size_t headBytes = 0;
         int responses = 0;
         do {
             if (responses++ > maxInterimResponses)
-                co_return makeResult(TransportOutcome::ConnectionLost, "too many interim responses");
-            head.emplace();
-            head->header_limit(Client::maxHeadBytes);
-            head->body_limit(m_callbacks.onData ? maxStreamBytes : m_request.maxBodyBytes);
-            head->skip(m_message.method() == bhttp::verb::head);
-            auto [ec, n] = co_await bhttp::async_read_header(*m_stream, m_buffer, *head, completionToken);
+                co_return bhttp::error::header_limit;
+            parser.emplace();
+            parser->header_limit(Client::maxHeadBytes);
+            parser->body_limit(m_callbacks.onData ? maxStreamBytes : m_request.maxBodyBytes);
+            parser->skip(m_message.method() == bhttp::verb::head);
+            auto [ec, n] = co_await bhttp::async_read_header(*m_stream, m_buffer, *parser, completionToken);
             m_responseStarted = m_responseStarted || n > 0;
             if (ec)
-                co_return errorResult(ec);
-        } while (isInterim(head->get().result_int()));
-        auto& parser = *head;
+                co_return ec;
+            headBytes += n;
+            if (headBytes > Client::maxHeadBytes)
+                co_return bhttp::error::header_limit;
+        } while (isInterim(parser->get().result_int()));
+        co_return boost::system::error_code();
+    }
+
+    net::awaitable<CallResult> PooledCall::read()
+    {
+        std::optional<Parser> optionalParser;
+        const auto headError = co_await readHead(optionalParser);
+        if (headError)
+            co_return errorResult(headError);
+        auto& parser = *optionalParser;
         CallResult result { TransportOutcome::Complete, {}, {} };
         result.response.status = parser.get().result_int();
         for (const auto& it : parser.get())
             result.response.headers.push_back({ std::string(it.name_string()), std::string(it.value()) });
         const auto own = isOwnResponse(result.response);
-        if (!own.value_or(true))
+        // The server has identified the previous response of a reused connection.
+        if (!own.value_or(!m_reused))
             co_return makeResult(TransportOutcome::ConnectionLost, "the response to another request");
         if (m_callbacks.onHead)
             m_callbacks.onHead(result.response);
@@ -440,6 +456,7 @@
             co_return failure;
         }
         result.response.body = body.take();
+        result.delimited = !parser.need_eof();
         if (parser.keep_alive() && m_buffer.size() == 0 && !m_cancelled && !m_writeIncomplete
             && !m_request.newConnection && own) {
             m_stream->expires_never();
@@ -491,6 +508,7 @@
             && !m_writeIncomplete;
         if (stale && !m_cancelled) {
             m_stream.reset();
+            m_reused = false;
             result = co_await attemptSafely();
         }
         const bool unresponsive = !m_responseStarted && m_sendStarted
