An address is checked without a socket header

`config` holds decisions only, but the stricter check of an address included <arpa/inet.h>, so tools/check-layers failed. The four numbers are now read in place; Decode/serverEntryWithAnOddValueIsRejected covers the addresses.

--- a/src/foxtailwheel/config/Settings.cpp
+++ b/src/foxtailwheel/config/Settings.cpp
@@ -4,7 +4,6 @@
 #include "foxtailwheel/config/YamlReader.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <array>
 #include <charconv>
 
@@ -54,6 +53,22 @@
         settings.drainTimeout = root.duration("drain_limit", 60s, 1s, 1h);
     }
 
+    bool isIpv4Address(std::string_view text)
+    {
+        for (int i = 0; i < 4; ++i) {
+            std::uint8_t n = 0;
+            const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+            const auto digits = static_cast<std::size_t>(end - text.data());
+            if (ec != std::errc {} || (digits > 1 && text.starts_with('0')))
+                return false;
+            text.remove_prefix(digits);
+            if (i < 3 && !text.starts_with('.'))
+                return false;
+            text.remove_prefix(i < 3 ? 1 : 0);
+        }
+        return text.empty();
+    }
+
 } // namespace
 
 bool parseEndpoint(const std::string& text, Endpoint& endpoint)
@@ -62,11 +77,10 @@
     if (colon == std::string::npos || colon == 0)
         return false;
     const auto host = text.substr(0, colon);
-    in_addr address {};
     std::uint16_t port = 0;
     const auto* last = text.data() + text.size();
     const auto [end, ec] = std::from_chars(text.data() + colon + 1, last, port);
-    if (inet_pton(AF_INET, host.c_str(), &address) != 1 || ec != std::errc {} || end != last)
+    if (!isIpv4Address(host) || ec != std::errc {} || end != last)
         return false;
     endpoint = { host, port };
     return true;
