Servers that left do not come back with an older copy of the store

The copy from which a store returns may have entries of servers that have left since, or as ready although they are leaving. The registry took each entry as the newest word of its server, so such a server would get calls again (DRAIN).

Entries have a sequence that grows with each write of a process, and the start time of the process. Entries that the copy lacks are retained as after an outage. A sequence of another type counts as 0.

--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -44,6 +44,7 @@
     bool leaving = false;
     std::uint32_t slots = 0; ///< Calls that the server runs at once.
     WallTime startedAt {}; ///< Tells processes with the same id apart; unset if the entry does not have it.
+    std::uint64_t sequence = 0; ///< Number of the entry, which grows with each write of the same process.
 
     friend bool operator==(const AnnouncedServer&, const AnnouncedServer&) = default;
 };
--- a/src/foxtailwheel/control/TableFollowerTest.cpp
+++ b/src/foxtailwheel/control/TableFollowerTest.cpp
@@ -505,3 +505,106 @@
     cr_assert_eq(registry.servers().size(), 1);
     cr_assert(!registry.nextExpiry());
 }
+
+namespace {
+
+serving::AnnouncedServer writtenEntry(const std::string& id, std::uint64_t sequence, bool leaving = false,
+    WallTime startedAt = WallTime(std::chrono::milliseconds(1000)))
+{
+    auto server = entry(id, leaving);
+    server.sequence = sequence;
+    server.startedAt = startedAt;
+    return server;
+}
+
+std::vector<std::string> readyServers(const control::ServerRegistry& registry)
+{
+    std::vector<std::string> ids;
+    for (const auto& it : registry.servers()) {
+        if (!it.leaving)
+            ids.push_back(it.server.id.value());
+    }
+    return ids;
+}
+
+} // namespace
+
+// The copy from which the store returned still had the server as ready, so it got calls again after it had left.
+Test(ServerRegistry, serverThatLeftDoesNotComeBackWithAnOlderCopy)
+{
+    control::ServerRegistry registry;
+    const TimePoint t(1h);
+    const std::vector<std::string> onlyS3 { "s3" };
+    registry.update(entries({ writtenEntry("s1", 4), writtenEntry("s2", 4), writtenEntry("s3", 4) }), {}, t, t);
+    registry.update(
+        entries({ writtenEntry("s1", 9, true), writtenEntry("s2", 4), writtenEntry("s3", 4) }), {}, t, t + 4s);
+    registry.update(entries({ writtenEntry("s1", 9, true), writtenEntry("s3", 4) }), {}, t, t + 5s);
+    cr_assert(readyServers(registry) == onlyS3);
+    const auto copy = entries({ writtenEntry("s1", 4), writtenEntry("s2", 4), writtenEntry("s3", 4) });
+    const auto recoveredAt = t + 8s;
+    registry.onStoreRestored();
+    registry.update(copy, recoveredAt, recoveredAt, recoveredAt);
+    cr_assert(readyServers(registry) == onlyS3);
+    registry.update(copy, recoveredAt, recoveredAt, recoveredAt + 3s);
+    cr_assert(readyServers(registry) == onlyS3, "the entries have not been written again");
+    cr_assert_eq(registry.outdatedEntries(), 2);
+}
+
+Test(ServerRegistry, serverThatWritesAgainAfterARestorationIsUsed)
+{
+    control::ServerRegistry registry;
+    const TimePoint t(1h);
+    const std::vector<std::string> both { "s1", "s2" };
+    registry.update(entries({ writtenEntry("s1", 4), writtenEntry("s2", 4) }), {}, t, t);
+    registry.update(entries({ writtenEntry("s1", 9, true) }), {}, t, t + 4s);
+    const auto recoveredAt = t + 8s;
+    registry.onStoreRestored();
+    registry.update(entries({ writtenEntry("s1", 4), writtenEntry("s2", 4) }), recoveredAt, recoveredAt, recoveredAt);
+    cr_assert(readyServers(registry).empty());
+    const auto restarted = WallTime(std::chrono::milliseconds(2000));
+    registry.update(entries({ writtenEntry("s1", 1, false, restarted), writtenEntry("s2", 12) }), recoveredAt,
+        recoveredAt, recoveredAt + 1s);
+    cr_assert(readyServers(registry) == both);
+    cr_assert_eq(registry.outdatedEntries(), 0);
+}
+
+// A living server writes its entry again only if more than its sequence has changed.
+Test(ServerRegistry, outdatedEntryThatPersistsIsUsedAgain)
+{
+    control::ServerRegistry registry;
+    const TimePoint t(1h);
+    registry.update(entries({ writtenEntry("s1", 4) }), {}, t, t);
+    registry.update(entries({}), {}, t, t + 4s);
+    registry.onStoreRestored();
+    registry.update(entries({ writtenEntry("s1", 4) }), t + 8s, t + 8s, t + 8s);
+    cr_assert(readyServers(registry).empty());
+    cr_assert(registry.nextExpiry() == t + 8s + control::ServerRegistry::outdatedEntryPeriod);
+    cr_assert(registry.expire(t + 8s + control::ServerRegistry::outdatedEntryPeriod));
+    cr_assert_eq(readyServers(registry).size(), 1);
+    cr_assert(!registry.nextExpiry());
+}
+
+Test(ServerRegistry, olderStartTimeWithoutARestorationIsTaken)
+{
+    control::ServerRegistry registry;
+    const TimePoint t(1h);
+    registry.update(entries({ writtenEntry("s1", 4) }), {}, t, t);
+    registry.update(entries({}), {}, t, t + 1s);
+    registry.update(entries({ writtenEntry("s1", 1, false, WallTime {}) }), {}, t, t + 2s);
+    cr_assert_eq(readyServers(registry).size(), 1, "the clock of a machine may be set back");
+}
+
+Test(ServerRegistry, memoryOfDepartedServersIsBounded)
+{
+    control::ServerRegistry registry;
+    const TimePoint t(1h);
+    const auto total = control::ServerRegistry::maxDepartures + 10;
+    std::vector<serving::AnnouncedServer> servers;
+    for (std::size_t i = 0; i < total; ++i)
+        servers.push_back(writtenEntry("s" + std::to_string(i), 4));
+    registry.update(entries(servers), {}, t, t);
+    registry.update(entries({}), {}, t, t + 1s);
+    registry.onStoreRestored();
+    registry.update(entries(servers), t + 2s, t + 2s, t + 2s);
+    cr_assert_eq(registry.outdatedEntries(), control::ServerRegistry::maxDepartures);
+}
