An older configuration of a restored store confirms nothing

A store that returns from an older copy has an older configuration until the operators write again. The routes of the active one stayed in force, but the limits of callers' requests were taken from the older one, the log said that it was taken, and each response confirmed the active credentials as current, although newer versions, with which keys had been withdrawn, may have been lost with it.

Serving goes on until the credentials reach their maximum age, as while the store is away.

Forwarder/olderConfigurationDoesNotConfirmTheCredentials fails without the comparison and passes with it.

--- a/include/foxtailwheel/daemon/ForwardService.h
+++ b/include/foxtailwheel/daemon/ForwardService.h
@@ -39,8 +39,9 @@
     void configure(std::shared_ptr<const config::RouteTable> table);
     /// @brief Sets the announced backend servers.
     void setServers(const std::vector<serving::AnnouncedServer>& servers);
-    /// @brief Confirms that the active credentials were current at `asOf`.
-    void confirmCredentials(TimePoint asOf);
+    /// @brief Confirms that version `configVersion` and its credentials were current at `asOf`; false if a newer one is
+    /// active.
+    bool confirmCredentials(std::uint64_t configVersion, TimePoint asOf);
     /// @brief Sets the cluster members.
     /// @param live Live instances, including this one.
     /// @param owners Live instances that may own services.
--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -216,8 +216,11 @@
         const ServiceId& service, const BackendServerId& server, TimePoint now) const = 0;
     /// @brief Another instance learned that a server is leaving.
     virtual void onServerLeaving(const LeavingServer& server, TimePoint now) = 0;
-    /// @brief Records that the active credentials were confirmed as current at `asOf`.
-    virtual void confirmCredentials(TimePoint asOf) = 0;
+    /// @brief Records that version `configVersion` of the configuration was the newest one at `asOf`, and with it its
+    /// credentials. An older one than the active one confirms nothing: a store that returned from an older copy may
+    /// have lost newer ones as well.
+    /// @return True if the active credentials were confirmed.
+    virtual bool confirmCredentials(std::uint64_t configVersion, TimePoint asOf) = 0;
     /// @brief Replaces the crash records that the instances share.
     virtual void setCrashRecords(const std::vector<CrashRecord>& records, TimePoint now) = 0;
     /// @brief Sets the live instances.
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -427,9 +427,9 @@
     m_impl->executeAll(std::move(actions));
 }
 
-void ForwardService::confirmCredentials(TimePoint asOf)
+bool ForwardService::confirmCredentials(std::uint64_t configVersion, TimePoint asOf)
 {
-    m_impl->forwarder->confirmCredentials(asOf);
+    return m_impl->forwarder->confirmCredentials(configVersion, asOf);
 }
 
 void ForwardService::setMembers(
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -63,7 +63,7 @@
         options.pools.zone = AvailabilityZoneId("a");
         forwarder = Forwarder::create(options);
         collectActions([&](auto& out) { forwarder->configure(table(), start, out); });
-        forwarder->confirmCredentials(start);
+        forwarder->confirmCredentials(table()->version, start);
         servers = { server("d1", "desk"), server("d2", "desk"), server("m1", "model"), server("m2", "model"),
             server("p1", "portal"), server("b1", "bill") };
         collectActions([&](auto& out) { forwarder->setServers(servers, start, out); });
@@ -258,6 +258,21 @@
     cr_assert_eq(fixture.replies.at(2).response.status, 401);
 }
 
+// A store that had returned from an older copy confirmed credentials though newer versions, with which some had been
+// revoked, were lost with it.
+Test(Forwarder, olderConfigurationDoesNotConfirmTheCredentials)
+{
+    ForwarderFixture fixture;
+    fixture.collectActions([&](auto& out) { fixture.forwarder->configure(table(3), start, out); });
+    cr_assert(!fixture.forwarder->confirmCredentials(2, start + 3s));
+    fixture.submit("book", start + 4600ms);
+    cr_assert_eq(fixture.sent.size(), 0);
+    cr_assert_eq(fixture.replies.at(0).response.status, 503);
+    cr_assert(fixture.forwarder->confirmCredentials(3, start + 3s));
+    fixture.submit("book", start + 4700ms);
+    cr_assert_eq(fixture.sent.size(), 1);
+}
+
 Test(Forwarder, requestWithoutConfigurationIsAnsweredWith503)
 {
     const auto forwarder = Forwarder::create({});
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -62,9 +62,12 @@
     bool configure(std::shared_ptr<const config::RouteTable> table, TimePoint now, ForwardActions& out) override;
     std::shared_ptr<const config::RouteTable> table() const override { return m_table; }
     void setServers(const std::vector<AnnouncedServer>& servers, TimePoint now, ForwardActions& out) override;
-    void confirmCredentials(TimePoint asOf) override
+    bool confirmCredentials(std::uint64_t configVersion, TimePoint asOf) override
     {
+        if (m_table && configVersion < m_table->version)
+            return false;
         m_credentialsConfirmedAt = std::max(m_credentialsConfirmedAt, asOf);
+        return true;
     }
     void onServerSignal(
         const config::BackendServer& server, const ServerSignal& signal, TimePoint now, ForwardActions& out) override;
