Rows that a restored store has lost are written again

A store that returns from an older copy has lost what it acknowledged in between. Operators and engines write theirs again; this system wrote the row of an instance once per process and a crash record once, so crash records were gone for good, and an instance that had registered in the lost seconds could not be found through the store.

--- a/src/foxtailwheel/control/RowOutbox.cpp
+++ b/src/foxtailwheel/control/RowOutbox.cpp
@@ -1,5 +1,6 @@
 #include "foxtailwheel/control/RowOutbox.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -14,7 +15,15 @@
     {
     }
 
+    /// An acknowledged row.
+    struct KeptRow {
+        std::optional<std::string> value;
+        TimePoint at;
+    };
+
     void writeNext();
+    void keep(const store::FeedRow& row);
+    void removeExpired();
     void onWritten(const std::vector<store::FeedRow>& rows, bool acknowledged);
 
     store::RowWriter& writer;
@@ -22,6 +31,7 @@
     RowOutboxOptions options;
     RunAfter runAfter;
     std::map<std::string, std::optional<std::string>> pending;
+    std::map<std::string, KeptRow> kept;
     bool busy = false; ///< A write is in progress or scheduled.
 };
 
@@ -40,10 +50,25 @@
         });
 }
 
+void RowOutbox::Impl::keep(const store::FeedRow& row)
+{
+    kept[row.key] = { row.value, clock.now() };
+    if (kept.size() > options.maxKeptRows)
+        kept.erase(std::min_element(
+            kept.begin(), kept.end(), [](const auto& a, const auto& b) { return a.second.at < b.second.at; }));
+}
+
+void RowOutbox::Impl::removeExpired()
+{
+    std::erase_if(kept, [this](const auto& it) { return clock.now() - it.second.at > options.keepTime; });
+}
+
 void RowOutbox::Impl::onWritten(const std::vector<store::FeedRow>& rows, bool acknowledged)
 {
     if (acknowledged) {
+        removeExpired();
         for (const auto& it : rows) {
+            keep(it);
             const auto row = pending.find(it.key);
             if (row != pending.end() && row->second == it.value)
                 pending.erase(row);
@@ -72,6 +97,15 @@
         m_impl->writeNext();
 }
 
+void RowOutbox::writeAgain()
+{
+    m_impl->removeExpired();
+    for (const auto& [key, row] : m_impl->kept)
+        m_impl->pending.emplace(key, row.value);
+    if (!m_impl->busy)
+        m_impl->writeNext();
+}
+
 std::size_t RowOutbox::pendingRows() const
 {
     return m_impl->pending.size();
--- a/src/foxtailwheel/control/RowOutboxTest.cpp
+++ b/src/foxtailwheel/control/RowOutboxTest.cpp
@@ -54,6 +54,49 @@
     cr_assert(!fixture.writer.writes[1][0].value);
 }
 
+// A store that returned from an older copy had lost crash records for good.
+Test(RowOutbox, rowsThatARestoredStoreHasLostAreWrittenAgain)
+{
+    Fixture fixture;
+    fixture.outbox.add({ { "old", "1" } });
+    std::exchange(fixture.writer.respond, {})(true);
+    fixture.clock.advance(61s);
+    fixture.outbox.add({ { "a", "1" }, { "b", std::nullopt } });
+    std::exchange(fixture.writer.respond, {})(true);
+    fixture.clock.advance(10s);
+    fixture.outbox.writeAgain();
+    cr_assert_eq(fixture.writer.writes.size(), 3);
+    const std::vector<store::FeedRow> lost { { "a", "1" }, { "b", std::nullopt } };
+    cr_assert(fixture.writer.writes[2] == lost);
+    std::exchange(fixture.writer.respond, {})(true);
+    cr_assert_eq(fixture.outbox.pendingRows(), 0);
+}
+
+Test(RowOutbox, pendingRowIsNotReplacedByTheOneWrittenBefore)
+{
+    Fixture fixture;
+    fixture.outbox.add({ { "a", "1" } });
+    std::exchange(fixture.writer.respond, {})(true);
+    fixture.outbox.add({ { "a", "2" } });
+    fixture.outbox.writeAgain();
+    std::exchange(fixture.writer.respond, {})(false);
+    fixture.scheduled.at(0)();
+    cr_assert_eq(fixture.writer.writes.back().at(0).value.value(), "2");
+}
+
+Test(RowOutbox, memoryOfAcknowledgedRowsIsBounded)
+{
+    Fixture fixture;
+    std::vector<store::FeedRow> rows;
+    for (int i = 0; i < 5000; ++i)
+        rows.push_back({ std::to_string(i), "1" });
+    fixture.outbox.add(rows);
+    while (fixture.writer.respond)
+        std::exchange(fixture.writer.respond, {})(true);
+    fixture.outbox.writeAgain();
+    cr_assert_eq(fixture.outbox.pendingRows(), control::RowOutboxOptions().maxKeptRows);
+}
+
 Test(RowOutbox, writesAreLimited)
 {
     Fixture fixture;
