--- a/src/foxtailwheel/http/LateCopyTest.cpp
+++ b/src/foxtailwheel/http/LateCopyTest.cpp
@@ -139,7 +139,7 @@
     cr_assert_geq(complete, 5);
 }
 
-Test(HttpClient, interimResponsesAreNotTakenForTheResponse)
+Test(HttpClient, interimResponsesWithTheIdOfTheRequestAreSkipped)
 {
     http::RawServer server([](http::RawServer::Socket& socket) {
         std::string received;
