Stages of a response that has begun are not dropped behind those of new requests

Callers saw streams break off with most of their time left. When a stream had to go on at another server, its stages ran again as pieces that had missed their target. Such pieces are queued last, and a queue drops them if the share of its throughput that it assumes for them does not suffice, which a short silence of some stage servers is enough for. A dropped piece ends its request: a request that has not begun is refused, but a response that has begun breaks off.

Pieces of a response that has begun now have the most urgent priority and a target after which their caller would leave, so they are dropped only if the whole throughput of the queue does not suffice.

begunStreamIsNotGivenUpForNewRequestsWhenItsStagesRunAgain failed before ('a stream broke off'); 45 of 45 tests of the suite pass.

--- a/src/foxtailwheel/serving/ForwardStages.cpp
+++ b/src/foxtailwheel/serving/ForwardStages.cpp
@@ -12,6 +12,9 @@
     constexpr std::uint32_t maxGroupRetries = 3;
     /// Maximum times that all stages of a request are run again because a result no longer exists.
     constexpr std::uint32_t maxStageRestarts = 1;
+    /// Target of the pieces of a request whose response has begun. Callers disconnect after two seconds without an
+    /// event.
+    constexpr Duration begunStageTime = 2s;
     /// Average wait of a piece at a busy stage, as a fraction of a full call: calls in progress end at arbitrary times.
     constexpr double meanWaitShare = 0.5;
 
@@ -111,8 +114,10 @@
 PieceGroup RoutingForwarder::makeGroup(const ForwardRun& run, StageIndex stage, TimePoint now) const
 {
     const auto& progress = run.stages[stage];
-    const auto targetTime = stageTargetTime(run, stage);
-    PieceGroup group { progress.group, {}, run.priority, targetTime, run.deadline, preferredZoneOf(run, stage),
+    // Pieces that miss their target can be dropped, and the response would break off.
+    const auto targetTime = run.headSent ? now + begunStageTime : stageTargetTime(run, stage);
+    const auto priority = run.headSent ? 0 : run.priority;
+    PieceGroup group { progress.group, {}, priority, targetTime, run.deadline, preferredZoneOf(run, stage),
         now + (targetTime - now) / countRemainingStages(run, stage), run.route->stages[stage].resultBytes };
     for (std::uint32_t i = 0; i < progress.results.size(); ++i) {
         if (!progress.results[i])
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -551,6 +551,53 @@
     cr_assert_eq(fixture.batches[2].service.value(), "portal");
 }
 
+// The pieces of a stream that went on elsewhere were queued behind those of all new requests, and dropped there.
+Test(Forwarder, begunStreamIsNotGivenUpForNewRequestsWhenItsStagesRunAgain)
+{
+    ForwarderFixture fixture;
+    auto changed = table(2);
+    changed->credentials["low"] = { ClientAccountId("low"), 2 };
+    fixture.collectActions([&](auto& out) { fixture.forwarder->configure(changed, start, out); });
+    for (const std::string id : { "m3", "m4", "m5", "m6" })
+        fixture.servers.push_back(server(id, "model"));
+    fixture.collectActions([&](auto& out) { fixture.forwarder->setServers(fixture.servers, start, out); });
+    std::size_t ended = 0;
+    std::vector<TimePoint> endsAt;
+    const auto endBatches = [&](TimePoint now) {
+        for (auto it = endsAt.size(); it < fixture.batches.size(); ++it)
+            endsAt.push_back(now + 200ms + 17ms * fixture.batches[it].pieces.size());
+        for (; ended < endsAt.size() && endsAt[ended] <= now; ++ended)
+            fixture.endBatch(SendBatch(fixture.batches[ended]), now);
+    };
+    constexpr std::size_t begun = 3;
+    fixture.pieces = { 8, 1 };
+    fixture.credential = "low";
+    for (std::size_t i = 0; i < begun; ++i)
+        fixture.submit("staged");
+    fixture.pieces = { 5, 0 };
+    fixture.credential = "key";
+    std::vector<CallId> calls;
+    for (auto now = start; now < start + 7s; now += 10ms) {
+        endBatches(now);
+        if (calls.size() < std::min(begun, fixture.sent.size()))
+            calls.push_back(fixture.beginStream(now));
+        if (now > start + 1500ms && (now - start) % 100ms == 0ms)
+            fixture.submit("staged", now);
+        for (const auto call : calls) {
+            if (now < start + 2500ms)
+                fixture.receive(call, "id: 1\ndata: a\n\n", now);
+            else if (now == start + 2500ms)
+                fixture.endCall(call, ForwardCallOutcome::Broken, now);
+        }
+        fixture.runTimers(now);
+    }
+    cr_assert_eq(calls.size(), begun);
+    cr_assert(fixture.outcomes.empty(), "a stream broke off");
+    const auto resumed = std::count_if(fixture.sent.begin(), fixture.sent.end(),
+        [](const SendUpstreamRequest& it) { return it.lastEventId.has_value(); });
+    cr_assert_eq(static_cast<std::size_t>(resumed), begun);
+}
+
 Test(Forwarder, serverIsSuspectedAfterCallersGiveUpOnItsSilence)
 {
     ForwarderFixture fixture;
