Failures of pieces that already have their result are ignored

A piece can be requested twice, from a silent owner and from the next one, or because its results may be lost. If the second copy failed after the first had its result, callers saw the request refused or its stream broken off (late), its stages run again (input missing), or a request for no piece at all was sent, which its owner never answers and which was repeated every 1.3 s.

A result now settles its piece, and what is still requested for a stage is cancelled when the stage is done.

--- a/src/foxtailwheel/serving/ForwardStages.cpp
+++ b/src/foxtailwheel/serving/ForwardStages.cpp
@@ -195,19 +195,19 @@
     }
     const auto stage = stageRef->second.stage;
     auto& progress = run->stages[stage];
-    if (handle == nullptr) {
-        onPieceFailed(*run, stage, piece, std::get<PieceFailure>(piece.result), now, out);
+    if (piece.index >= progress.results.size() || progress.results[piece.index]) {
+        // The piece was requested twice, for example from two owners.
+        if (handle != nullptr)
+            release({ handle->service, handle->producer, { handle->value } }, now, out);
         return;
     }
-    if (piece.index >= progress.results.size() || progress.results[piece.index]) {
-        // The piece was produced twice: here and by the owner.
-        release({ handle->service, handle->producer, { handle->value } }, now, out);
+    if (handle == nullptr) {
+        onPieceFailed(*run, stage, piece, std::get<PieceFailure>(piece.result), now, out);
         return;
     }
     progress.results[piece.index] = *handle;
     if (--progress.missing == 0) {
-        for (const auto it : std::exchange(progress.groups, {}))
-            m_groups.erase(it);
+        cancelGroups(progress, out);
         logDecision(*run, "stage_done",
             { { "stage", std::to_string(stage) }, { "pieces", std::to_string(progress.results.size()) },
                 { "after_ms", formatInteger(toMilliseconds(now - run->acceptedAt)) } });
@@ -310,15 +310,21 @@
 {
     for (StageIndex i = 0; i < run.stages.size(); ++i) {
         auto& stage = run.stages[i];
-        BrokerActions actions;
-        for (const auto group : std::exchange(stage.groups, {})) {
-            m_groups.erase(group);
-            m_broker.cancel(group, actions);
-        }
-        for (auto& it : actions)
-            out.emplace_back(std::get<SendToInstance>(std::move(it)));
+        cancelGroups(stage, out);
         releaseStage(run, i, now, out);
     }
 }
 
+/// Forgets the groups of a stage and cancels what is still requested under them.
+void RoutingForwarder::cancelGroups(StageProgress& stage, ForwardActions& out)
+{
+    BrokerActions actions;
+    for (const auto group : std::exchange(stage.groups, {})) {
+        m_groups.erase(group);
+        m_broker.cancel(group, actions);
+    }
+    for (auto& it : actions)
+        out.emplace_back(std::get<SendToInstance>(std::move(it)));
+}
+
 } // namespace foxtailwheel::serving
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -789,6 +789,37 @@
     cr_assert_eq(next.pieces.at(0).inputs.size(), 3);
 }
 
+// A second copy of a piece ended its request, or was requested again and again, although the first one had its result.
+Test(Forwarder, failureOfAPieceThatHasItsResultIsIgnored)
+{
+    const InstanceId owner("o");
+    ForwarderFixture fixture;
+    fixture.collectActions([&](auto& out) {
+        fixture.forwarder->setMembers({ InstanceId("i"), owner }, { owner }, {}, start, out);
+    });
+    fixture.pieces = { 2, 1 };
+    fixture.submit("staged");
+    const auto request = std::get<PieceRequest>(fixture.messages.at(0).message);
+    const auto deliver = [&](const std::vector<IndexedPieceResult>& results, TimePoint now) {
+        fixture.collectActions([&](auto& out) {
+            fixture.forwarder->onPeerMessage(
+                owner, PieceResults { request.group, request.service, results, {} }, now, out);
+        });
+    };
+    const auto result = [&request](const std::string& handle) {
+        return ResultHandle { handle, server("p1", "portal").server, request.service };
+    };
+    deliver({ { 0, result("x") } }, start + 100ms);
+    for (const auto failure : { PieceFailure::Failed, PieceFailure::InputMissing, PieceFailure::DeadlineExceeded })
+        deliver({ { 0, failure } }, start + 110ms);
+    cr_assert(fixture.replies.empty());
+    cr_assert_eq(fixture.messages.size(), 1, "nothing is requested again");
+    deliver({ { 1, result("y") } }, start + 120ms);
+    const auto& next = std::get<PieceRequest>(fixture.messages.back().message);
+    cr_assert_eq(next.service.value(), "bill");
+    cr_assert_eq(next.pieces.at(0).inputs.size(), 2);
+}
+
 // A configuration made a stage of a service that was there before; all requests of its routes failed.
 Test(Forwarder, serviceThatIsMadeAStageByAConfigurationGetsAQueue)
 {
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -150,6 +150,7 @@
     void releaseStage(ForwardRun& run, StageIndex stage, TimePoint now, ForwardActions& out);
     void releaseConsumedResults(ForwardRun& run, TimePoint now, ForwardActions& out);
     void cancelStages(ForwardRun& run, TimePoint now, ForwardActions& out);
+    void cancelGroups(StageProgress& stage, ForwardActions& out);
 
     void sendRequest(ForwardRun& run, TimePoint now, ForwardActions& out);
     std::optional<std::uint64_t> affinityOf(const ForwardRun& run) const;
