No request is accepted after all have been ended

With a short grace period the end of a planned stop came before new requests were refused, and those that arrived after it were cut. endAll refuses them; requestsInProgressAtTheEndOfAPlannedStopAreEndedTruthfully has the case now and failed before.

--- a/src/foxtailwheel/serving/ForwardRequests.cpp
+++ b/src/foxtailwheel/serving/ForwardRequests.cpp
@@ -276,6 +276,7 @@
 
 void RoutingForwarder::endAll(TimePoint now, ForwardActions& out)
 {
+    m_accepting = false;
     while (!m_runs.empty()) {
         auto& run = *m_runs.begin()->second;
         fail(run, run.mayHaveRun ? ForwardOutcome::BackendFailed : ForwardOutcome::ShuttingDown, now, out);
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -1001,7 +1001,6 @@
     fixture.pieces = { 2 };
     fixture.submit("staged", start + 40ms);
     cr_assert_eq(fixture.batches.size(), 1, "the last request waits for a stage");
-    fixture.forwarder->stopAccepting();
     fixture.collectActions([&](auto& out) { fixture.forwarder->endAll(start + 1s, out); });
     std::vector<unsigned> statuses;
     for (const auto& it : fixture.replies)
@@ -1009,6 +1008,8 @@
     std::sort(statuses.begin(), statuses.end());
     cr_assert(statuses == std::vector<unsigned>({ 502, 503 }), "the booking may have run, the waiting request did not");
     cr_assert(fixture.outcomes == std::vector<ForwardOutcome>({ ForwardOutcome::StreamBroken }));
+    fixture.submit("book", start + 1s);
+    cr_assert_eq(fixture.replies.back().outcome, ForwardOutcome::ShuttingDown);
     cr_assert_eq(fixture.forwarder->status(start + 1s).activeRequests, 0);
 }
 
