An empty rest of a stream is no crash record

The end of a resumed stream that has nothing left to send, without a length, looks like a broken one, and was also taken for a crash on its prompt: sound prompts would have been blocked. emptyRestOfAStreamIsNoCrashRecord failed before.

--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -275,6 +275,7 @@
     const bool headReceived = openCall.headReceived;
     const bool isStream = run->route->streaming && headReceived;
     // An empty rest of a resumed stream looks like one that broke off.
+    const bool isEmptyRest = outcome == ForwardCallOutcome::Undelimited && run->lastEventId && !openCall.eventReceived;
     if (outcome == ForwardCallOutcome::Undelimited)
         outcome = isStream && !openCall.eventReceived ? ForwardCallOutcome::Broken : ForwardCallOutcome::Complete;
     if (outcome == ForwardCallOutcome::Complete && isStream && !isWholeStream(*run, openCall))
@@ -310,7 +311,8 @@
         onCallNotRun(*run, outcome, now, out);
         return;
     case ForwardCallOutcome::Broken:
-        recordCrash(*run, openCall, now, out);
+        if (!isEmptyRest)
+            recordCrash(*run, openCall, now, out);
         [[fallthrough]];
     case ForwardCallOutcome::TimedOut:
         closeCall(*run, call, routing::CallOutcome::Failed, false, now, out);
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -1110,6 +1110,21 @@
     cr_assert(fixture.outcomes.empty());
 }
 
+// A server that had nothing left to send was taken for one that crashed on the prompt.
+Test(Forwarder, emptyRestOfAStreamIsNoCrashRecord)
+{
+    ForwarderFixture fixture;
+    fixture.prompt = { { PromptPartId(1), 100 }, { PromptPartId(2), 10 } };
+    fixture.submit("plan");
+    const auto first = fixture.beginStream(start + 100ms);
+    fixture.receive(first, "id: 1\ndata: a\n\n", start + 120ms);
+    fixture.endCall(first, ForwardCallOutcome::Broken, start + 150ms);
+    cr_assert_eq(fixture.sent.size(), 2);
+    const auto second = fixture.beginStream(start + 200ms);
+    fixture.endCall(second, ForwardCallOutcome::Undelimited, start + 210ms);
+    cr_assert(fixture.crashUpdates.empty());
+}
+
 Test(Forwarder, streamWithoutEventsIsNoWholeResponse)
 {
     ForwarderFixture fixture;
