The first message of a new connection is handled before the loss of the old one is reported

A peer that connects again may bring the very results that were taken for lost; they were requested again first and produced twice. connectionThatReplacesAnotherOneOfItsPeerIsReportedAsALoss checks the order now and failed before.

--- a/src/foxtailwheel/peer/PeerTest.cpp
+++ b/src/foxtailwheel/peer/PeerTest.cpp
@@ -210,6 +210,7 @@
         [&](const config::Endpoint& address, peer::DisconnectReason reason) {
             cr_assert_eq(address.port, makeMember("x").endpoint.port);
             cr_assert_eq(reason, peer::DisconnectReason::Lost);
+            cr_assert_eq(received % 2, 1, "the first message of the connection is handled before");
             ++losses;
         });
     cr_assert(listening.has_value());
--- a/src/foxtailwheel/peer/Transport.cpp
+++ b/src/foxtailwheel/peer/Transport.cpp
@@ -313,7 +313,7 @@
     private:
         net::awaitable<bool> performHandshake();
         net::awaitable<bool> readFrame();
-        void checkSender(const Message& message);
+        std::optional<config::Endpoint> replacedPeer(const Message& message);
 
         beast::tcp_stream m_stream;
         const std::string& m_key;
@@ -359,15 +359,15 @@
         co_return authenticated;
     }
 
-    /// Reports a loss if this connection replaces an earlier one: its peer dropped what it could not send in between.
-    void IncomingConnection::checkSender(const Message& message)
+    /// Returns the sender of the first message if this connection replaces an earlier one of it: the peer dropped what
+    /// it could not send in between.
+    std::optional<config::Endpoint> IncomingConnection::replacedPeer(const Message& message)
     {
         const auto* peer = m_senderChecked ? nullptr : senderOf(message);
         if (peer == nullptr)
-            return;
+            return std::nullopt;
         m_senderChecked = true;
-        if (!m_senders->add(*peer) && m_onDisconnect && !m_counters->closing)
-            m_onDisconnect(*peer, DisconnectReason::Lost);
+        return m_senders->add(*peer) ? std::nullopt : std::optional(*peer);
     }
 
     net::awaitable<bool> IncomingConnection::readFrame()
@@ -397,8 +397,11 @@
             co_return false;
         }
         ++m_counters->receivedFrames;
-        checkSender(message.value());
+        const auto replaced = replacedPeer(message.value());
+        // The message may be what was lost before.
         m_onMessage(std::move(message).value());
+        if (replaced && m_onDisconnect && !m_counters->closing)
+            m_onDisconnect(*replaced, DisconnectReason::Lost);
         co_return true;
     }
 
