A response without an epoch is of the epoch that is known

A response whose header is missing or unreadable, or that is too large, counted as one of epoch 0: a return from an older copy, after which servers without an entry were kept for up to 2.2 s. responseWithoutAnEpochIsOfTheKnownOne failed before.

--- a/src/foxtailwheel/control/TableFollower.cpp
+++ b/src/foxtailwheel/control/TableFollower.cpp
@@ -290,6 +290,9 @@
         onUnavailable();
         return;
     }
+    // A response without an epoch says nothing about it.
+    if (result.epoch == store::StoreEpoch())
+        result.epoch = start.epoch;
     // The response was delayed: the call began before the newer epoch was known.
     if (result.epoch < epoch && start.epoch < epoch) {
         poll();
--- a/src/foxtailwheel/control/TableFollowerTest.cpp
+++ b/src/foxtailwheel/control/TableFollowerTest.cpp
@@ -383,6 +383,20 @@
     cr_assert_eq(fixture.feed.calls.front().after, 41);
 }
 
+// A response without an epoch was taken for one of a store that had returned from an older copy.
+Test(TableFollower, responseWithoutAnEpochIsOfTheKnownOne)
+{
+    Fixture fixture;
+    fixture.feed.respond(Fixture::inEpoch(3, 50, { { "a", "1" } }));
+    fixture.feed.respond(Fixture::inEpoch(0, 51, { { "a", "2" } }, 11s));
+    cr_assert_eq(fixture.follower->table().rows.at("a"), "2");
+    cr_assert_eq(fixture.follower->table().epoch, store::StoreEpoch(3));
+    cr_assert(fixture.follower->table().lastUnavailableAt == TimePoint {});
+    fixture.runScheduled(100ms);
+    cr_assert(!fixture.feed.calls.front().isReadAll);
+    cr_assert_eq(fixture.feed.calls.front().after, 51);
+}
+
 // The call began before the news of the store's return and was answered after it, as a difference to a lost version.
 Test(TableFollower, changesAfterALostVersionAreNotTaken)
 {
