Review case 3: a burst of long bodies needs more memory than the program has

Cause: each request in progress holds its body four times, and nothing bounds the bodies of all requests.

--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -64,6 +64,11 @@
     body = answer_body(name, attempt)
     head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Signature: {name}.{attempt}\r\nServer-Load: 1,0,6\r\n"
     report("run", attempt=attempt, request=line, tenant=headers.get("tenant", ""))
+    if mode == "slow":
+        read_rest(connection, missing)
+        time.sleep(2)
+        missing = 0
+        mode = "plain"
     if mode == "plain":
         read_rest(connection, missing)
         connection.sendall(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
