A reset that ends the write of a request ends its response as well

The caller got 200 with the server's signature, a Content-Length and the first half of the body.

Cause: a request of more than 8 KB is written while its response is read. The kernel reports the loss of a connection once, to the operation that asks first. epoll handles writes before reads, so the pending write took ECONNRESET; the read then returned 0 bytes, which ends a body without a length. The write kept its error to itself.

Change: before a body that only the end of its connection ends counts as whole, the write is stopped and its error is asked for. Only EPIPE is an orderly end: Linux reports it if the FIN of the server came before the reset. The write is a loop of single writes, so that it can be stopped at once and whichever of the two ends first. The other way round, a timeout that ends the write first no longer turns the read's timeout into a lost connection.

Related paths read: the server side of HTTP reads requests by length or chunks only, peer frames have a length, batch results and the store's rows are JSON, which has its own end.

--- a/src/foxtailwheel/http/Client.cpp
+++ b/src/foxtailwheel/http/Client.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -201,6 +202,7 @@
             , m_request(std::move(request))
             , m_callbacks(std::move(callbacks))
             , m_stream(std::move(stream))
+            , m_writeEnd(m_strand, net::steady_timer::time_point::max())
             , m_reused(m_stream != nullptr)
         {
         }
@@ -215,6 +217,7 @@
         net::awaitable<CallResult> attemptSafely();
         net::awaitable<bool> write();
         net::awaitable<void> writeConcurrently();
+        net::awaitable<boost::system::error_code> endWrite();
         net::awaitable<CallResult> read();
         void enableKeepAlive();
         net::awaitable<boost::system::error_code> readHead(std::optional<Parser>& parser);
@@ -242,6 +245,10 @@
         std::atomic<bool> m_cancelled { false };
         std::atomic<bool> m_overBudget { false };
         bhttp::request<bhttp::string_body> m_message;
+        net::steady_timer m_writeEnd; ///< Cancelled when the concurrent write ends.
+        boost::system::error_code m_writeError;
+        bool m_writing = false; ///< A concurrent write is in progress.
+        bool m_stopsWriting = false;
         bool m_writeIncomplete = false;
         bool m_sendStarted = false;
         bool m_writeStarted = false;
@@ -301,7 +308,8 @@
             return makeResult(TransportOutcome::ConnectionLost, "too many bytes in the bodies of all calls");
         if (m_cancelled)
             return makeResult(TransportOutcome::Cancelled, "cancelled");
-        if (ec == beast::error::timeout)
+        // Nothing else aborts a read: the timeout may end the concurrent write first.
+        if (ec == beast::error::timeout || ec == net::error::operation_aborted)
             return makeResult(TransportOutcome::TimedOut, "timed out");
         auto result = makeResult(TransportOutcome::ConnectionLost, ec.message());
         result.oversized = ec == bhttp::error::body_limit;
@@ -360,6 +368,7 @@
         setStreamDeadline(m_request.deadline);
         m_writeStarted = true;
         if (request.body.size() > maxSequentialWriteBytes) {
+            m_writing = true;
             m_writeIncomplete = true;
             net::co_spawn(
                 m_strand, [self = shared_from_this()]() -> net::awaitable<void> { co_await self->writeConcurrently(); },
@@ -373,9 +382,29 @@
     /// Writes the request while the response is read: a server may respond before it has read the whole request.
     net::awaitable<void> PooledCall::writeConcurrently()
     {
-        auto* stream = m_stream.get();
-        auto [ec, n] = co_await bhttp::async_write(*stream, m_message, completionToken);
-        m_writeIncomplete = static_cast<bool>(ec);
+        auto& stream = *m_stream;
+        bhttp::request_serializer<bhttp::string_body> serializer(m_message);
+        while (!serializer.is_done() && !m_writeError && !m_stopsWriting) {
+            auto [ec, n] = co_await bhttp::async_write_some(stream, serializer, completionToken);
+            m_writeError = ec;
+        }
+        m_writeIncomplete = m_writeError || !serializer.is_done();
+        m_writing = false;
+        m_writeEnd.cancel();
+    }
+
+    /// Stops the concurrent write, and returns the error of the connection if the write has taken it. The kernel
+    /// reports the loss of a connection once; what is left for a read looks like an end in order.
+    net::awaitable<boost::system::error_code> PooledCall::endWrite()
+    {
+        m_stopsWriting = true;
+        if (m_writing)
+            m_stream->cancel();
+        while (m_writing)
+            co_await m_writeEnd.async_wait(completionToken);
+        // A broken pipe means that the server had ended its side in order before.
+        const bool ended = m_writeError == net::error::broken_pipe || m_writeError == net::error::operation_aborted;
+        co_return ended ? boost::system::error_code() : m_writeError;
     }
 
     net::awaitable<boost::system::error_code> PooledCall::readBody(Parser& parser, BodyBuffer& body)
@@ -449,7 +478,9 @@
         if (m_callbacks.onHead)
             m_callbacks.onHead(result.response);
         BodyBuffer body;
-        const auto bodyError = co_await readBody(parser, body);
+        auto bodyError = co_await readBody(parser, body);
+        if (!bodyError && parser.need_eof())
+            bodyError = co_await endWrite();
         if (bodyError) {
             auto failure = errorResult(bodyError);
             failure.detail += " after " + std::to_string(body.size()) + " bytes of the body";
--- a/src/foxtailwheel/http/ResponseEndTest.cpp
+++ b/src/foxtailwheel/http/ResponseEndTest.cpp
@@ -19,9 +19,12 @@
 /// Server that answers each request with the same bytes.
 class FixedServer {
 public:
-    FixedServer(std::string response, ConnectionEnd end)
+    /// @param resetDelay Time from the response to the reset of the connection; the client may miss what it has not
+    /// read.
+    FixedServer(std::string response, ConnectionEnd end, Duration resetDelay = 100ms)
         : m_response(std::move(response))
         , m_end(end)
+        , m_resetDelay(resetDelay)
     {
     }
 
@@ -39,7 +42,7 @@
                 return;
             net::write(socket, net::buffer(m_response), ec);
             if (m_end == ConnectionEnd::Reset) {
-                std::this_thread::sleep_for(100ms);
+                std::this_thread::sleep_for(m_resetDelay);
                 socket.set_option(net::socket_base::linger(true, 0), ec);
             }
             if (m_end != ConnectionEnd::KeepOpen) {
@@ -51,14 +54,17 @@
 
     std::string m_response;
     ConnectionEnd m_end;
+    Duration m_resetDelay;
     http::RawServer m_server { [this](http::RawServer::Socket& socket) { serve(socket); } };
 };
 
 /// Sends a request and returns the result; times out after 2 s.
-http::CallResult call(std::uint16_t port, const std::string& method = "GET", const std::string& body = {})
+/// @param threads Threads of the client.
+http::CallResult call(
+    std::uint16_t port, const std::string& method = "GET", const std::string& body = {}, unsigned threads = 1)
 {
     const auto clock = systemClock();
-    const auto pool = http::IoPool::create(1);
+    const auto pool = http::IoPool::create(threads);
     const auto client = http::Client::create(*pool, *clock);
     std::promise<http::CallResult> done;
     http::CallCallbacks callbacks;
@@ -74,6 +80,23 @@
     return result;
 }
 
+/// Longer than the buffers of a loopback connection, so that its write is still in progress when the response ends.
+const std::string longBody(std::size_t { 16 } << 20U, 'b');
+
+/// Responds when the head of a request has arrived, and reads nothing more. Ends its side in order first if `inOrder`.
+void respondEarlyAndReset(http::RawServer::Socket& socket, const std::string& response, bool inOrder)
+{
+    boost::system::error_code ec;
+    std::string request;
+    net::read_until(socket, net::dynamic_buffer(request), "\r\n\r\n", ec);
+    net::write(socket, net::buffer(response), ec);
+    if (inOrder)
+        socket.shutdown(net::socket_base::shutdown_send, ec);
+    std::this_thread::sleep_for(20ms);
+    socket.set_option(net::socket_base::linger(true, 0), ec);
+    socket.close(ec);
+}
+
 } // namespace
 
 Test(HttpClient, interimResponsesAreNotTakenForTheResponse)
@@ -151,3 +174,54 @@
     cr_assert_eq(result.outcome, http::TransportOutcome::Complete);
     cr_assert_eq(result.response.status, 200);
 }
+
+// The write of the request took the error of the connection, and the read saw a regular end: half of a response reached
+// the caller as a whole one.
+Test(HttpClient, responseWithoutALengthIsNotCompleteIfAResetEndsTheWriteOfItsRequest)
+{
+    http::RawServer server(
+        [](http::RawServer::Socket& socket) { respondEarlyAndReset(socket, "HTTP/1.1 200 OK\r\n\r\nhalf", false); });
+    for (const unsigned threads : { 1U, 4U }) {
+        for (int i = 0; i < 25; ++i) {
+            const auto result = call(server.port(), "POST", longBody, threads);
+            cr_assert_eq(result.outcome, http::TransportOutcome::ConnectionLost, "%s", result.response.body.c_str());
+        }
+    }
+}
+
+Test(HttpClient, responseThatEndsInOrderIsCompleteAlthoughItsRequestWasNotRead)
+{
+    for (const std::string head : { "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n" }) {
+        http::RawServer server(
+            [&](http::RawServer::Socket& socket) { respondEarlyAndReset(socket, head + "whole", true); });
+        for (const unsigned threads : { 1U, 4U }) {
+            for (int i = 0; i < 25; ++i) {
+                const auto result = call(server.port(), "POST", longBody, threads);
+                cr_assert_eq(result.outcome, http::TransportOutcome::Complete, "%s", result.detail.c_str());
+                cr_assert_eq(result.response.body, "whole");
+            }
+        }
+    }
+}
+
+// Clients of other systems got a success with an empty or short body when a server stopped in the head of its response.
+Test(HttpClient, responseThatBreaksOffAtAnyByteIsNotComplete)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nServer-Load: 1,0,6\r\n";
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    for (const auto& response : {
+             head + "Content-Length: 5\r\n\r\nwhole",
+             interim + head + "Content-Length: 5\r\n\r\nwhole",
+             head + "Transfer-Encoding: chunked\r\n\r\n2;x=y\r\nwh\r\n3\r\nole\r\n0\r\nLast: 1\r\n\r\n",
+             head + "\r\n",
+         }) {
+        for (std::size_t n = 0; n < response.size(); ++n) {
+            for (const auto end : { ConnectionEnd::Close, ConnectionEnd::Reset }) {
+                FixedServer server(response.substr(0, n), end, 0ms);
+                const auto result = call(server.port());
+                cr_assert_eq(
+                    result.outcome, http::TransportOutcome::ConnectionLost, "%zu bytes of %s", n, response.c_str());
+            }
+        }
+    }
+}
