Suspected servers are checked for requests that may run once

Cause: only a successful call ends the suspicion of a server, requests that may run once are never placed on a suspected one, and nothing else went there. The suspicion also outlived the process that had earned it.

Change: - A request that may run once and looks for a server has the suspected ones checked whose backoff has passed: a GET of the health path. Then one such request at a time goes there; two that succeed end the suspicion, one that fails doubles the backoff and needs another check. - Checks are 100 ms apart and draw on the retry budget of the service. One in a window of the budget is sent without it: a service without usable servers earns none. A paused server is not checked. - Another process under the id of a server (its start time) is not suspected.

The poll in foxtailwheeld rests on the tests of the pool only.

--- a/include/foxtailwheel/backend/ForwardProtocol.h
+++ b/include/foxtailwheel/backend/ForwardProtocol.h
@@ -50,6 +50,11 @@
     virtual http::Request encodeBatch(const serving::SendBatch& batch) const = 0;
     /// @brief Decodes the response to a batch call.
     virtual BatchResponse decodeBatch(const serving::SendBatch& batch, const http::Response& response) const = 0;
+    /// @brief Encodes the check of a server.
+    virtual http::Request encodeCheck(const serving::CheckServer& check) const = 0;
+    /// @brief Returns whether a server passes its check with this response. A rejection passes, since it says for
+    /// certain what happened to the request.
+    virtual bool passesCheck(const serving::CheckServer& check, const http::Response& response) const = 0;
     /// @brief Encodes the request that releases stage results.
     virtual http::Request encodeRelease(const std::vector<std::string>& handles) const = 0;
     /// @brief Adds to a rejection the time after which the caller may retry.
--- a/include/foxtailwheel/config/Declarations.h
+++ b/include/foxtailwheel/config/Declarations.h
@@ -26,6 +26,7 @@
     std::string host; ///< Numeric IPv4 address.
     std::uint16_t port = 0;
     AvailabilityZoneId zone;
+    WallTime startedAt {}; ///< Tells processes with the same id apart; unset if it is not known.
 
     friend bool operator==(const BackendServer&, const BackendServer&) = default;
 };
--- a/include/foxtailwheel/config/Routes.h
+++ b/include/foxtailwheel/config/Routes.h
@@ -67,6 +67,7 @@
     std::optional<BatchLimits> batch; ///< Set for services of stages.
     std::uint32_t slots = 0; ///< Concurrent requests of one server; 0 if the servers report it themselves.
     std::uint64_t kvCacheTokens = 0; ///< KV cache size of one model engine, in tokens; 0 for other services.
+    std::string healthPath {}; ///< Path of the health check of a server.
 };
 
 /// @brief The account that a credential belongs to.
--- a/include/foxtailwheel/routing/ServerHealth.h
+++ b/include/foxtailwheel/routing/ServerHealth.h
@@ -14,15 +14,20 @@
     Rejected, ///< The server rejected the call before starting it.
 };
 
-/// @brief Passive health check (outlier detection) of one backend server.
+/// @brief What a call has changed in the health of its server.
+enum class HealthChange { None, Suspected, Recovered };
+
+/// @brief Passive health check (outlier detection) of one backend server, with active checks where calls cannot be
+/// risked.
 ///
 /// The server becomes suspected after one failed connection attempt or two consecutive failed calls. After a backoff,
 /// which doubles with each failed probe, it receives one call at a time as a probe. Two successful calls make it
-/// healthy again.
+/// healthy again. Calls that must not fail probe it only after it has passed a check.
 class ServerHealth {
 public:
     /// @brief Updates the state with the outcome of a call.
-    void onCallEnded(CallOutcome outcome, TimePoint now);
+    /// @return `Suspected` also for each failed probe.
+    HealthChange onCallEnded(CallOutcome outcome, TimePoint now);
     /// @brief Records that a call was sent.
     void onCallStarted(TimePoint now);
     /// @brief Sends no calls until `until`. Afterwards calls are spread until one succeeds.
@@ -36,6 +41,19 @@
     bool isUsable(TimePoint now, std::uint32_t ownCalls) const;
     /// @brief Returns true while the server is suspected, also during probes.
     bool isSuspected() const { return m_suspected; }
+    /// @brief Returns true if a call that must not fail may be sent to the server, as far as it is usable.
+    bool isTrusted() const { return !m_suspected || m_checkPassed; }
+    /// @brief Returns true if only a check can bring the server back to calls that must not fail, and it is due.
+    bool needsCheck(TimePoint now) const;
+    /// @brief Records that a check was sent. Another one is due when it has ended, at the latest after `maxCheckTime`.
+    void onCheckStarted(TimePoint now) { m_checkEndsBy = now + maxCheckTime; }
+    /// @brief Updates the state with the result of a check. A failed one counts as a failed probe.
+    void onCheckEnded(bool passed, TimePoint now);
+    /// @brief Another process has started under the id of the server. It is not suspected. A pause still holds: the
+    /// server asked this instance for it.
+    void onRestart();
+
+    static constexpr Duration maxCheckTime = std::chrono::seconds(5);
 
 private:
     void markSuspected(TimePoint now);
@@ -46,6 +64,8 @@
     TimePoint m_nextProbeAt {};
     Duration m_backoff {};
     TimePoint m_pausedUntil {};
+    bool m_checkPassed = false; ///< Since the server was last suspected.
+    TimePoint m_checkEndsBy {};
     bool m_returning = false; ///< Was paused, and no call has succeeded since.
 };
 
--- a/include/foxtailwheel/routing/ServerPool.h
+++ b/include/foxtailwheel/routing/ServerPool.h
@@ -29,7 +29,7 @@
 struct PlacementRequest {
     std::optional<PrefixHash> prefix; ///< Prefix of the prompt, for model engines.
     std::vector<BackendServerId> avoid = {}; ///< Servers of earlier attempts; used only if there is no other.
-    bool healthyOnly = false; ///< True for calls that must not be used to probe a suspected server.
+    bool healthyOnly = false; ///< True for calls that probe a suspected server only after it has passed a check.
     std::optional<std::uint32_t> maxOwnCalls
         = std::nullopt; ///< Excludes servers with this many calls of this instance in progress.
     std::optional<std::uint64_t> affinityKey
@@ -79,12 +79,13 @@
     ServerPool(const ServerPool&) = delete;
     ServerPool& operator=(const ServerPool&) = delete;
 
-    /// @brief Applies a new declaration of the service; keeps the state of servers whose address is unchanged.
+    /// @brief Applies a new declaration of the service; keeps the state of servers whose address is unchanged. What is
+    /// known of an earlier process of a server does not hold for the next one.
     void update(const config::Service& service, const config::Declarations& declarations);
     /// @brief Chooses a server and counts the call as in progress there; returns an empty value if no server is usable.
     std::optional<Placement> place(const PlacementRequest& request, TimePoint now);
-    /// @brief Records the end of a placed call.
-    void onCallEnded(const BackendServerId& server, const CallReport& report, TimePoint now);
+    /// @brief Records the end of a placed call, and returns what it has changed in the health of the server.
+    HealthChange onCallEnded(const BackendServerId& server, const CallReport& report, TimePoint now);
     /// @brief Records that a placed call was cancelled.
     /// @param after Time from sending to cancellation.
     void onCallCancelled(const BackendServerId& server, Duration after, TimePoint now);
@@ -101,6 +102,13 @@
     std::optional<TimePoint> pausedUntil(const BackendServerId& server, TimePoint now) const;
     /// @brief Returns the earliest time at which a pause ends, if all servers of the subset are paused.
     std::optional<TimePoint> pausedUntil(TimePoint now) const;
+    /// @brief Returns the suspected servers whose check is due. Until they pass it, no `healthyOnly` call is placed
+    /// there.
+    std::vector<config::BackendServer> serversToCheck(TimePoint now) const;
+    /// @brief Records that a check was sent to a server.
+    void onCheckStarted(const BackendServerId& server, TimePoint now);
+    /// @brief Records the result of a check of a server as it was declared when the check was sent.
+    void onCheckEnded(const config::BackendServer& server, bool passed, TimePoint now);
     /// @brief Returns the expected time of a call to an average server of the subset, including queueing.
     Duration expectedCallTime() const;
     /// @brief Returns the usable servers of the subset with fewer than `maxOwnCalls` calls of this instance in
--- a/include/foxtailwheel/serving/Dispatcher.h
+++ b/include/foxtailwheel/serving/Dispatcher.h
@@ -156,6 +156,9 @@
     virtual void onLoadReport(
         const ServiceId& service, const BackendServerId& server, const routing::LoadReport& report)
         = 0;
+    /// @brief A server has answered a request that has no effect, so a call with an effect may try it if it is
+    /// suspected.
+    virtual void onServerChecked(const ServiceId& service, const config::BackendServer& server, TimePoint now) = 0;
     virtual void onCacheEvent(const ServiceId& service, const BackendServerId& server, const routing::CacheEvent& event)
         = 0;
     /// @brief A server rejected a call and asked for no further ones for `time`.
--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -81,6 +81,13 @@
     TimePoint deadline;
 };
 
+/// @brief Action: check whether a suspected server is sound, with a request that has no effect.
+struct CheckServer {
+    ServiceId service;
+    config::BackendServer server;
+    std::string path; ///< Path of the health check.
+};
+
 /// @brief Action: cancel a call. Its end is still reported.
 struct CancelUpstreamRequest {
     CallId call;
@@ -139,7 +146,7 @@
 
 /// @brief Action that the forwarder's owner must execute. `CrashRecordUpdate` and `LeavingServer` are shared with all
 /// instances.
-using ForwardAction = std::variant<SendUpstreamRequest, CancelUpstreamRequest, SendBatch, SendToInstance,
+using ForwardAction = std::variant<SendUpstreamRequest, CancelUpstreamRequest, SendBatch, CheckServer, SendToInstance,
     ReleaseResults, SendResponse, SendResponseHead, SendResponseData, EndResponse, CrashRecordUpdate, LeavingServer>;
 using ForwardActions = std::vector<ForwardAction>;
 
@@ -215,6 +222,9 @@
     /// @brief Returns the time until which a server gets no calls because it asked for a pause; empty if it did not.
     virtual std::optional<TimePoint> pausedUntil(
         const ServiceId& service, const BackendServerId& server, TimePoint now) const = 0;
+    /// @brief A check has ended.
+    /// @param passed The server is reachable and does not say that it is unsound.
+    virtual void onServerChecked(const CheckServer& check, bool passed, TimePoint now) = 0;
     /// @brief Another instance learned that a server is leaving.
     virtual void onServerLeaving(const LeavingServer& server, TimePoint now) = 0;
     /// @brief Records that version `configVersion` of the configuration was the newest one at `asOf`, and with it its
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -20,6 +20,9 @@
     /// Above the round-trip time between zones, below the initial TCP retransmission timeout of 1 s.
     constexpr Duration connectTimeout = 250ms;
     constexpr Duration releaseTimeout = 1s;
+    /// A sound server may pause for more than a second.
+    constexpr Duration checkTimeout = 2s;
+    constexpr std::uint64_t maxCheckResponseBytes = 64U << 10U;
     /// Limits of the response to a batch call, which has a handle or a reason for each piece.
     constexpr std::uint64_t maxBatchResponseBytes = 4U << 10U;
     constexpr std::uint64_t maxPieceResponseBytes = 1U << 10U;
@@ -70,6 +73,7 @@
     void execute(serving::SendUpstreamRequest& send);
     void execute(serving::CancelUpstreamRequest& cancel);
     void execute(serving::SendBatch& batch);
+    void execute(serving::CheckServer& check);
     void execute(serving::SendToInstance& message);
     void execute(serving::ReleaseResults& release);
     void execute(serving::SendResponse& reply);
@@ -278,6 +282,27 @@
     client.start(std::move(request), std::move(callbacks));
 }
 
+void ForwardService::Impl::execute(serving::CheckServer& check)
+{
+    const auto now = clock.now();
+    http::CallRequest request { { check.server.host, check.server.port }, protocol.encodeCheck(check),
+        now + connectTimeout, now + checkTimeout };
+    request.newConnection = true;
+    request.maxBodyBytes = maxCheckResponseBytes;
+    http::CallCallbacks callbacks;
+    callbacks.onHead = [this, server = check.server](const http::Response& head) {
+        onServerSignal(server, protocol.parseSignal(head, clock.wallNow()));
+    };
+    callbacks.onDone = [self = shared_from_this(), check](const http::CallResult& result) {
+        const bool passed
+            = result.outcome == http::TransportOutcome::Complete && self->protocol.passesCheck(check, result.response);
+        self->metrics.increment("foxtailwheel_server_checks_total",
+            { { "service", check.service.value() }, { "passed", passed ? "1" : "0" } });
+        self->forwarder->onServerChecked(check, passed, self->clock.now());
+    };
+    client.start(std::move(request), std::move(callbacks));
+}
+
 void ForwardService::Impl::onBatchDone(
     const serving::SendBatch& batch, TimePoint sentAt, const http::CallResult& result)
 {
--- a/src/foxtailwheel/daemon/LoadPoller.cpp
+++ b/src/foxtailwheel/daemon/LoadPoller.cpp
@@ -63,11 +63,15 @@
     const auto deadline = m_clock.now() + pollTimeout;
     http::CallRequest call { { server.host, server.port }, { "GET", "/v1/load", {}, {} }, deadline, deadline, true };
     http::CallCallbacks callbacks;
-    callbacks.onDone = [this, service, id = server.id](const http::CallResult& result) {
+    callbacks.onDone = [this, service, server](const http::CallResult& result) {
+        if (result.outcome != http::TransportOutcome::Complete)
+            return;
         routing::LoadReport report;
         report.measuredAt = m_clock.now();
-        if (result.outcome == http::TransportOutcome::Complete && parseLoadHeader(result.response.headers, report))
-            m_dispatcher.onLoadReport(service, id, report);
+        if (parseLoadHeader(result.response.headers, report))
+            m_dispatcher.onLoadReport(service, server.id, report);
+        if (result.response.status == 200)
+            m_dispatcher.onServerChecked(service, server, m_clock.now());
     };
     m_client.start(std::move(call), std::move(callbacks));
 }
--- a/src/foxtailwheel/routing/ServerHealth.cpp
+++ b/src/foxtailwheel/routing/ServerHealth.cpp
@@ -21,31 +21,60 @@
 {
     m_backoff = m_suspected ? std::min(m_backoff * 2, maxBackoff) : initialBackoff;
     m_suspected = true;
+    m_checkPassed = false;
     m_consecutiveSuccesses = 0;
     m_nextProbeAt = now + m_backoff;
 }
 
-void ServerHealth::onCallEnded(CallOutcome outcome, TimePoint now)
+bool ServerHealth::needsCheck(TimePoint now) const
+{
+    return !isTrusted() && !isPaused(now) && now >= std::max(m_nextProbeAt, m_checkEndsBy);
+}
+
+void ServerHealth::onCheckEnded(bool passed, TimePoint now)
+{
+    m_checkEndsBy = {};
+    if (!m_suspected)
+        return;
+    if (passed)
+        m_checkPassed = true;
+    else
+        markSuspected(now);
+}
+
+void ServerHealth::onRestart()
+{
+    ServerHealth restarted;
+    restarted.m_pausedUntil = m_pausedUntil;
+    restarted.m_returning = m_returning;
+    *this = restarted;
+}
+
+HealthChange ServerHealth::onCallEnded(CallOutcome outcome, TimePoint now)
 {
     switch (outcome) {
     case CallOutcome::Success:
         m_consecutiveFailures = 0;
         // Calls from before the pause may still succeed during it.
         m_returning = m_returning && isPaused(now);
-        if (m_suspected && ++m_consecutiveSuccesses >= successesToRecover)
-            m_suspected = false;
-        return;
+        if (!m_suspected || ++m_consecutiveSuccesses < successesToRecover)
+            return HealthChange::None;
+        m_suspected = false;
+        return HealthChange::Recovered;
     case CallOutcome::Unreachable:
-        if (!m_suspected || now >= m_nextProbeAt)
-            markSuspected(now);
-        return;
+        if (m_suspected && now < m_nextProbeAt)
+            return HealthChange::None;
+        break;
     case CallOutcome::Failed:
-        if (++m_consecutiveFailures >= failuresToSuspect && (!m_suspected || now >= m_nextProbeAt))
-            markSuspected(now);
-        return;
+        ++m_consecutiveFailures;
+        if (m_suspected ? now < m_nextProbeAt : m_consecutiveFailures < failuresToSuspect)
+            return HealthChange::None;
+        break;
     case CallOutcome::Rejected:
-        return;
+        return HealthChange::None;
     }
+    markSuspected(now);
+    return HealthChange::Suspected;
 }
 
 void ServerHealth::onCallStarted(TimePoint now)
--- a/src/foxtailwheel/routing/ServerPool.cpp
+++ b/src/foxtailwheel/routing/ServerPool.cpp
@@ -52,6 +52,15 @@
         bool leaving = false;
         bool inSubset = false;
         bool isLocal = false;
+
+        /// Forgets what is known of the earlier process, but not the calls that are in progress there.
+        void onRestart()
+        {
+            health.onRestart();
+            prefixes = {};
+            callSeconds = 0;
+            measuredAt = {};
+        }
     };
 
 } // namespace
@@ -174,7 +183,7 @@
     for (const auto index : subset) {
         const auto& server = servers[index];
         const bool isUsable = server.health.isUsable(now, server.load.ownCalls())
-            && !(request.healthyOnly && server.health.isSuspected());
+            && (!request.healthyOnly || server.health.isTrusted());
         const bool isAvoided = applyAvoid
             && std::find(request.avoid.begin(), request.avoid.end(), server.declared.id) != request.avoid.end();
         const bool isFull = request.maxOwnCalls && server.load.ownCalls() >= *request.maxOwnCalls;
@@ -274,6 +283,8 @@
         const bool sameAddress
             = existing != nullptr && existing->declared.host == it.host && existing->declared.port == it.port;
         Server server = sameAddress ? std::move(*existing) : Server {};
+        if (sameAddress && server.declared.startedAt != it.startedAt)
+            server.onRestart();
         server.declared = it;
         m_impl->setLink(server, declarations);
         servers.push_back(std::move(server));
@@ -306,18 +317,18 @@
     return Placement { server.declared, server.linkCost, fromSeconds(expected), !server.isLocal };
 }
 
-void ServerPool::onCallEnded(const BackendServerId& id, const CallReport& report, TimePoint now)
+HealthChange ServerPool::onCallEnded(const BackendServerId& id, const CallReport& report, TimePoint now)
 {
     const std::lock_guard lock(m_impl->mutex);
     auto* server = m_impl->find(id);
     if (server == nullptr)
-        return;
+        return HealthChange::None;
     if (report.outcome == CallOutcome::Success) {
         m_impl->times.add(report.latency);
         m_impl->recordCallTime(*server, toSeconds(report.latency), now);
     }
     server->load.onCallEnded(now);
-    server->health.onCallEnded(report.outcome, now);
+    return server->health.onCallEnded(report.outcome, now);
 }
 
 void ServerPool::onCallCancelled(const BackendServerId& id, Duration after, TimePoint now)
@@ -386,6 +397,33 @@
     return earliest;
 }
 
+std::vector<config::BackendServer> ServerPool::serversToCheck(TimePoint now) const
+{
+    const std::lock_guard lock(m_impl->mutex);
+    std::vector<config::BackendServer> due;
+    for (const auto index : m_impl->subset) {
+        const auto& server = m_impl->servers[index];
+        if (server.health.needsCheck(now))
+            due.push_back(server.declared);
+    }
+    return due;
+}
+
+void ServerPool::onCheckStarted(const BackendServerId& id, TimePoint now)
+{
+    const std::lock_guard lock(m_impl->mutex);
+    if (auto* server = m_impl->find(id))
+        server->health.onCheckStarted(now);
+}
+
+void ServerPool::onCheckEnded(const config::BackendServer& checked, bool passed, TimePoint now)
+{
+    const std::lock_guard lock(m_impl->mutex);
+    auto* server = m_impl->find(checked.id);
+    if (server != nullptr && server->declared == checked)
+        server->health.onCheckEnded(passed, now);
+}
+
 Duration ServerPool::expectedCallTime() const
 {
     const std::lock_guard lock(m_impl->mutex);
--- a/src/foxtailwheel/serving/Dispatcher.cpp
+++ b/src/foxtailwheel/serving/Dispatcher.cpp
@@ -95,6 +95,7 @@
         void onCallerDisconnected(RunId run, TimePoint now, Actions& out) override;
         void onLoadReport(
             const ServiceId& service, const BackendServerId& server, const routing::LoadReport& report) override;
+        void onServerChecked(const ServiceId& service, const config::BackendServer& server, TimePoint now) override;
         void onCacheEvent(
             const ServiceId& service, const BackendServerId& server, const routing::CacheEvent& event) override;
         Duration onServerPaused(
@@ -622,6 +623,13 @@
             pool->onLoadReport(server, report);
     }
 
+    void ShardedDispatcher::onServerChecked(
+        const ServiceId& service, const config::BackendServer& server, TimePoint now)
+    {
+        if (const auto pool = poolOf(service))
+            pool->onCheckEnded(server, true, now);
+    }
+
     void ShardedDispatcher::onCacheEvent(
         const ServiceId& service, const BackendServerId& server, const routing::CacheEvent& event)
     {
--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -83,6 +83,8 @@
     placementRequest.healthyOnly = !run.idempotent();
     placementRequest.affinityKey = affinityOf(run);
     placementRequest.preferredZone = run.homeZone;
+    if (placementRequest.healthyOnly)
+        checkSuspectedServers(run.service, now, out);
     const auto placement = state->pool->place(placementRequest, now);
     if (!placement)
         return false;
@@ -123,13 +125,23 @@
     if (it == run.calls.end())
         return;
     if (auto* state = m_directory.find(run.service))
-        state->pool->onCallEnded(it->server, { outcome, now - it->sentAt, {} }, now);
+        logHealthChange(run, it->server, state->pool->onCallEnded(it->server, { outcome, now - it->sentAt, {} }, now));
     if (stop)
         out.emplace_back(CancelUpstreamRequest { call });
     m_calls.erase(call);
     run.calls.erase(it);
 }
 
+void RoutingForwarder::logHealthChange(
+    const ForwardRun& run, const BackendServerId& server, routing::HealthChange change) const
+{
+    if (change == routing::HealthChange::None)
+        return;
+    const bool recovered = change == routing::HealthChange::Recovered;
+    logDecision(run, recovered ? "server_recovered" : "server_suspected",
+        { { "server", server.value() }, { "service", run.service.value() } });
+}
+
 /// Returns the time to the first byte that most requests of the route stay within, from sending the call.
 Duration RoutingForwarder::usualTimeToFirstByte(const ForwardRun& run) const
 {
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -10,6 +10,8 @@
 
     /// Time without a usable server after which a request is rejected. Routes with a longer latency target use that.
     constexpr Duration serverWaitTimeout = 300ms;
+    /// Minimum interval between checks of the servers of a service.
+    constexpr Duration checkInterval = 100ms;
 } // namespace
 
 bool RoutingForwarder::configure(std::shared_ptr<const config::RouteTable> table, TimePoint now, ForwardActions& out)
@@ -87,6 +89,33 @@
     return true;
 }
 
+/// Checks the suspected servers of a service for requests that cannot be risked there: without other requests, nothing
+/// else would show that they are sound again. Checks draw on the retry budget. One in a window of the budget is always
+/// sent, since a service without usable servers earns no budget.
+void RoutingForwarder::checkSuspectedServers(const ServiceId& service, TimePoint now, ForwardActions& out)
+{
+    auto* state = m_directory.find(service);
+    for (const auto& it : state->pool->serversToCheck(now)) {
+        if (now - state->lastCheckAt < checkInterval)
+            return;
+        const bool overdue = now - state->lastCheckAt >= m_options.retryBudgetWindow;
+        if (!state->retryBudget.tryAcquire(1, now) && !overdue)
+            return;
+        state->lastCheckAt = now;
+        state->pool->onCheckStarted(it.id, now);
+        out.emplace_back(CheckServer { service, it, state->healthPath });
+    }
+}
+
+void RoutingForwarder::onServerChecked(const CheckServer& check, bool passed, TimePoint now)
+{
+    logServerDecision("server_checked",
+        { { "server", check.server.id.value() }, { "service", check.service.value() },
+            { "passed", passed ? "1" : "0" } });
+    if (auto* state = m_directory.find(check.service))
+        state->pool->onCheckEnded(check.server, passed, now);
+}
+
 void RoutingForwarder::onServerLeaving(const LeavingServer& server, TimePoint now)
 {
     if (m_directory.markLeaving(server, now))
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <criterion/criterion.h>
 #include <map>
+#include <utility>
 
 using namespace foxtailwheel;
 using namespace std::chrono_literals;
@@ -144,6 +145,8 @@
                 crashUpdates.push_back(*update);
             else if (auto* server = std::get_if<LeavingServer>(&it))
                 leaving.push_back(*server);
+            else if (auto* check = std::get_if<CheckServer>(&it))
+                checks.push_back(*check);
         }
     }
 
@@ -164,8 +167,21 @@
     std::vector<SendToInstance> messages;
     std::vector<CrashRecordUpdate> crashUpdates;
     std::vector<LeavingServer> leaving;
+    std::vector<CheckServer> checks;
 };
 
+/// Makes both servers of a service suspected with requests that may run once, sent on `routeName`.
+void failAllServers(ForwarderFixture& fixture, const std::string& routeName, ForwardCallOutcome outcome)
+{
+    do {
+        fixture.sent.clear();
+        fixture.submit(routeName);
+        if (!fixture.sent.empty())
+            fixture.endCall(fixture.sent[0].call, outcome, start);
+    } while (!fixture.sent.empty());
+    fixture.replies.clear();
+}
+
 } // namespace
 
 Test(Forwarder, responseIsForwardedUnchanged)
@@ -1258,3 +1274,81 @@
     cr_assert_eq(fixture.sent.size(), 2);
     cr_assert_neq(fixture.sent[1].server.id, first.server.id);
 }
+
+// Requests that may run once were refused for good when each server of their service had failed once, since only
+// requests that may be repeated try a suspected server.
+Test(Forwarder, serversAreCheckedForRequestsThatMayRunOnce)
+{
+    for (const std::string routeName : { "book", "once" }) {
+        for (const auto outcome : { ForwardCallOutcome::Broken, ForwardCallOutcome::TimedOut }) {
+            ForwarderFixture fixture;
+            failAllServers(fixture, routeName, outcome);
+            fixture.submit(routeName, start + 1s);
+            cr_assert(fixture.sent.empty());
+            cr_assert_eq(fixture.checks.size(), 1U);
+            fixture.forwarder->onServerChecked(fixture.checks[0], true, start + 1020ms);
+            fixture.runTimers(start + 1030ms);
+            cr_assert_eq(fixture.sent.size(), 1U);
+            cr_assert_eq(fixture.sent[0].server.id, fixture.checks[0].server.id);
+            fixture.endCall(fixture.sent[0].call, ForwardCallOutcome::Complete, start + 1050ms);
+            cr_assert_eq(fixture.replies.back().response.status, 200);
+        }
+    }
+}
+
+Test(Forwarder, requestsThatMayBeRepeatedTrySuspectedServersThemselves)
+{
+    ForwarderFixture fixture;
+    failAllServers(fixture, "book", ForwardCallOutcome::Broken);
+    fixture.submit("safe", start + 1s);
+    cr_assert(fixture.checks.empty());
+    cr_assert_eq(fixture.sent.size(), 1U);
+}
+
+Test(Forwarder, checksArePacedAndDrawOnTheRetryBudget)
+{
+    ForwarderOptions options;
+    options.retryBudgetReserve = 4;
+    options.retryBudgetFraction = 0;
+    ForwarderFixture fixture(options);
+    failAllServers(fixture, "book", ForwardCallOutcome::Broken);
+    // The margin of the budget leaves three; a fourth check is sent when none was sent for a window.
+    std::vector<Duration> sentAfter;
+    for (Duration after = 1s; after < 30s; after += 10ms) {
+        fixture.forwarder->confirmCredentials(table()->version, start + after);
+        fixture.submit("book", start + after);
+        for (const auto& it : fixture.checks) {
+            sentAfter.push_back(after);
+            fixture.forwarder->onServerChecked(it, false, start + after);
+        }
+        fixture.checks.clear();
+    }
+    cr_assert(fixture.sent.empty());
+    for (std::size_t i = 1; i < sentAfter.size(); ++i)
+        cr_assert_geq(sentAfter[i] - sentAfter[i - 1], Duration(100ms));
+    const auto within = [&](Duration from, Duration to) {
+        return std::count_if(sentAfter.begin(), sentAfter.end(), [&](Duration it) { return it >= from && it < to; });
+    };
+    cr_assert_eq(within(0s, 11s), 3);
+    cr_assert_geq(within(11s, 30s), 1);
+    cr_assert_leq(within(11s, 21s), 4);
+}
+
+Test(Forwarder, checksGoOnWithoutAnyRetryBudget)
+{
+    ForwarderOptions options;
+    options.retryBudgetReserve = 0;
+    options.retryBudgetFraction = 0;
+    ForwarderFixture fixture(options);
+    failAllServers(fixture, "book", ForwardCallOutcome::Broken);
+    std::size_t checks = 0;
+    for (Duration after = 1s; after < 60s; after += 100ms) {
+        fixture.forwarder->confirmCredentials(table()->version, start + after);
+        fixture.submit("book", start + after);
+        for (const auto& it : fixture.checks)
+            fixture.forwarder->onServerChecked(it, false, start + after);
+        checks += std::exchange(fixture.checks, {}).size();
+    }
+    cr_assert_geq(checks, 4U);
+    cr_assert_leq(checks, 6U);
+}
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -75,6 +75,7 @@
         const config::BackendServer& server, const ServerSignal& signal, TimePoint now, ForwardActions& out) override;
     std::optional<TimePoint> pausedUntil(
         const ServiceId& service, const BackendServerId& server, TimePoint now) const override;
+    void onServerChecked(const CheckServer& check, bool passed, TimePoint now) override;
     void onServerLeaving(const LeavingServer& server, TimePoint now) override;
     void setCrashRecords(const std::vector<CrashRecord>& records, TimePoint now) override
     {
@@ -115,11 +116,13 @@
     ForwardRun* findRunOfCall(CallId call);
     void setTimer(TimePoint at, Timer timer) { m_timers.emplace(at, std::move(timer)); }
     void logServerDecision(std::string_view event, std::vector<std::pair<std::string_view, std::string>> fields) const;
+    void logHealthChange(const ForwardRun& run, const BackendServerId& server, routing::HealthChange change) const;
     void logDecision(const ForwardRun& run, std::string_view event,
         std::vector<std::pair<std::string_view, std::string>> fields) const;
 
     std::optional<ForwardOutcome> authorize(ForwardRun& run, TimePoint now) const;
     ServiceId pickService(const ForwardRun& run);
+    void checkSuspectedServers(const ServiceId& service, TimePoint now, ForwardActions& out);
     void pauseServer(const BackendServerId& server, Duration pause, TimePoint now);
     bool refuseIfAllPaused(ForwardRun& run, TimePoint now, ForwardActions& out);
     bool refuseIfCrashing(ForwardRun& run, TimePoint now, ForwardActions& out);
--- a/src/foxtailwheel/serving/ServerDirectory.cpp
+++ b/src/foxtailwheel/serving/ServerDirectory.cpp
@@ -42,6 +42,7 @@
     out.concurrency = service.batch ? service.batch->slots : service.slots;
     for (const auto& it : servers) {
         out.servers.push_back(it.server);
+        out.servers.back().startedAt = it.startedAt;
         if (out.concurrency == 0)
             out.concurrency = it.slots;
     }
@@ -66,13 +67,14 @@
     limits::SlidingWindowRetryBudget retryBudget(
         m_options.retryBudgetFraction, m_options.retryBudgetReserve, m_options.retryBudgetWindow);
     retryBudget.setInstanceCount(m_instanceCount);
-    return { std::move(pool), std::move(retryBudget), {}, {} };
+    return { std::move(pool), std::move(retryBudget), {}, {}, {}, {} };
 }
 
 void ServerDirectory::updateService(const config::RoutedService& service, ServiceState& state)
 {
     const auto& servers = m_announced[service.id];
     state.announced = servers;
+    state.healthPath = service.healthPath;
     state.pool->update(toService(service, servers), crossZoneLinks(servers));
     updateLeaving(service.id);
     if (!service.batch)
--- a/src/foxtailwheel/serving/ServerDirectory.h
+++ b/src/foxtailwheel/serving/ServerDirectory.h
@@ -16,6 +16,8 @@
     limits::SlidingWindowRetryBudget retryBudget;
     std::unique_ptr<BatchQueue> batchQueue; ///< Null for services that no stage uses.
     std::vector<AnnouncedServer> announced;
+    std::string healthPath;
+    TimePoint lastCheckAt {}; ///< Of any server of the service.
 };
 
 /// @brief Tracks the routed services, following the configuration and the announced servers.
