--- a/src/foxtailwheel/peer/PeerTest.cpp
+++ b/src/foxtailwheel/peer/PeerTest.cpp
@@ -1,3 +1,4 @@
+#include "foxtailwheel/peer/Handshake.h"
 #include "foxtailwheel/peer/Message.h"
 #include "foxtailwheel/peer/Transport.h"
 
@@ -6,6 +7,7 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 #include <ctime>
@@ -90,6 +92,26 @@
     boost::asio::write(socket, boost::asio::buffer(bytes));
 }
 
+/// Authenticates as a peer, sends the bytes and ends the connection, in order or with a reset.
+void sendAuthenticated(std::uint16_t port, const std::string& key, const std::string& bytes, bool resets)
+{
+    namespace net = boost::asio;
+    net::io_context context;
+    net::ip::tcp::socket socket(context);
+    socket.connect({ net::ip::make_address("127.0.0.1"), port });
+    const auto nonce = peer::generateNonce();
+    net::write(socket, net::buffer(peer::protocolMagic));
+    net::write(socket, net::buffer(*nonce));
+    peer::Nonce peerNonce {};
+    peer::Proof peerProof {};
+    net::read(socket, net::buffer(peerNonce));
+    net::read(socket, net::buffer(peerProof));
+    net::write(socket, net::buffer(peer::computeProof(key, "connector", *nonce, peerNonce)));
+    net::write(socket, net::buffer(bytes));
+    if (resets)
+        socket.set_option(net::socket_base::linger(true, 0));
+}
+
 } // namespace
 
 Test(PeerMessage, encodingRoundTrips)
@@ -149,6 +171,27 @@
     pool->stop();
 }
 
+Test(PeerTransport, frameThatBreaksOffIsNotDelivered)
+{
+    const auto pool = http::IoPool::create(2);
+    std::atomic<int> received { 0 };
+    const auto listener = listenWith(*pool, "key", [&](const Message& /*message*/) { ++received; });
+    const auto body = peer::encodeMessage(makeMessages().back());
+    std::string frame(4, '\0');
+    frame[0] = static_cast<char>(body.size());
+    frame[1] = static_cast<char>(body.size() >> 8U);
+    frame += body;
+    for (std::size_t n = 0; n < frame.size(); n += n < 8 ? 1 : 7) {
+        for (const bool resets : { false, true })
+            sendAuthenticated(listener->port(), "key", frame.substr(0, n), resets);
+    }
+    sendAuthenticated(listener->port(), "key", frame, false);
+    cr_assert(eventually([&] { return received > 0; }));
+    std::this_thread::sleep_for(100ms);
+    cr_assert_eq(received, 1);
+    pool->stop();
+}
+
 Test(PeerTransport, aWrongKeyIsRefusedAndCounted)
 {
     const auto pool = http::IoPool::create(2);
