A planned stop sends no request that it would not live to answer

Another operator's report: in a planned stop, requests that came late in the grace period were taken and passed on, and cut at its end without an answer, among them requests that may not be repeated (LOST).

A relative is seen: a request that was accepted in time and waits, for a stage or a server, was passed on until the last moment.

Change: from the signal on, the forwarder knows when the process ends. A request is accepted and sent only if it is expected to be answered by then: by the route's usual time to the first byte, for responses that the caller cannot resume to the end of the response, plus the forecast of its stages. Others are refused with 503 if nothing ran, and fail at once if something may have. Hedges and failovers are subject to the same.

--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -249,6 +249,9 @@
     virtual void onPeerConnectionLost(const InstanceId& instance, TimePoint now, ForwardActions& out) = 0;
     /// @brief An instance refuses connections, because its process has ended.
     virtual void onPeerUnreachable(const InstanceId& instance, TimePoint now, ForwardActions& out) = 0;
+    /// @brief The process ends at `endsAt`, when `endAll` is called. Requests are still accepted and sent to servers if
+    /// they are expected to be answered by then; the others are refused, or fail if they may have run.
+    virtual void beginShutdown(TimePoint endsAt) = 0;
     /// @brief Rejects all new requests from now on; requests in progress continue.
     virtual void stopAccepting() = 0;
     /// @brief Ends all requests in progress, because the process is about to end: those that have not run are refused,
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -573,6 +573,11 @@
     m_impl->forwarder->stopAccepting();
 }
 
+void ForwardService::beginShutdown(TimePoint endsAt)
+{
+    m_impl->forwarder->beginShutdown(endsAt);
+}
+
 void ForwardService::endAll()
 {
     serving::ForwardActions actions;
--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -66,7 +66,7 @@
         fail(run, run.mayHaveRun ? ForwardOutcome::TimedOut : ForwardOutcome::TimedOutWaiting, now, out);
         return;
     }
-    if (refuseIfCrashing(run, now, out))
+    if (refuseIfCrashing(run, now, out) || refuseIfEnding(run, {}, now, out))
         return;
     if (!trySend(run, !run.triedServers.empty(), now, out) && !refuseIfAllPaused(run, now, out))
         setTimer(now + serverRetryInterval, { TimerKind::FindServer, run.id, {}, {} });
@@ -149,6 +149,22 @@
     return it == m_timesToFirstByte.end() ? initialTimeToFirstByte : it->second.meanPlusDeviation();
 }
 
+/// Returns the time within which most calls of the route are answered. The caller of a resumable stream can go on with
+/// it elsewhere, so only its first event counts.
+Duration RoutingForwarder::usualResponseTime(const ForwardRun& run) const
+{
+    const auto it = m_timesToEnd.find(run.route->name);
+    return it == m_timesToEnd.end() ? usualTimeToFirstByte(run) : it->second.meanPlusDeviation();
+}
+
+void RoutingForwarder::recordResponseTime(const ForwardRun& run, const OpenCall& call, TimePoint now)
+{
+    if (run.route->streaming && run.idempotent())
+        return;
+    const auto it = m_timesToEnd.try_emplace(run.route->name, initialTimeToFirstByte).first;
+    it->second.add(now - call.sentAt);
+}
+
 /// Returns true if a server has been silent for so long that the call counts as failed, although the caller ended it.
 bool RoutingForwarder::isSilent(const ForwardRun& run, const OpenCall& call, TimePoint now) const
 {
@@ -302,6 +318,7 @@
     switch (outcome) {
     case ForwardCallOutcome::Complete:
     case ForwardCallOutcome::Undelimited:
+        recordResponseTime(*run, openCall, now);
         closeCall(*run, call, response.status >= 500 ? routing::CallOutcome::Failed : routing::CallOutcome::Success,
             false, now, out);
         if (run->route->streaming && headReceived)
@@ -449,7 +466,7 @@
     const bool hasUntried = std::any_of(servers.begin(), servers.end(), [&run](const config::BackendServer& it) {
         return std::find(run.triedServers.begin(), run.triedServers.end(), it.id) == run.triedServers.end();
     });
-    if (!hasUntried || !state->retryBudget.tryAcquire(1, now))
+    if (!hasUntried || !isAnsweredBeforeEnd(run, {}, now) || !state->retryBudget.tryAcquire(1, now))
         return false;
     while (!run.calls.empty())
         closeCall(run, run.calls.front().id, routing::CallOutcome::Failed, true, now, out);
--- a/src/foxtailwheel/serving/ForwardRequests.cpp
+++ b/src/foxtailwheel/serving/ForwardRequests.cpp
@@ -145,6 +145,24 @@
     return true;
 }
 
+/// Returns whether a request that is sent to a server after `wait` is expected to be answered before the process ends.
+bool RoutingForwarder::isAnsweredBeforeEnd(const ForwardRun& run, Duration wait, TimePoint now) const
+{
+    return now + wait + usualResponseTime(run) <= m_endsAt;
+}
+
+/// Ends a request that this process would not live to answer: its caller can still send it to another instance.
+bool RoutingForwarder::refuseIfEnding(ForwardRun& run, Duration wait, TimePoint now, ForwardActions& out)
+{
+    if (isAnsweredBeforeEnd(run, wait, now))
+        return false;
+    if (run.mayHaveRun)
+        fail(run, ForwardOutcome::BackendFailed, now, out);
+    else
+        refuse(run, ForwardOutcome::ShuttingDown, {}, now, out);
+    return true;
+}
+
 void RoutingForwarder::start(ForwardRun& run, TimePoint now, ForwardActions& out)
 {
     if (refuseIfCrashing(run, now, out))
@@ -164,6 +182,8 @@
         run.stages[i].missing = n;
     }
     setTimer(run.deadline, { TimerKind::Deadline, run.id, {}, {} });
+    if (refuseIfEnding(run, expectedTime(run, false, now), now, out))
+        return;
     chooseZone(run);
     if (const auto retryAfter = retryAfterOverload(run, now); m_options.admissionControl && retryAfter) {
         logDecision(run, "overload_foreseen",
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -1029,6 +1029,58 @@
     cr_assert_eq(fixture.forwarder->status(start + 1s).activeRequests, 0);
 }
 
+// Another operator's instances passed requests on late in a planned stop, and cut them without an answer at its end.
+Test(Forwarder, requestsThatCannotBeAnsweredBeforeTheEndOfAPlannedStopAreNotSent)
+{
+    const auto end = start + 7s;
+    ForwarderFixture fixture;
+    for (int i = 0; i < 50; ++i) {
+        fixture.submit("once");
+        const auto call = fixture.beginStream(start + 20ms);
+        fixture.receive(call, "id: 1\ndata: x\n\n", start + 20ms);
+        fixture.endCall(call, ForwardCallOutcome::Complete, start + 3s);
+    }
+    fixture.sent.clear();
+    fixture.forwarder->beginShutdown(end);
+    fixture.forwarder->confirmCredentials(table()->version, end);
+    fixture.submit("once", end - 4s);
+    cr_assert_eq(fixture.sent.size(), 1);
+    fixture.submit("once", end - 2s);
+    cr_assert_eq(fixture.sent.size(), 1, "such streams take three seconds");
+    cr_assert_eq(fixture.replies.back().outcome, ForwardOutcome::ShuttingDown);
+    fixture.submit("plan", end - 2s);
+    cr_assert_eq(fixture.sent.size(), 2, "its caller can resume it elsewhere");
+    for (const std::string routeName : { "book", "safe", "plan" }) {
+        fixture.submit(routeName, end - 20ms);
+        cr_assert_eq(fixture.sent.size(), 2);
+        cr_assert_eq(fixture.replies.back().response.status, 503);
+    }
+}
+
+Test(Forwarder, requestThatWaitsIsNotSentAtTheEndOfAPlannedStop)
+{
+    const auto end = start + 1s;
+    ForwarderFixture fixture;
+    fixture.pieces = { 1 };
+    fixture.submit("staged");
+    fixture.forwarder->beginShutdown(end);
+    fixture.endBatch(fixture.batches[0], end - 20ms);
+    cr_assert(fixture.sent.empty());
+    cr_assert_eq(fixture.replies.size(), 1);
+    cr_assert_eq(fixture.replies[0].response.status, 503);
+}
+
+Test(Forwarder, requestThatMayHaveRunIsNotSentAgainAtTheEndOfAPlannedStop)
+{
+    const auto end = start + 1s;
+    ForwarderFixture fixture;
+    fixture.submit("safe");
+    fixture.forwarder->beginShutdown(end);
+    fixture.endCall(fixture.sent[0].call, ForwardCallOutcome::Broken, end - 20ms);
+    cr_assert_eq(fixture.sent.size(), 1);
+    cr_assert_eq(fixture.replies.at(0).response.status, 502);
+}
+
 Test(Forwarder, serverErrorIsForwardedAfterTheLastAllowedRetry)
 {
     ForwarderFixture fixture;
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -87,6 +87,7 @@
         const InstanceId& from, const PieceMessage& message, TimePoint now, ForwardActions& out) override;
     void onPeerConnectionLost(const InstanceId& instance, TimePoint now, ForwardActions& out) override;
     void onPeerUnreachable(const InstanceId& instance, TimePoint now, ForwardActions& out) override;
+    void beginShutdown(TimePoint endsAt) override { m_endsAt = endsAt; }
     void stopAccepting() override { m_accepting = false; }
     void endAll(TimePoint now, ForwardActions& out) override;
     ForwardId allocateRequestId() override { return ForwardId(++m_lastRunId); }
@@ -126,6 +127,8 @@
     void pauseServer(const BackendServerId& server, Duration pause, TimePoint now);
     bool refuseIfAllPaused(ForwardRun& run, TimePoint now, ForwardActions& out);
     bool refuseIfCrashing(ForwardRun& run, TimePoint now, ForwardActions& out);
+    bool isAnsweredBeforeEnd(const ForwardRun& run, Duration wait, TimePoint now) const;
+    bool refuseIfEnding(ForwardRun& run, Duration wait, TimePoint now, ForwardActions& out);
     void start(ForwardRun& run, TimePoint now, ForwardActions& out);
     Duration timeSpentOnEarlierAttempts(const ForwardRun& run, TimePoint now);
     void chooseZone(ForwardRun& run);
@@ -140,8 +143,10 @@
     Piece makePiece(const ForwardRun& run, StageIndex stage, std::uint32_t index) const;
     void applyBrokerActions(BrokerActions actions, TimePoint now, ForwardActions& out);
     Duration usualTimeToFirstByte(const ForwardRun& run) const;
+    Duration usualResponseTime(const ForwardRun& run) const;
     bool isSilent(const ForwardRun& run, const OpenCall& call, TimePoint now) const;
     void recordTimeToFirstByte(const ForwardRun& run, const OpenCall& call, TimePoint now);
+    void recordResponseTime(const ForwardRun& run, const OpenCall& call, TimePoint now);
     TimePoint stageTargetTime(const ForwardRun& run, StageIndex stage) const;
     PieceGroup makeGroup(const ForwardRun& run, StageIndex stage, TimePoint now) const;
     static std::optional<AvailabilityZoneId> preferredZoneOf(const ForwardRun& run, StageIndex stage);
@@ -191,6 +196,7 @@
     CrashingParts m_crashingParts;
     std::size_t m_instanceCount = 1;
     bool m_accepting = true;
+    TimePoint m_endsAt = TimePoint::max(); ///< End of the process, if it is known.
     Random m_random;
     std::unordered_map<ForwardId, std::unique_ptr<ForwardRun>> m_runs;
     std::unordered_map<CallId, ForwardId> m_calls;
@@ -201,6 +207,8 @@
     std::unordered_map<std::string, CallerTimeout> m_callerTimeouts; ///< By route.
     std::unordered_map<std::string, SmoothedLatency>
         m_timesToFirstByte; ///< From sending a call to the head of its response, by route.
+    std::unordered_map<std::string, SmoothedLatency>
+        m_timesToEnd; ///< From sending a call to the end of its response, by route; not for resumable streams.
     std::map<ServiceId, TimePoint> m_dispatchTimers; ///< Next dispatch of each service's queue.
     TimePoint m_credentialsConfirmedAt {};
     std::uint64_t m_lastRunId = 0;
