A request that is sent again before its response began keeps its inputs

Cause: a result that later stages have read is released at once, and the check before a second call took any released result for a lost input. So each request with more than one level of stages ran all of them again, although its own inputs are released only when a response begins.

Change: only the results of the final stages count.

--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -420,13 +420,11 @@
     resendRequest(run, now, out);
 }
 
-/// Sends a request again. If its stage results were already released, the stages are run again first.
+/// Sends a request again. If its inputs were already released, the stages are run again first.
 void RoutingForwarder::resendRequest(ForwardRun& run, TimePoint now, ForwardActions& out)
 {
     clearPartialEvent(run);
-    const bool released
-        = std::any_of(run.stages.begin(), run.stages.end(), [](const StageProgress& it) { return it.released; });
-    if (released)
+    if (run.inputsReleased())
         runStagesAgain(run, now, out);
     else
         sendRequest(run, now, out);
--- a/src/foxtailwheel/serving/ForwardRun.cpp
+++ b/src/foxtailwheel/serving/ForwardRun.cpp
@@ -9,23 +9,37 @@
     return std::all_of(stages.begin(), stages.end(), [](const StageProgress& it) { return it.done(); });
 }
 
-std::vector<std::string> ForwardRun::inputs() const
+std::vector<StageIndex> ForwardRun::finalStages() const
 {
     std::vector<bool> consumed(stages.size(), false);
     for (const auto& it : route->stages) {
         for (const auto needed : it.dependsOn)
             consumed[needed] = true;
     }
-    std::vector<std::string> handles;
+    std::vector<StageIndex> found;
     for (StageIndex i = 0; i < stages.size(); ++i) {
-        if (consumed[i])
-            continue;
+        if (!consumed[i])
+            found.push_back(i);
+    }
+    return found;
+}
+
+std::vector<std::string> ForwardRun::inputs() const
+{
+    std::vector<std::string> handles;
+    for (const auto i : finalStages()) {
         for (const auto& it : stages[i].results)
             handles.push_back(it->value);
     }
     return handles;
 }
 
+bool ForwardRun::inputsReleased() const
+{
+    const auto found = finalStages();
+    return std::any_of(found.begin(), found.end(), [this](StageIndex i) { return stages[i].released; });
+}
+
 OpenCall* ForwardRun::findCall(CallId call)
 {
     const auto it = std::find_if(calls.begin(), calls.end(), [call](const OpenCall& c) { return c.id == call; });
--- a/src/foxtailwheel/serving/ForwardRun.h
+++ b/src/foxtailwheel/serving/ForwardRun.h
@@ -65,8 +65,14 @@
     bool allStagesDone() const;
     /// @brief Returns the handles of the request's own inputs: the results of stages that no other stage needs.
     std::vector<std::string> inputs() const;
+    /// @brief Returns true if the producers may have discarded the request's own inputs.
+    bool inputsReleased() const;
     OpenCall* findCall(CallId call);
     Duration remainingTime(TimePoint now) const { return deadline - now; }
+
+private:
+    /// Returns the stages that no other stage needs.
+    std::vector<StageIndex> finalStages() const;
 };
 
 } // namespace foxtailwheel::serving
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -1404,3 +1404,20 @@
     cr_assert_geq(checks, 4U);
     cr_assert_leq(checks, 6U);
 }
+
+// The stages ran again although the inputs of the request still existed: only results that later stages had read were
+// released.
+Test(Forwarder, requestThatIsSentAgainBeforeItsResponseBeganKeepsItsInputs)
+{
+    ForwarderFixture fixture;
+    fixture.pieces = { 1, 1 };
+    fixture.submit("staged");
+    fixture.endBatch(fixture.batches.at(0), start + 100ms);
+    fixture.endBatch(fixture.batches.at(1), start + 200ms);
+    cr_assert_eq(fixture.released.size(), 1, "the result that the second stage has read");
+    cr_assert_eq(fixture.sent.size(), 1);
+    fixture.endCall(fixture.sent[0].call, ForwardCallOutcome::Broken, start + 300ms);
+    cr_assert_eq(fixture.batches.size(), 2);
+    cr_assert_eq(fixture.sent.size(), 2);
+    cr_assert(fixture.sent[1].inputs == fixture.sent[0].inputs);
+}
