All pieces of a failed call are requested again

Cause: a stage counted the pieces that it requested again, and gave up at the fourth, so one failed call with more pieces ended the request.

Change: the limit is three times per piece on average. The retry budget limits them as before.

Evidence: allPiecesOfAFailedCallAreRequestedAgain fails before (refused at once) and passes since.

--- a/src/foxtailwheel/serving/ForwardStages.cpp
+++ b/src/foxtailwheel/serving/ForwardStages.cpp
@@ -9,8 +9,8 @@
 
     using namespace std::chrono_literals;
 
-    /// Maximum number of pieces of a stage that are requested again after a failure.
-    constexpr std::uint32_t maxGroupRetries = 3;
+    /// Maximum times that the pieces of a stage are requested again after failures, on average.
+    constexpr std::size_t maxPieceRetries = 3;
     /// Maximum times that all stages of a request are run again because a result no longer exists.
     constexpr std::uint32_t maxStageRestarts = 1;
     /// Target of the pieces of a request whose response has begun. Callers disconnect after two seconds without an
@@ -231,7 +231,7 @@
         return;
     }
     auto* state = m_directory.find(run.route->stages[stage].service);
-    if (++progress.retries > maxGroupRetries || !state->retryBudget.tryAcquire(1, now)) {
+    if (++progress.retries > maxPieceRetries * progress.results.size() || !state->retryBudget.tryAcquire(1, now)) {
         fail(run, ForwardOutcome::StageFailed, now, out);
         return;
     }
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -1421,3 +1421,22 @@
     cr_assert_eq(fixture.sent.size(), 2);
     cr_assert(fixture.sent[1].inputs == fixture.sent[0].inputs);
 }
+
+// One failed call with more pieces of a stage than a fixed number ended the request.
+Test(Forwarder, allPiecesOfAFailedCallAreRequestedAgain)
+{
+    ForwarderFixture fixture;
+    fixture.pieces = { 8 };
+    fixture.submit("staged");
+    cr_assert_eq(fixture.batches.at(0).pieces.size(), 8);
+    const auto failed = std::exchange(fixture.batches, {})[0].call;
+    fixture.collectActions(
+        [&](auto& out) { fixture.forwarder->onBatchEnd(failed, BatchOutcome::Broken, {}, start + 100ms, out); });
+    cr_assert(fixture.replies.empty());
+    for (Duration after = 200ms; fixture.sent.empty() && after < 2s; after += 100ms) {
+        fixture.runTimers(start + after);
+        for (const auto& it : std::exchange(fixture.batches, {}))
+            fixture.endBatch(it, start + after);
+    }
+    cr_assert_eq(fixture.sent.size(), 1);
+}
