A shorter life of credentials in changed settings holds at once

Cause: the reload changed the copy that only readiness reads. The check of credentials kept the value of the start.

--- a/include/foxtailwheel/daemon/ForwardService.h
+++ b/include/foxtailwheel/daemon/ForwardService.h
@@ -66,6 +66,8 @@
     void setCrashRecords(const std::vector<serving::CrashRecord>& records);
     /// @brief Rejects all new requests; requests in progress continue.
     void stopAccepting();
+    /// @brief See `Forwarder::setCredentialMaxAge`.
+    void setCredentialMaxAge(Duration age);
     /// @brief The process ends at `endsAt`; see `Forwarder::beginShutdown`.
     void beginShutdown(TimePoint endsAt);
     /// @brief Ends all requests in progress, because the process is about to end.
--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -232,6 +232,8 @@
     /// have lost newer ones as well.
     /// @return True if the active credentials were confirmed.
     virtual bool confirmCredentials(std::uint64_t configVersion, TimePoint asOf) = 0;
+    /// @brief Replaces the maximum age of the last confirmation of the credentials.
+    virtual void setCredentialMaxAge(Duration age) = 0;
     /// @brief Replaces the crash records that the instances share.
     virtual void setCrashRecords(const std::vector<CrashRecord>& records, TimePoint now) = 0;
     /// @brief Sets the live instances.
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -573,6 +573,11 @@
     m_impl->forwarder->stopAccepting();
 }
 
+void ForwardService::setCredentialMaxAge(Duration age)
+{
+    m_impl->forwarder->setCredentialMaxAge(age);
+}
+
 void ForwardService::beginShutdown(TimePoint endsAt)
 {
     m_impl->forwarder->beginShutdown(endsAt);
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -1440,3 +1440,16 @@
     }
     cr_assert_eq(fixture.sent.size(), 1);
 }
+
+// The settings named a shorter bound, and a removed key was used until the old one.
+Test(Forwarder, shorterMaximumAgeOfCredentialsHoldsAtOnce)
+{
+    ForwarderFixture fixture;
+    fixture.submit("book", start + 3s);
+    cr_assert_eq(fixture.sent.size(), 1);
+    fixture.forwarder->setCredentialMaxAge(2s);
+    fixture.submit("book", start + 3s);
+    cr_assert_eq(fixture.sent.size(), 1);
+    cr_assert_eq(fixture.replies.back().outcome, ForwardOutcome::CredentialsOutdated);
+    cr_assert(!fixture.forwarder->status(start + 3s).credentialsCurrent);
+}
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -71,6 +71,7 @@
         m_credentialsConfirmedAt = std::max(m_credentialsConfirmedAt, asOf);
         return true;
     }
+    void setCredentialMaxAge(Duration age) override { m_options.credentialMaxAge = age; }
     void onServerSignal(
         const config::BackendServer& server, const ServerSignal& signal, TimePoint now, ForwardActions& out) override;
     std::optional<TimePoint> pausedUntil(
