Test of the poll that ends a suspicion in foxtailwheeld; comments

serverOfCallsWithAnEffectIsUsedAgainAfterItHasBeenPolled: bookings find no server after its failures until its load has been polled.

--- a/include/foxtailwheel/routing/ServerHealth.h
+++ b/include/foxtailwheel/routing/ServerHealth.h
@@ -53,6 +53,7 @@
     /// server asked this instance for it.
     void onRestart();
 
+    /// @brief Longer than any timeout of a check, so that one whose end is lost does not keep the server out.
     static constexpr Duration maxCheckTime = std::chrono::seconds(5);
 
 private:
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -22,6 +22,7 @@
     constexpr Duration releaseTimeout = 1s;
     /// A sound server may pause for more than a second.
     constexpr Duration checkTimeout = 2s;
+    /// Only the status and the headers of the response are used.
     constexpr std::uint64_t maxCheckResponseBytes = 64U << 10U;
     /// Limits of the response to a batch call, which has a handle or a reason for each piece.
     constexpr std::uint64_t maxBatchResponseBytes = 4U << 10U;
--- a/src/foxtailwheel/http/ResponseEndTest.cpp
+++ b/src/foxtailwheel/http/ResponseEndTest.cpp
@@ -207,7 +207,7 @@
 // Clients of other systems got a success with an empty or short body when a server stopped in the head of its response.
 Test(HttpClient, responseThatBreaksOffAtAnyByteIsNotComplete)
 {
-    const std::string head = "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nServer-Load: 1,0,6\r\n";
+    const std::string head = "HTTP/1.1 200 OK\r\nETag: \"s\"\r\nServer: model\r\n";
     const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
     for (const auto& response : {
              head + "Content-Length: 5\r\n\r\nwhole",
--- a/src/foxtailwheel/serving/DispatcherTest.cpp
+++ b/src/foxtailwheel/serving/DispatcherTest.cpp
@@ -33,6 +33,29 @@
     dispatcher.submit(dispatcher.allocateRunId(), std::move(request), start, out);
 }
 
+/// Submits a booking whose claim is granted. Returns its call; nothing if no server was found.
+std::optional<pipeline::AttemptId> book(serving::Dispatcher& dispatcher, TimePoint now)
+{
+    static int keys = 0;
+    serving::SubmitRequest request;
+    request.pipeline = PipelineId("book");
+    request.account = ClientAccountId("coop");
+    request.key = IdempotencyKey(std::to_string(++keys));
+    request.body = pipeline::makePayload("{}");
+    serving::Actions actions;
+    const auto run = dispatcher.allocateRunId();
+    dispatcher.submit(run, std::move(request), now, actions);
+    std::optional<pipeline::AttemptId> call;
+    for (std::size_t i = 0; i < actions.size(); ++i) {
+        const auto action = actions[i];
+        if (const auto* claim = std::get_if<serving::AcquireClaim>(&action))
+            dispatcher.onClaim(run, claim->stage, { pipeline::ClaimState::Granted, {} }, now, actions);
+        else if (const auto* send = std::get_if<serving::SendCall>(&action))
+            call = send->call.id;
+    }
+    return call;
+}
+
 } // namespace
 
 Test(Dispatcher, runsInProgressAtTheEndOfAPlannedStopAreEnded)
@@ -150,3 +173,22 @@
     cr_assert_eq(streams, 2);
     cr_assert(std::holds_alternative<serving::Reply>(actions.back()));
 }
+
+// A service with an effect was refused for good after its servers had failed once: nothing else is sent there.
+Test(Dispatcher, serverOfCallsWithAnEffectIsUsedAgainAfterItHasBeenPolled)
+{
+    const auto dispatcher = makeTestDispatcher(1);
+    const ServiceId service("booking");
+    serving::Actions actions;
+    for (int i = 0; i < 2; ++i) {
+        const auto call = book(*dispatcher, start);
+        cr_assert(call.has_value());
+        dispatcher->onSent(*call, start);
+        dispatcher->onFailure(*call, pipeline::CallFailure::ConnectionLost, start, actions);
+    }
+    cr_assert(!book(*dispatcher, start + 1s).has_value());
+    dispatcher->onServerChecked(service, dispatcher->snapshot()->pools.at(service)->status().at(0).server, start + 1s);
+    const auto call = book(*dispatcher, start + 1s);
+    cr_assert(call.has_value());
+    dispatcher->onAnswer(*call, pipeline::makePayload("1"), start + 1s, actions);
+}
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -10,7 +10,8 @@
 
     /// Time without a usable server after which a request is rejected. Routes with a longer latency target use that.
     constexpr Duration serverWaitTimeout = 300ms;
-    /// Minimum interval between checks of the servers of a service.
+    /// Minimum interval between checks of the servers of a service. Those that are suspected at the same time are due
+    /// at the same time.
     constexpr Duration checkInterval = 100ms;
 } // namespace
 
