Requests of the stall tests are sent in time on a busy machine, too

Cause, traced: the test, not the server. Its timeouts are 300 ms, and it sets 400 connections up one after the other before the stall. On a busy machine that takes longer, so the first connections have passed their idle timeout before their request is sent, and are closed rightly.

Change: timeouts of 2 s and a stall of 2.5 s, in this test and in restOfARequestThatArrivesWhileTheProcessIsStalledIsRead, which has the same weakness; both check that the requests are sent in time. All 400 have to be answered as before.

--- a/src/foxtailwheel/http/ReadTimeoutTest.cpp
+++ b/src/foxtailwheel/http/ReadTimeoutTest.cpp
@@ -18,6 +18,11 @@
 namespace net = boost::asio;
 using net::ip::tcp;
 
+/// Timeouts that expire during a stall. The requests have to be sent before, also on a busy machine: a connection whose
+/// timeout has passed by then is closed rightly.
+constexpr Duration timeoutInStall = 2s;
+constexpr Duration stallTime = 2500ms;
+
 const std::string getRequest = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
 
 /// A server with one thread that answers with status 200; `stall` keeps its thread busy.
@@ -136,8 +141,9 @@
 
 Test(HttpServer, requestsThatArriveWhileTheProcessIsStalledAreAnswered)
 {
-    StallingServer it(limitsWith(300ms, 300ms, 300ms));
+    StallingServer it(limitsWith(timeoutInStall, timeoutInStall, timeoutInStall));
     std::vector<tcp::socket> sockets;
+    const auto start = std::chrono::steady_clock::now();
     for (int i = 0; i < 400; ++i) {
         sockets.push_back(it.connect());
         cr_assert(sendAndRead(sockets.back(), getRequest).starts_with("HTTP/1.1 200"));
@@ -145,7 +151,8 @@
     it.stall();
     for (auto& socket : sockets)
         net::write(socket, net::buffer(getRequest));
-    std::this_thread::sleep_for(500ms);
+    cr_assert(std::chrono::steady_clock::now() - start < timeoutInStall, "the requests come too late to be answered");
+    std::this_thread::sleep_for(stallTime);
     it.resume();
     int answered = 0;
     for (auto& socket : sockets)
@@ -158,8 +165,9 @@
     const std::string head = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n";
     for (const auto& [part, rest] :
         { std::pair(head.substr(0, 30), head.substr(30) + "abcd"), std::pair(head + "ab", std::string("cd")) }) {
-        StallingServer it(limitsWith(400ms, 400ms, 400ms));
+        StallingServer it(limitsWith(timeoutInStall, timeoutInStall, timeoutInStall));
         std::vector<tcp::socket> sockets;
+        const auto start = std::chrono::steady_clock::now();
         for (int i = 0; i < 400; ++i)
             sockets.push_back(it.connect());
         for (auto& socket : sockets)
@@ -168,7 +176,8 @@
         it.stall();
         for (auto& socket : sockets)
             net::write(socket, net::buffer(rest));
-        std::this_thread::sleep_for(500ms);
+        cr_assert(std::chrono::steady_clock::now() - start < timeoutInStall, "the rest comes too late to be read");
+        std::this_thread::sleep_for(stallTime);
         it.resume();
         int answered = 0;
         for (auto& socket : sockets)
