--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -84,7 +84,7 @@
     placementRequest.affinityKey = affinityOf(run);
     placementRequest.preferredZone = run.homeZone;
     if (placementRequest.healthyOnly)
-        checkSuspectedServers(run.service, now, out);
+        checkSuspectedServer(run.service, now, out);
     const auto placement = state->pool->place(placementRequest, now);
     if (!placement)
         return false;
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -90,22 +90,23 @@
     return true;
 }
 
-/// Checks the suspected servers of a service for requests that cannot be risked there: without other requests, nothing
+/// Checks a suspected server of a service for requests that cannot be risked there: without other requests, nothing
 /// else would show that they are sound again. Checks draw on the retry budget. One in a window of the budget is always
 /// sent, since a service without usable servers earns no budget.
-void RoutingForwarder::checkSuspectedServers(const ServiceId& service, TimePoint now, ForwardActions& out)
+void RoutingForwarder::checkSuspectedServer(const ServiceId& service, TimePoint now, ForwardActions& out)
 {
     auto* state = m_directory.find(service);
-    for (const auto& it : state->pool->serversToCheck(now)) {
-        if (now - state->lastCheckAt < checkInterval)
-            return;
-        const bool overdue = now - state->lastCheckAt >= m_options.retryBudgetWindow;
-        if (!state->retryBudget.tryAcquire(1, now) && !overdue)
-            return;
-        state->lastCheckAt = now;
-        state->pool->onCheckStarted(it.id, now);
-        out.emplace_back(CheckServer { service, it, state->healthPath });
-    }
+    const auto sinceLast = now - state->lastCheckAt;
+    if (sinceLast < checkInterval)
+        return;
+    const auto due = state->pool->serversToCheck(now);
+    if (due.empty())
+        return;
+    if (!state->retryBudget.tryAcquire(1, now) && sinceLast < m_options.retryBudgetWindow)
+        return;
+    state->lastCheckAt = now;
+    state->pool->onCheckStarted(due.front().id, now);
+    out.emplace_back(CheckServer { service, due.front(), state->healthPath });
 }
 
 void RoutingForwarder::onServerChecked(const CheckServer& check, bool passed, TimePoint now)
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -124,7 +124,7 @@
 
     std::optional<ForwardOutcome> authorize(ForwardRun& run, TimePoint now) const;
     ServiceId pickService(const ForwardRun& run);
-    void checkSuspectedServers(const ServiceId& service, TimePoint now, ForwardActions& out);
+    void checkSuspectedServer(const ServiceId& service, TimePoint now, ForwardActions& out);
     void pauseServer(const BackendServerId& server, Duration pause, TimePoint now);
     bool refuseIfAllPaused(ForwardRun& run, TimePoint now, ForwardActions& out);
     bool refuseIfCrashing(ForwardRun& run, TimePoint now, ForwardActions& out);
