The end of a planned stop costs a request nothing before there is one

Read again as a newcomer: each request with stages had their expected time computed once more at its start, for the check against the end of a stop that is not known nearly always. The check looks for an end first now, and takes the time of the missing stages itself, which is zero wherever it was given as zero; one parameter less.

--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -66,7 +66,7 @@
         fail(run, run.mayHaveRun ? ForwardOutcome::TimedOut : ForwardOutcome::TimedOutWaiting, now, out);
         return;
     }
-    if (refuseIfCrashing(run, now, out) || refuseIfEnding(run, {}, now, out))
+    if (refuseIfCrashing(run, now, out) || refuseIfEnding(run, now, out))
         return;
     if (!trySend(run, !run.triedServers.empty(), now, out) && !refuseIfAllPaused(run, now, out))
         setTimer(now + serverRetryInterval, { TimerKind::FindServer, run.id, {}, {} });
@@ -464,7 +464,7 @@
     const bool hasUntried = std::any_of(servers.begin(), servers.end(), [&run](const config::BackendServer& it) {
         return std::find(run.triedServers.begin(), run.triedServers.end(), it.id) == run.triedServers.end();
     });
-    if (!hasUntried || !isAnsweredBeforeEnd(run, {}, now) || !state->retryBudget.tryAcquire(1, now))
+    if (!hasUntried || !isAnsweredBeforeEnd(run, now) || !state->retryBudget.tryAcquire(1, now))
         return false;
     while (!run.calls.empty())
         closeCall(run, run.calls.front().id, routing::CallOutcome::Failed, true, now, out);
--- a/src/foxtailwheel/serving/ForwardRequests.cpp
+++ b/src/foxtailwheel/serving/ForwardRequests.cpp
@@ -145,16 +145,17 @@
     return true;
 }
 
-/// Returns whether a request that is sent to a server after `wait` is expected to be answered before the process ends.
-bool RoutingForwarder::isAnsweredBeforeEnd(const ForwardRun& run, Duration wait, TimePoint now) const
+/// Returns whether a request that is sent to a server after its missing stages is expected to be answered before the
+/// process ends.
+bool RoutingForwarder::isAnsweredBeforeEnd(const ForwardRun& run, TimePoint now) const
 {
-    return now + wait + usualResponseTime(run) <= m_endsAt;
+    return m_endsAt == TimePoint::max() || now + expectedTime(run, false, now) + usualResponseTime(run) <= m_endsAt;
 }
 
 /// Ends a request that this process would not live to answer: its caller can still send it to another instance.
-bool RoutingForwarder::refuseIfEnding(ForwardRun& run, Duration wait, TimePoint now, ForwardActions& out)
+bool RoutingForwarder::refuseIfEnding(ForwardRun& run, TimePoint now, ForwardActions& out)
 {
-    if (isAnsweredBeforeEnd(run, wait, now))
+    if (isAnsweredBeforeEnd(run, now))
         return false;
     if (run.mayHaveRun)
         fail(run, ForwardOutcome::BackendFailed, now, out);
@@ -182,7 +183,7 @@
         run.stages[i].missing = n;
     }
     setTimer(run.deadline, { TimerKind::Deadline, run.id, {}, {} });
-    if (refuseIfEnding(run, expectedTime(run, false, now), now, out))
+    if (refuseIfEnding(run, now, out))
         return;
     chooseZone(run);
     if (const auto retryAfter = retryAfterOverload(run, now); m_options.admissionControl && retryAfter) {
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -259,8 +259,7 @@
         if (run->route->streaming) {
             if (!failOverStream(*run, now, out))
                 setTimer(now + failoverRetryInterval, timer);
-        } else if (run->calls.size() == 1 && isAnsweredBeforeEnd(*run, {}, now)
-            && state->retryBudget.tryAcquire(1, now))
+        } else if (run->calls.size() == 1 && isAnsweredBeforeEnd(*run, now) && state->retryBudget.tryAcquire(1, now))
             trySend(*run, true, now, out);
         return;
     case TimerKind::StreamSilence:
@@ -275,7 +274,7 @@
 /// Sends a request that waits for a server or for the retry budget, or ends its wait.
 void RoutingForwarder::findServer(ForwardRun& run, const Timer& timer, TimePoint now, ForwardActions& out)
 {
-    if (refuseIfCrashing(run, now, out) || refuseIfEnding(run, {}, now, out))
+    if (refuseIfCrashing(run, now, out) || refuseIfEnding(run, now, out))
         return;
     if (run.awaitsRetryBudget)
         run.awaitsRetryBudget = !m_directory.find(run.service)->retryBudget.tryAcquire(1, now);
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -128,8 +128,8 @@
     void pauseServer(const BackendServerId& server, Duration pause, TimePoint now);
     bool refuseIfAllPaused(ForwardRun& run, TimePoint now, ForwardActions& out);
     bool refuseIfCrashing(ForwardRun& run, TimePoint now, ForwardActions& out);
-    bool isAnsweredBeforeEnd(const ForwardRun& run, Duration wait, TimePoint now) const;
-    bool refuseIfEnding(ForwardRun& run, Duration wait, TimePoint now, ForwardActions& out);
+    bool isAnsweredBeforeEnd(const ForwardRun& run, TimePoint now) const;
+    bool refuseIfEnding(ForwardRun& run, TimePoint now, ForwardActions& out);
     void start(ForwardRun& run, TimePoint now, ForwardActions& out);
     Duration timeSpentOnEarlierAttempts(const ForwardRun& run, TimePoint now);
     void chooseZone(ForwardRun& run);
