Setting for scheduling under overload; slowdown of servers is read

Cause: new decisions under overload must only apply where a deployment asks for them, and the fourth figure of the load that servers report was not read. Nothing depends on it yet.

--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -169,6 +169,16 @@
 struct ReportedLoad {
     std::uint32_t running = 0; ///< Calls in execution.
     std::uint32_t queued = 0; ///< Calls in the queue of the server.
+    /// @brief Time that work takes on the machine of the server now, relative to usual; empty if the server does not
+    /// report it.
+    std::optional<double> slowdown = std::nullopt;
+};
+
+/// @brief Where scheduling under overload and placement by shared load reports are on.
+enum class SchedulingMode {
+    Off,
+    On, ///< For all routes.
+    WhereReported, ///< For routes of a service whose servers report how slow their machines are.
 };
 
 /// @brief Options of request forwarding.
@@ -182,6 +192,7 @@
     bool batchAcrossInstances = true; ///< Disabled only to measure the effect of batches shared by instances.
     bool admissionControl = true; ///< Disabled only to measure the effect of early rejection.
     bool affinity = true; ///< Disabled only to measure the effect of cached prompts.
+    SchedulingMode scheduling = SchedulingMode::Off;
     bool hedging = true; ///< Hedged calls and failover of silent streams; disabled only to measure their effect.
     /// @brief Groups of pieces are numbered from here. Processes of the same instance need ranges that do not overlap:
     /// owners may still send results for groups of a process that has ended.
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -214,8 +214,20 @@
     if (run == nullptr)
         return;
     const auto* openCall = run->findCall(call);
-    if (auto* state = m_directory.find(run->service))
-        state->pool->onLoadReport(openCall->server, { load.running, load.queued, now });
+    auto* state = m_directory.find(run->service);
+    if (state == nullptr)
+        return;
+    state->reportsSlowdown = state->reportsSlowdown || load.slowdown;
+    state->pool->onLoadReport(openCall->server, { load.running, load.queued, now });
+}
+
+/// Returns true if scheduling under overload applies to requests for a service.
+bool RoutingForwarder::isScheduled(const ServiceId& service) const
+{
+    if (m_options.scheduling != SchedulingMode::WhereReported)
+        return m_options.scheduling == SchedulingMode::On;
+    const auto* state = m_directory.find(service);
+    return state != nullptr && state->reportsSlowdown;
 }
 
 void RoutingForwarder::onTimer(TimePoint now, ForwardActions& out)
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -114,6 +114,7 @@
     BatchQueue* findQueue(const ServiceId& id);
     void dispatchAll(TimePoint now, ForwardActions& out);
     void updateQueueShares(TimePoint now);
+    bool isScheduled(const ServiceId& service) const;
     ForwardRun* findRun(ForwardId id);
     ForwardRun* findRunOfCall(CallId call);
     void setTimer(TimePoint at, Timer timer) { m_timers.emplace(at, std::move(timer)); }
--- a/src/foxtailwheel/serving/ServerDirectory.cpp
+++ b/src/foxtailwheel/serving/ServerDirectory.cpp
@@ -67,7 +67,7 @@
     limits::SlidingWindowRetryBudget retryBudget(
         m_options.retryBudgetFraction, m_options.retryBudgetReserve, m_options.retryBudgetWindow);
     retryBudget.setInstanceCount(m_instanceCount);
-    return { std::move(pool), std::move(retryBudget), {}, {}, {}, {} };
+    return { std::move(pool), std::move(retryBudget), {}, {}, {}, {}, false };
 }
 
 void ServerDirectory::updateService(const config::RoutedService& service, ServiceState& state)
--- a/src/foxtailwheel/serving/ServerDirectory.h
+++ b/src/foxtailwheel/serving/ServerDirectory.h
@@ -18,6 +18,7 @@
     std::vector<AnnouncedServer> announced;
     std::string healthPath;
     TimePoint lastCheckAt {}; ///< Of any server of the service.
+    bool reportsSlowdown = false; ///< A server has reported how slow its machine is.
 };
 
 /// @brief Tracks the routed services, following the configuration and the announced servers.
