Admission under overload as decisions of their own: margins, spread retries, shares of accounts

Cause: callers that were refused in a burst were told nearly the same delay, returned to the same burst and were refused again; the burst of one account was at the expense of all. Change: package scheduling with OverloadPolicy, ReturnSchedule and AccountShares, used by the forwarder where scheduling is on. Elsewhere the decision is as before.

--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -19,7 +19,8 @@
 foxtailwheel_package(pipeline DEPENDS config)
 foxtailwheel_package(limits DEPENDS base)
 foxtailwheel_package(routing DEPENDS config)
-foxtailwheel_package(serving DEPENDS pipeline limits routing)
+foxtailwheel_package(scheduling DEPENDS base)
+foxtailwheel_package(serving DEPENDS pipeline limits routing scheduling)
 foxtailwheel_package(membership DEPENDS config)
 
 # Input and output.
--- a/src/foxtailwheel/serving/ForwardRequests.cpp
+++ b/src/foxtailwheel/serving/ForwardRequests.cpp
@@ -1,5 +1,6 @@
 #include "RoutingForwarder.h"
 #include "foxtailwheel/base/Hash.h"
+#include "foxtailwheel/scheduling/OverloadPolicy.h"
 
 #include <algorithm>
 #include <cmath>
@@ -250,8 +251,10 @@
 /// Predicts whether a request would time out: it is expected to miss its latency target, and pieces of late requests
 /// are not expected to complete before its deadline. Such a request is rejected before any work is done for it.
 /// @return The Retry-After hint, or nothing if the request should be accepted.
-std::optional<Duration> RoutingForwarder::retryAfterOverload(const ForwardRun& run, TimePoint now) const
+std::optional<Duration> RoutingForwarder::retryAfterOverload(const ForwardRun& run, TimePoint now)
 {
+    if (isScheduled(run.service))
+        return decideUnderOverload(run, now);
     const auto remainingToTarget = run.firstAttemptAt + run.route->latencyTarget - now;
     const auto stages = expectedTime(run, false, now);
     if (stages == Duration {} || stages + usualTimeToFirstByte(run) <= remainingToTarget)
@@ -263,6 +266,37 @@
     return std::clamp<Duration>(expected - remaining, minRetryAfter, std::max<Duration>(remaining / 3, minRetryAfter));
 }
 
+/// Like `retryAfterOverload`, with fair shares of the accounts, a smaller margin for retries, and retries that are
+/// spread over the time that callers wait.
+std::optional<Duration> RoutingForwarder::decideUnderOverload(const ForwardRun& run, TimePoint now)
+{
+    const scheduling::RequestForecast forecast { expectedTime(run, false, now), expectedTime(run, true, now),
+        usualTimeToFirstByte(run) };
+    const scheduling::RequestSituation situation { run.firstAttemptAt + run.route->latencyTarget - now,
+        run.remainingTime(now), run.firstAttemptAt < now, m_accountShares.isOverShare(run.account, now) };
+    const auto cost = serverSeconds(run);
+    const auto window = scheduling::decideAdmission(forecast, situation);
+    if (window)
+        return m_returns.assign(cost, window->earliest, window->latest, now);
+    m_accountShares.add(run.account, cost, now);
+    return std::nullopt;
+}
+
+/// Returns the time that a request is expected to take of its servers, in seconds, with its pieces in full calls.
+double RoutingForwarder::serverSeconds(const ForwardRun& run) const
+{
+    double seconds = toSeconds(usualTimeToFirstByte(run));
+    for (StageIndex i = 0; i < run.stages.size(); ++i) {
+        const auto* service = run.table->findService(run.route->stages[i].service);
+        if (service == nullptr || !service->batch)
+            continue;
+        const auto& batch = *service->batch;
+        seconds += static_cast<double>(run.stages[i].missing)
+            * (toSeconds(batch.callTime) / batch.maxPieces + toSeconds(batch.pieceTime));
+    }
+    return seconds;
+}
+
 void RoutingForwarder::onCallerDisconnected(ForwardId id, TimePoint now, ForwardActions& out)
 {
     auto* run = findRun(id);
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -3,6 +3,8 @@
 #include "ForwardRun.h"
 #include "ServerDirectory.h"
 #include "foxtailwheel/base/SmoothedLatency.h"
+#include "foxtailwheel/scheduling/AccountShares.h"
+#include "foxtailwheel/scheduling/ReturnSchedule.h"
 #include "foxtailwheel/serving/Forwarder.h"
 
 #include <map>
@@ -56,6 +58,7 @@
         , m_broker(
               m_options.pools.self, [this](const ServiceId& id) { return findQueue(id); }, m_options.decisionLog)
         , m_crashingParts(m_options.epoch)
+        , m_returns(m_options.pools.seed)
         , m_random(m_options.pools.seed)
         , m_nextGroupId(m_options.firstGroupId)
     {
@@ -135,7 +138,9 @@
     Duration timeSpentOnEarlierAttempts(const ForwardRun& run, TimePoint now);
     void chooseZone(ForwardRun& run);
     Duration expectedTime(const ForwardRun& run, bool late, TimePoint now) const;
-    std::optional<Duration> retryAfterOverload(const ForwardRun& run, TimePoint now) const;
+    std::optional<Duration> retryAfterOverload(const ForwardRun& run, TimePoint now);
+    std::optional<Duration> decideUnderOverload(const ForwardRun& run, TimePoint now);
+    double serverSeconds(const ForwardRun& run) const;
 
     void startStages(ForwardRun& run, TimePoint now, ForwardActions& out);
     void requestPieces(ForwardRun& run, StageIndex stage, TimePoint now, ForwardActions& out);
@@ -199,6 +204,8 @@
     std::size_t m_instanceCount = 1;
     bool m_accepting = true;
     TimePoint m_endsAt = TimePoint::max(); ///< End of the process, if it is known.
+    scheduling::ReturnSchedule m_returns;
+    scheduling::AccountShares m_accountShares;
     Random m_random;
     std::unordered_map<ForwardId, std::unique_ptr<ForwardRun>> m_runs;
     std::unordered_map<CallId, ForwardId> m_calls;
