Drained zones: their servers get no calls of any kind

Operators had no way to take the servers of a zone out of service at once; servers had to be marked as draining one by one.

ServerDirectory gives the servers of these zones to the pools as leaving, so they are in no subset: requests, hedges, retries, resumed streams, batches and checks all choose from it. Pieces that wait for a zone without servers cross to others at once, calls in progress there notwithstanding. Releases for these servers are dropped. A request that needs a service whose servers are all in drained zones is refused at once (zones_drained, Retry-After 1 s).

routing/ZoneRamp gives restored zones their traffic in 16 steps over 4 s, by the hash of the affinity key where there is one. For batches the number of servers grows instead, as a batch queue has to know the free servers before it chooses the pieces.

--- a/include/foxtailwheel/daemon/ForwardService.h
+++ b/include/foxtailwheel/daemon/ForwardService.h
@@ -39,6 +39,8 @@
     void configure(std::shared_ptr<const config::RouteTable> table);
     /// @brief Sets the announced backend servers.
     void setServers(const std::vector<serving::AnnouncedServer>& servers);
+    /// @brief Replaces the drained zones, whose servers get no calls.
+    void setDrainedZones(const std::set<AvailabilityZoneId>& zones);
     /// @brief Confirms that version `configVersion` and its credentials were current at `asOf`; false if a newer one is
     /// active.
     bool confirmCredentials(std::uint64_t configVersion, TimePoint asOf);
--- a/include/foxtailwheel/routing/ServerPool.h
+++ b/include/foxtailwheel/routing/ServerPool.h
@@ -6,6 +6,7 @@
 #include "foxtailwheel/routing/LoadEstimate.h"
 #include "foxtailwheel/routing/PrefixIndex.h"
 #include "foxtailwheel/routing/ServerHealth.h"
+#include "foxtailwheel/routing/ZoneRamp.h"
 
 #include <map>
 #include <memory>
@@ -95,6 +96,9 @@
     void onCacheEvent(const BackendServerId& server, const CacheEvent& event);
     /// @brief Sets the servers that are leaving and receive no new calls; replaces the previous set.
     void setLeaving(const std::set<BackendServerId>& leaving);
+    /// @brief Sets when zones were restored; their servers get their traffic in steps (see `ZoneRamp`), unless no other
+    /// server is usable.
+    void setRestoredZones(std::map<AvailabilityZoneId, TimePoint> restoredAt);
     /// @brief Sends no calls to a server for `time`, since it asked for that. Calls in progress go on.
     /// @return The time for which it gets none, 10 minutes at most: what it asked for may be a mistake.
     Duration pause(const BackendServerId& server, Duration time, TimePoint now);
--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -104,6 +104,7 @@
     NoServer,
     Overloaded,
     StageFailed,
+    ZonesDrained, ///< All servers of a service that the request needs are in drained zones.
     ServersPaused, ///< All servers of the service asked to be left alone for a while.
     CrashesServers, ///< The prompt has a part on which servers crash.
     NotStarted, ///< The backend servers reported that they did not start the request.
@@ -215,6 +216,9 @@
     virtual std::shared_ptr<const config::RouteTable> table() const = 0;
     /// @brief Replaces the set of announced backend servers.
     virtual void setServers(const std::vector<AnnouncedServer>& servers, TimePoint now, ForwardActions& out) = 0;
+    /// @brief Replaces the drained zones. Their servers get no calls of any kind; calls in progress there go on.
+    virtual void setDrainedZones(std::set<AvailabilityZoneId> zones, TimePoint now, ForwardActions& out) = 0;
+    virtual bool isDrained(const AvailabilityZoneId& zone) const = 0;
     /// @brief Handles what a server said about itself with any response, at its head.
     virtual void onServerSignal(
         const config::BackendServer& server, const ServerSignal& signal, TimePoint now, ForwardActions& out)
--- a/include/foxtailwheel/serving/ReleaseQueue.h
+++ b/include/foxtailwheel/serving/ReleaseQueue.h
@@ -19,6 +19,8 @@
     using PausedUntil = std::function<std::optional<TimePoint>(const ServiceId&, const BackendServerId&)>;
 
     void add(const ReleaseResults& release, TimePoint now);
+    /// @brief Drops the releases for servers in zones for which `isDrained` is true: results expire by themselves.
+    void dropIf(const std::function<bool(const AvailabilityZoneId&)>& isDrained);
     /// @brief Removes and returns the releases that can be sent now. Those for a server that is paused for longer than
     /// results last are dropped.
     std::vector<ReleaseResults> takeDue(TimePoint now, const PausedUntil& pausedUntil);
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -358,6 +358,7 @@
     const auto pausedUntil = [&](const ServiceId& service, const BackendServerId& server) {
         return forwarder->pausedUntil(service, server, now);
     };
+    releases.dropIf([&](const AvailabilityZoneId& zone) { return forwarder->isDrained(zone); });
     for (const auto& it : releases.takeDue(now, pausedUntil)) {
         const auto& server = it.producer;
         http::CallCallbacks callbacks;
@@ -398,6 +399,8 @@
         return;
     if (reply.retryAfter > Duration {})
         protocol.addRetryAfter(reply.response, reply.retryAfter);
+    if (reply.outcome != serving::ForwardOutcome::Answered && reply.response.status == 503)
+        metrics.increment("foxtailwheel_calls_refused_total", { { "reason", std::string(toString(reply.outcome)) } });
     it->second.responder->respond(std::move(reply.response));
     endSession(reply.request, reply.outcome);
 }
@@ -510,6 +513,14 @@
     m_impl->executeAll(std::move(actions));
 }
 
+void ForwardService::setDrainedZones(const std::set<AvailabilityZoneId>& zones)
+{
+    m_impl->metrics.setGauge("foxtailwheel_zones_drained", {}, static_cast<double>(zones.size()));
+    serving::ForwardActions actions;
+    m_impl->forwarder->setDrainedZones(zones, m_impl->clock.now(), actions);
+    m_impl->executeAll(std::move(actions));
+}
+
 bool ForwardService::confirmCredentials(std::uint64_t configVersion, TimePoint asOf)
 {
     return m_impl->forwarder->confirmCredentials(configVersion, asOf);
--- a/src/foxtailwheel/routing/ServerPool.cpp
+++ b/src/foxtailwheel/routing/ServerPool.cpp
@@ -82,6 +82,8 @@
     Candidate makeCandidate(std::size_t index, const PlacementRequest& request, TimePoint now) const;
     void collectCandidates(const PlacementRequest& request, bool applyAvoid, TimePoint now);
     void keepCandidatesInZone(const AvailabilityZoneId& zone);
+    void keepAdmittedCandidates(const PlacementRequest& request, TimePoint now);
+    bool isAdmitted(const Server& server, TimePoint now) const;
     std::size_t pickServer(const PlacementRequest& request, TimePoint now);
     std::size_t pickByAffinity(std::uint64_t affinity, TimePoint now) const;
     Server* find(const BackendServerId& id);
@@ -97,6 +99,7 @@
     std::vector<std::size_t> subset;
     std::vector<Candidate> candidates;
     std::set<BackendServerId> leaving;
+    ZoneRamp ramp;
     LatencyHistogram times;
     double meanCallSeconds = 0;
     double activeServers = 0;
@@ -203,6 +206,27 @@
         std::erase_if(candidates, [&](const Candidate& it) { return !isInZone(it); });
 }
 
+/// Returns whether a server in a restored zone takes batches. The number of these servers grows evenly, since a batch
+/// queue has to know the free servers before it chooses the pieces of a call.
+bool ServerPool::Impl::isAdmitted(const Server& server, TimePoint now) const
+{
+    return ramp.admits(server.declared.zone, hashOf(server.declared.id.value()), now);
+}
+
+/// Removes the candidates in restored zones that do not take this request yet, unless that would remove all.
+void ServerPool::Impl::keepAdmittedCandidates(const PlacementRequest& request, TimePoint now)
+{
+    if (!ramp.isActive(now))
+        return;
+    const auto key = request.affinityKey.value_or(random.next());
+    const auto admitted = [&](const Candidate& it) {
+        const auto& server = servers[it.server];
+        return request.maxOwnCalls ? isAdmitted(server, now) : ramp.admits(server.declared.zone, key, now);
+    };
+    if (std::any_of(candidates.begin(), candidates.end(), admitted))
+        std::erase_if(candidates, [&](const Candidate& it) { return !admitted(it); });
+}
+
 std::size_t ServerPool::Impl::pickServer(const PlacementRequest& request, TimePoint now)
 {
     if (request.affinityKey)
@@ -305,6 +329,7 @@
         m_impl->collectCandidates(request, false, now);
     if (m_impl->candidates.empty())
         return std::nullopt;
+    m_impl->keepAdmittedCandidates(request, now);
     if (request.preferredZone)
         m_impl->keepCandidatesInZone(*request.preferredZone);
     const auto index = m_impl->pickServer(request, now);
@@ -367,6 +392,12 @@
     m_impl->rebuildSubset();
 }
 
+void ServerPool::setRestoredZones(std::map<AvailabilityZoneId, TimePoint> restoredAt)
+{
+    const std::lock_guard lock(m_impl->mutex);
+    m_impl->ramp.setRestored(std::move(restoredAt));
+}
+
 Duration ServerPool::pause(const BackendServerId& id, Duration time, TimePoint now)
 {
     const auto accepted = std::min(time, maxPause);
@@ -460,12 +491,13 @@
 {
     const std::lock_guard lock(m_impl->mutex);
     std::vector<config::BackendServer> available;
+    std::vector<config::BackendServer> notAdmitted;
     for (const auto index : m_impl->subset) {
         const auto& server = m_impl->servers[index];
         if (server.health.isUsable(now, server.load.ownCalls()) && server.load.ownCalls() < maxOwnCalls)
-            available.push_back(server.declared);
+            (m_impl->isAdmitted(server, now) ? available : notAdmitted).push_back(server.declared);
     }
-    return available;
+    return available.empty() ? notAdmitted : available;
 }
 
 std::map<AvailabilityZoneId, std::size_t> ServerPool::serversByZone() const
--- a/src/foxtailwheel/serving/BatchPlacement.cpp
+++ b/src/foxtailwheel/serving/BatchPlacement.cpp
@@ -58,8 +58,10 @@
     std::set<BackendServerId> known;
     for (const auto& it : free)
         known.insert(it.id);
+    // Calls in progress in a drained zone go on, but the zone takes no further pieces.
+    const auto zonesInUse = pool.serversByZone();
     for (const auto& [server, end] : calls.lastEndTimes()) {
-        if (!known.contains(server.id))
+        if (!known.contains(server.id) && zonesInUse.contains(server.zone))
             zones.addServer(server.zone, std::max(end, now));
     }
     ArrivalNumbers crossing;
--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -68,7 +68,8 @@
     }
     if (refuseIfCrashing(run, now, out) || refuseIfEnding(run, now, out))
         return;
-    if (!trySend(run, !run.triedServers.empty(), now, out) && !refuseIfAllPaused(run, now, out))
+    if (!trySend(run, !run.triedServers.empty(), now, out) && !refuseIfDrained(run, now, out)
+        && !refuseIfAllPaused(run, now, out))
         setTimer(now + serverRetryInterval, { TimerKind::FindServer, run.id, {}, {} });
 }
 
--- /dev/null
+++ b/src/foxtailwheel/serving/ForwardDrainTest.cpp
@@ -0,0 +1,227 @@
+#include "foxtailwheel/serving/Forwarder.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+
+using namespace foxtailwheel;
+using namespace std::chrono_literals;
+using namespace foxtailwheel::serving;
+
+namespace {
+
+constexpr TimePoint start { 1h };
+const std::set<AvailabilityZoneId> zoneB { AvailabilityZoneId("b") };
+
+AnnouncedServer server(const std::string& id, const std::string& service, const std::string& zone)
+{
+    static std::uint16_t port = 9000;
+    return { { BackendServerId(id), "127.0.0.1", ++port, AvailabilityZoneId(zone) }, ServiceId(service), false, 6 };
+}
+
+/// A service with a stage service; each has servers in the zones a and b.
+struct DrainFixture {
+    DrainFixture()
+    {
+        ForwarderOptions options;
+        options.pools.self = InstanceId("i");
+        options.pools.zone = AvailabilityZoneId("a");
+        forwarder = Forwarder::create(options);
+        auto table = std::make_shared<config::RouteTable>();
+        table->version = 1;
+        config::Route route;
+        route.host = "h";
+        route.prefix = "/";
+        route.retryMode = config::RetryMode::Allowed;
+        route.streaming = route.resumable = true;
+        route.timeout = 8s;
+        route.latencyTarget = 4s;
+        route.prefixAffinity = true;
+        route.isPublic = true;
+        route.maxCallsPerRequest = 3;
+        route.targets = { { ServiceId("model"), 1 } };
+        route.stages = { { ServiceId("portal"), {}, 1000 } };
+        table->routes = { route };
+        table->services = { { ServiceId("model"), std::nullopt, 64, 1000 },
+            { ServiceId("portal"), config::BatchLimits { 1, 2, 10, 200ms, 17ms, 4s, 0 }, 0, 0 } };
+        table->buildIndex();
+        act([&](auto& out) { forwarder->configure(table, start, out); });
+        setServers({ server("m1", "model", "a"), server("m2", "model", "b"), server("p1", "portal", "a"),
+            server("p2", "portal", "b") });
+    }
+
+    void setServers(const std::vector<AnnouncedServer>& servers)
+    {
+        act([&](auto& out) { forwarder->setServers(servers, start, out); });
+    }
+
+    void drain(const std::set<AvailabilityZoneId>& zones, TimePoint now = start)
+    {
+        act([&](auto& out) { forwarder->setDrainedZones(zones, now, out); });
+    }
+
+    void submit(TimePoint now, std::uint32_t pieces = 0, std::uint64_t prompt = 0)
+    {
+        ForwardRequest request;
+        request.attemptId = "r" + std::to_string(++count);
+        request.host = "h";
+        request.message = { "POST", "/", {}, {} };
+        request.pieceCounts = { pieces };
+        request.prompt = { { PromptPartId(prompt), 10 }, { PromptPartId(count), 1 } };
+        const auto id = forwarder->allocateRequestId();
+        act([&](auto& out) { forwarder->submit(id, std::move(request), now, out); });
+    }
+
+    void runTimers(TimePoint until)
+    {
+        while (forwarder->nextTimerAt() <= until) {
+            const auto at = forwarder->nextTimerAt();
+            act([&](auto& out) { forwarder->onTimer(at, out); });
+        }
+    }
+
+    void act(const std::function<void(ForwardActions&)>& work)
+    {
+        ForwardActions actions;
+        work(actions);
+        for (auto& it : actions) {
+            if (auto* send = std::get_if<SendUpstreamRequest>(&it))
+                sent.push_back(*send);
+            else if (auto* batch = std::get_if<SendBatch>(&it))
+                batches.push_back(*batch);
+            else if (auto* reply = std::get_if<SendResponse>(&it))
+                replies.push_back(*reply);
+        }
+    }
+
+    std::size_t countSentTo(const std::string& zone) const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            sent.begin(), sent.end(), [&](const auto& it) { return it.server.zone == AvailabilityZoneId(zone); }));
+    }
+
+    std::unique_ptr<Forwarder> forwarder;
+    std::size_t count = 0;
+    std::vector<SendUpstreamRequest> sent;
+    std::vector<SendBatch> batches;
+    std::vector<SendResponse> replies;
+};
+
+} // namespace
+
+// Fails if a request, a hedge or a batch goes to a server of a drained zone.
+Test(ForwardDrain, drainedZoneGetsNoCalls)
+{
+    DrainFixture fixture;
+    fixture.drain(zoneB);
+    for (int i = 0; i < 20; ++i)
+        fixture.submit(start, i % 2 == 0 ? 4 : 0, static_cast<std::uint64_t>(i));
+    fixture.runTimers(start + 2s);
+    cr_assert_eq(fixture.sent.size(), 10);
+    cr_assert_eq(fixture.countSentTo("b"), 0);
+    cr_assert_geq(fixture.batches.size(), 1);
+    for (const auto& it : fixture.batches)
+        cr_assert_eq(it.server.zone.value(), "a");
+}
+
+// Fails if a silent stream is resumed in a zone that was drained after it had begun.
+Test(ForwardDrain, streamIsNotResumedInADrainedZone)
+{
+    DrainFixture fixture;
+    fixture.setServers({ server("m1", "model", "a"), server("m2", "model", "b"), server("m3", "model", "a") });
+    fixture.submit(start);
+    const auto call = fixture.sent.at(0).call;
+    fixture.act([&](auto& out) { fixture.forwarder->onResponseHead(call, { 200, {}, {} }, start + 10ms, out); });
+    const auto first = fixture.sent[0].server.zone;
+    fixture.drain({ first });
+    fixture.runTimers(start + 5s);
+    cr_assert_eq(fixture.sent.size(), 2);
+    cr_assert_neq(fixture.sent[1].server.zone, first);
+}
+
+// Fails if requests wait although no server can serve them, for their service itself or for one of their stages.
+Test(ForwardDrain, requestIsRefusedAtOnceIfAllItsServersAreDrained)
+{
+    DrainFixture fixture;
+    fixture.setServers({ server("m1", "model", "a"), server("m2", "model", "b"), server("p2", "portal", "b") });
+    fixture.drain(zoneB);
+    fixture.submit(start, 4);
+    cr_assert_eq(fixture.replies.size(), 1);
+    fixture.submit(start, 0);
+    cr_assert_eq(fixture.replies.size(), 1, "it needs no stage");
+    fixture.drain({ AvailabilityZoneId("a"), AvailabilityZoneId("b") });
+    fixture.submit(start, 0);
+    cr_assert_eq(fixture.replies.size(), 2);
+    for (const auto& it : fixture.replies) {
+        cr_assert(it.outcome == ForwardOutcome::ZonesDrained);
+        cr_assert_eq(it.response.status, 503);
+        cr_assert_eq(it.retryAfter, 1s);
+    }
+}
+
+// Fails if a request that waits for a server keeps on waiting after the zone of all servers was drained.
+Test(ForwardDrain, waitingRequestIsRefused)
+{
+    DrainFixture fixture;
+    fixture.setServers({ server("m2", "model", "b") });
+    fixture.submit(start);
+    const auto call = fixture.sent.at(0).call;
+    fixture.act([&](auto& out) { fixture.forwarder->onCallEnd(call, ForwardCallOutcome::NotSent, {}, start, out); });
+    fixture.drain(zoneB, start + 5ms);
+    fixture.runTimers(start + 50ms);
+    cr_assert_eq(fixture.sent.size(), 1);
+    cr_assert_eq(fixture.replies.size(), 1);
+    cr_assert(fixture.replies[0].outcome == ForwardOutcome::ZonesDrained);
+}
+
+// Fails if pieces that wait for servers of a zone stay with them when it is drained.
+Test(ForwardDrain, waitingPiecesMoveToOtherZones)
+{
+    DrainFixture fixture;
+    for (std::uint64_t i = 0; i < 12; ++i)
+        fixture.submit(start, 10, i);
+    const auto first = fixture.batches;
+    cr_assert_geq(first.size(), 2, "both zones are used");
+    fixture.drain(zoneB, start + 10ms);
+    for (std::size_t i = 0; i < fixture.batches.size() && i < 40; ++i) {
+        const auto batch = fixture.batches[i];
+        std::vector<PieceResult> results(batch.pieces.size(), ResultHandle { "h" + std::to_string(i), batch.server });
+        const auto now = start + 300ms + 20ms * i;
+        fixture.act(
+            [&](auto& out) { fixture.forwarder->onBatchEnd(batch.call, BatchOutcome::Answered, results, now, out); });
+        fixture.runTimers(now);
+    }
+    cr_assert_eq(fixture.batches.size(), 12);
+    for (std::size_t i = first.size(); i < fixture.batches.size(); ++i)
+        cr_assert_eq(fixture.batches[i].server.zone.value(), "a");
+}
+
+// Fails if a restored zone gets all of its traffic at once, or a key moves to it and away again.
+Test(ForwardDrain, restoredZoneGetsItsTrafficInSteps)
+{
+    DrainFixture fixture;
+    fixture.drain(zoneB);
+    fixture.drain({}, start + 1s);
+    std::set<std::uint64_t> moved;
+    std::vector<std::size_t> shares;
+    for (const auto after : { 100ms, 1100ms, 2100ms, 3100ms, 4100ms }) {
+        std::size_t inZone = 0;
+        for (std::uint64_t key = 0; key < 200; ++key) {
+            fixture.submit(start + 1s + after, 0, key);
+            const auto& sent = fixture.sent.back();
+            fixture.act([&](auto& out) {
+                fixture.forwarder->onCallEnd(
+                    sent.call, ForwardCallOutcome::Complete, { 200, {}, {} }, start + 1s + after, out);
+            });
+            const bool isInZone = sent.server.zone == AvailabilityZoneId("b");
+            cr_assert(isInZone || !moved.contains(key), "key %lu moved back", key);
+            if (isInZone)
+                moved.insert(key);
+            inZone += isInZone ? 1 : 0;
+        }
+        shares.push_back(inZone);
+    }
+    cr_assert(std::is_sorted(shares.begin(), shares.end()));
+    cr_assert_leq(shares[0], 20);
+    cr_assert(shares[2] >= 30 && shares[2] <= 80, "%zu", shares[2]);
+    cr_assert_geq(shares[4], 70);
+}
--- a/src/foxtailwheel/serving/ForwardNames.cpp
+++ b/src/foxtailwheel/serving/ForwardNames.cpp
@@ -46,6 +46,8 @@
         return "overloaded";
     case ForwardOutcome::StageFailed:
         return "stage_failed";
+    case ForwardOutcome::ZonesDrained:
+        return "zones_drained";
     case ForwardOutcome::ServersPaused:
         return "servers_paused";
     case ForwardOutcome::CrashesServers:
--- a/src/foxtailwheel/serving/ForwardRequests.cpp
+++ b/src/foxtailwheel/serving/ForwardRequests.cpp
@@ -183,9 +183,9 @@
         run.stages[i].missing = n;
     }
     setTimer(run.deadline, { TimerKind::Deadline, run.id, {}, {} });
-    if (refuseIfEnding(run, now, out))
+    if (refuseIfEnding(run, now, out) || refuseIfDrained(run, now, out))
         return;
-    chooseZone(run);
+    chooseZone(run, now);
     if (const auto retryAfter = retryAfterOverload(run, now); m_options.admissionControl && retryAfter) {
         logDecision(run, "overload_foreseen",
             { { "goal_left_ms", formatInteger(toMilliseconds(run.firstAttemptAt + route.latencyTarget - now)) },
@@ -219,7 +219,7 @@
 
 /// Picks the zone in which the request and its stages should run, since transfers of results between zones are costly.
 /// Zones are weighted by the number of servers of the route's scarcest stage there.
-void RoutingForwarder::chooseZone(ForwardRun& run)
+void RoutingForwarder::chooseZone(ForwardRun& run, TimePoint now)
 {
     const auto affinity = affinityOf(run);
     if (!affinity || run.stages.empty())
@@ -227,7 +227,11 @@
     std::vector<ServiceId> stages;
     for (const auto& it : run.route->stages)
         stages.push_back(it.service);
-    run.homeZone = pickZone(m_directory.zoneShares(stages, run.service), *affinity);
+    auto shares = m_directory.zoneShares(stages, run.service);
+    if (std::any_of(shares.begin(), shares.end(),
+            [&](const auto& it) { return m_directory.ramp().admits(it.first, *affinity, now); }))
+        std::erase_if(shares, [&](const auto& it) { return !m_directory.ramp().admits(it.first, *affinity, now); });
+    run.homeZone = pickZone(shares, *affinity);
 }
 
 /// Returns the expected time until all stages are done: the longest path through the stages at the current queue
--- a/src/foxtailwheel/serving/ForwardStages.cpp
+++ b/src/foxtailwheel/serving/ForwardStages.cpp
@@ -149,6 +149,8 @@
 void RoutingForwarder::submitGroup(
     ForwardRun& run, StageIndex stage, PieceGroup group, TimePoint now, ForwardActions& out)
 {
+    if (m_directory.isDrained(run.route->stages[stage].service) && refuseDrained(run, now, out))
+        return;
     group.id = PieceGroupId(m_nextGroupId++);
     run.stages[stage].groups.push_back(group.id);
     m_groups[group.id] = { run.id, stage };
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -279,7 +279,7 @@
     if (run.awaitsRetryBudget)
         run.awaitsRetryBudget = !m_directory.find(run.service)->retryBudget.tryAcquire(1, now);
     const bool sent = !run.awaitsRetryBudget && trySend(run, !run.triedServers.empty(), now, out);
-    if (sent || refuseIfAllPaused(run, now, out))
+    if (sent || refuseIfDrained(run, now, out) || refuseIfAllPaused(run, now, out))
         return;
     const auto waitsUntil
         = run.headSent ? resumableUntil(run) : run.acceptedAt + std::max(serverWaitTimeout, run.route->latencyTarget);
--- a/src/foxtailwheel/serving/ReleaseQueue.cpp
+++ b/src/foxtailwheel/serving/ReleaseQueue.cpp
@@ -29,6 +29,11 @@
     handles.insert(handles.end(), release.handles.begin(), release.handles.end());
 }
 
+void ReleaseQueue::dropIf(const std::function<bool(const AvailabilityZoneId&)>& isDrained)
+{
+    std::erase_if(m_entries, [&](const auto& it) { return isDrained(it.second.release.producer.zone); });
+}
+
 std::vector<ReleaseResults> ReleaseQueue::takeDue(TimePoint now, const PausedUntil& pausedUntil)
 {
     std::vector<ReleaseResults> due;
--- a/src/foxtailwheel/serving/ReleaseQueueTest.cpp
+++ b/src/foxtailwheel/serving/ReleaseQueueTest.cpp
@@ -52,3 +52,17 @@
     cr_assert_eq(later[0].handles.size(), 2);
     cr_assert(!queue.nextDueAt());
 }
+
+// Fails if a release, which is a call as well, goes to a server of a drained zone.
+Test(ReleaseQueue, releasesForDrainedZonesAreDropped)
+{
+    serving::ReleaseQueue queue;
+    auto drained = makeRelease("p1", 1, "a");
+    drained.producer.zone = AvailabilityZoneId("b");
+    queue.add(drained, start);
+    queue.add(makeRelease("p2", 2, "b"), start);
+    queue.dropIf([](const AvailabilityZoneId& zone) { return zone == AvailabilityZoneId("b"); });
+    const auto due = queue.takeDue(start + 1s, [](const auto&, const auto&) { return std::nullopt; });
+    cr_assert_eq(due.size(), 1);
+    cr_assert_eq(due[0].producer.port, 2);
+}
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -47,7 +47,7 @@
 /// @brief Implementation of `Forwarder`.
 ///
 /// The methods are split by concern: ForwardRequests.cpp (admission and completion), ForwardStages.cpp,
-/// ForwardCalls.cpp, Forwarder.cpp (configuration, members and timers).
+/// ForwardCalls.cpp, ForwardDrain.cpp (drained zones), Forwarder.cpp (configuration, members and timers).
 class RoutingForwarder final : public Forwarder {
 public:
     explicit RoutingForwarder(ForwarderOptions options)
@@ -76,6 +76,8 @@
         const config::BackendServer& server, const ServerSignal& signal, TimePoint now, ForwardActions& out) override;
     std::optional<TimePoint> pausedUntil(
         const ServiceId& service, const BackendServerId& server, TimePoint now) const override;
+    void setDrainedZones(std::set<AvailabilityZoneId> zones, TimePoint now, ForwardActions& out) override;
+    bool isDrained(const AvailabilityZoneId& zone) const override { return m_directory.drainedZones().contains(zone); }
     void onServerChecked(const CheckServer& check, bool passed, TimePoint now) override;
     void onServerLeaving(const LeavingServer& server, TimePoint now) override;
     void setCrashRecords(const std::vector<CrashRecord>& records, TimePoint now) override
@@ -127,12 +129,15 @@
     void checkSuspectedServer(const ServiceId& service, TimePoint now, ForwardActions& out);
     void pauseServer(const BackendServerId& server, Duration pause, TimePoint now);
     bool refuseIfAllPaused(ForwardRun& run, TimePoint now, ForwardActions& out);
+    bool needsDrainedService(const ForwardRun& run) const;
+    bool refuseDrained(ForwardRun& run, TimePoint now, ForwardActions& out);
+    bool refuseIfDrained(ForwardRun& run, TimePoint now, ForwardActions& out);
     bool refuseIfCrashing(ForwardRun& run, TimePoint now, ForwardActions& out);
     bool isAnsweredBeforeEnd(const ForwardRun& run, TimePoint now) const;
     bool refuseIfEnding(ForwardRun& run, TimePoint now, ForwardActions& out);
     void start(ForwardRun& run, TimePoint now, ForwardActions& out);
     Duration timeSpentOnEarlierAttempts(const ForwardRun& run, TimePoint now);
-    void chooseZone(ForwardRun& run);
+    void chooseZone(ForwardRun& run, TimePoint now);
     Duration expectedTime(const ForwardRun& run, bool late, TimePoint now) const;
     std::optional<Duration> retryAfterOverload(const ForwardRun& run, TimePoint now) const;
 
--- a/src/foxtailwheel/serving/ServerDirectory.cpp
+++ b/src/foxtailwheel/serving/ServerDirectory.cpp
@@ -64,6 +64,7 @@
 ServiceState ServerDirectory::makeState(const config::RoutedService& service)
 {
     auto pool = routing::ServerPool::create(toService(service, {}), {}, m_options.pools);
+    pool->setRestoredZones(m_restoredAt);
     limits::SlidingWindowRetryBudget retryBudget(
         m_options.retryBudgetFraction, m_options.retryBudgetReserve, m_options.retryBudgetWindow);
     retryBudget.setInstanceCount(m_instanceCount);
@@ -93,7 +94,7 @@
 {
     std::set<BackendServerId> leaving;
     for (const auto& it : m_announced[id]) {
-        if (isLeaving(it))
+        if (isLeaving(it) || m_drainedZones.contains(it.server.zone))
             leaving.insert(it.server.id);
     }
     m_services.at(id).pool->setLeaving(leaving);
@@ -202,6 +203,37 @@
     }
 }
 
+void ServerDirectory::setDrainedZones(std::set<AvailabilityZoneId> zones, TimePoint now)
+{
+    std::erase_if(m_restoredAt, [&zones](const auto& it) { return zones.contains(it.first); });
+    for (const auto& it : m_drainedZones) {
+        if (!zones.contains(it))
+            m_restoredAt[it] = now;
+    }
+    m_drainedZones = std::move(zones);
+    m_ramp.setRestored(m_restoredAt);
+    for (auto& [id, state] : m_services) {
+        state.pool->setRestoredZones(m_restoredAt);
+        updateLeaving(id);
+    }
+}
+
+bool ServerDirectory::isDrained(const ServiceId& service) const
+{
+    const auto found = m_announced.find(service);
+    if (m_drainedZones.empty() || found == m_announced.end())
+        return false;
+    bool hasReadyServers = false;
+    for (const auto& it : found->second) {
+        if (isLeaving(it))
+            continue;
+        if (!m_drainedZones.contains(it.server.zone))
+            return false;
+        hasReadyServers = true;
+    }
+    return hasReadyServers;
+}
+
 void ServerDirectory::setInstanceCount(std::size_t n)
 {
     m_instanceCount = std::max<std::size_t>(1, n);
--- a/src/foxtailwheel/serving/ServerDirectory.h
+++ b/src/foxtailwheel/serving/ServerDirectory.h
@@ -38,6 +38,14 @@
     /// @brief Stops new calls to a server until another process is announced under its id.
     /// @return False if it was known to be leaving.
     bool markLeaving(const LeavingServer& server, TimePoint now);
+    /// @brief Sets the drained zones, whose servers get no new calls. Zones that are no longer among them count as
+    /// restored now.
+    void setDrainedZones(std::set<AvailabilityZoneId> zones, TimePoint now);
+    const std::set<AvailabilityZoneId>& drainedZones() const { return m_drainedZones; }
+    /// @brief Returns true if all servers of a service that are not leaving are in drained zones; false if it has none.
+    bool isDrained(const ServiceId& service) const;
+    /// @brief Returns the traffic of restored zones.
+    const routing::ZoneRamp& ramp() const { return m_ramp; }
     /// @brief Sets the number of live instances, which share the retry budgets.
     void setInstanceCount(std::size_t n);
 
@@ -71,6 +79,9 @@
         std::optional<config::BackendServer> server; ///< As it was announced then.
     };
     std::map<BackendServerId, LeavingMark> m_leaving; ///< By their own word, not by their entry.
+    std::set<AvailabilityZoneId> m_drainedZones;
+    std::map<AvailabilityZoneId, TimePoint> m_restoredAt;
+    routing::ZoneRamp m_ramp;
     std::size_t m_instanceCount = 1;
 };
 
