Waiting requests of a service are sent in one order where scheduling is on

Cause: requests without a usable server polled every 25 ms, each for itself, so whichever asked first got a server that became free; those that could no longer be answered waited until their latency target had passed. Change: scheduling/RequestQueue orders them by priority, timeliness and target time; one timer of the service, or the end of a call, sends them. Requests that can't be answered before their deadline are refused at once.

--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -70,7 +70,7 @@
         return;
     if (!trySend(run, !run.triedServers.empty(), now, out) && !refuseIfDrained(run, now, out)
         && !refuseIfAllPaused(run, now, out))
-        setTimer(now + serverRetryInterval, { TimerKind::FindServer, run.id, {}, {} });
+        awaitServer(run, serverRetryInterval, now);
 }
 
 /// Sends the request to a server, preferably one that it was not sent to before. Returns false if none is available.
@@ -131,6 +131,10 @@
         out.emplace_back(CancelUpstreamRequest { call });
     m_calls.erase(call);
     run.calls.erase(it);
+    // The place of the call is free for the next request that waits.
+    if (const auto queue = m_waitingRequests.find(run.service);
+        queue != m_waitingRequests.end() && !queue->second.empty())
+        scheduleServing(run.service, now);
 }
 
 void RoutingForwarder::logHealthChange(
@@ -372,7 +376,7 @@
     if (!rejectedOften && !run.awaitsRetryBudget)
         sendRequest(run, now, out);
     else if (mayWait)
-        setTimer(now + failoverRetryInterval, { TimerKind::FindServer, run.id, {}, {} });
+        awaitServer(run, failoverRetryInterval, now);
     else
         fail(run, run.mayHaveRun ? ForwardOutcome::BackendFailed : ForwardOutcome::NotStarted, now, out);
 }
--- a/src/foxtailwheel/serving/ForwardRequests.cpp
+++ b/src/foxtailwheel/serving/ForwardRequests.cpp
@@ -362,6 +362,8 @@
     }
     if (run.route != nullptr)
         cancelStages(run, now, out);
+    if (const auto queue = m_waitingRequests.find(run.service); queue != m_waitingRequests.end())
+        queue->second.remove(id.value());
     m_partialEventBytes -= run.eventSplitter.partialBytes();
     m_runs.erase(id);
 }
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -251,6 +251,11 @@
         applyBrokerActions(std::move(actions), now, out);
         return;
     }
+    if (timer.kind == TimerKind::ServeWaiting) {
+        if (const auto it = m_servingTimers.find(timer.service); it != m_servingTimers.end() && it->second <= now)
+            serveWaiting(timer.service, now, out);
+        return;
+    }
     auto* run = findRun(timer.run);
     if (run == nullptr)
         return;
@@ -263,7 +268,8 @@
     case TimerKind::FindServer:
         if (!run->calls.empty() || !run->allStagesDone())
             return;
-        findServer(*run, timer, now, out);
+        if (findServer(*run, now, out))
+            awaitServer(*run, serverRetryInterval, now);
         return;
     case TimerKind::Hedge:
         if (call == nullptr || call->headReceived || run->possibleExecutions >= run->route->maxCallsPerRequest)
@@ -279,26 +285,70 @@
             checkStreamSilence(*run, timer, now, out);
         return;
     case TimerKind::Dispatch:
+    case TimerKind::ServeWaiting:
         return;
     }
 }
 
 /// Sends a request that waits for a server or for the retry budget, or ends its wait.
-void RoutingForwarder::findServer(ForwardRun& run, const Timer& timer, TimePoint now, ForwardActions& out)
+/// @return True if it still waits.
+bool RoutingForwarder::findServer(ForwardRun& run, TimePoint now, ForwardActions& out)
 {
     if (refuseIfCrashing(run, now, out) || refuseIfEnding(run, now, out))
-        return;
+        return false;
     if (run.awaitsRetryBudget)
         run.awaitsRetryBudget = !m_directory.find(run.service)->retryBudget.tryAcquire(1, now);
     const bool sent = !run.awaitsRetryBudget && trySend(run, !run.triedServers.empty(), now, out);
     if (sent || refuseIfDrained(run, now, out) || refuseIfAllPaused(run, now, out))
-        return;
+        return false;
     const auto waitsUntil
         = run.headSent ? resumableUntil(run) : run.acceptedAt + std::max(serverWaitTimeout, run.route->latencyTarget);
-    if (now > waitsUntil)
-        fail(run, run.mayHaveRun ? ForwardOutcome::BackendFailed : ForwardOutcome::NoServer, now, out);
-    else
-        setTimer(now + serverRetryInterval, timer);
+    const auto queue = m_waitingRequests.find(run.service);
+    const bool isTooLate
+        = !run.headSent && queue != m_waitingRequests.end() && queue->second.isTooLate(run.id.value(), now);
+    if (now <= waitsUntil && !isTooLate)
+        return true;
+    fail(run, run.mayHaveRun ? ForwardOutcome::BackendFailed : ForwardOutcome::NoServer, now, out);
+    return false;
+}
+
+/// Lets a request wait for a server: in the queue of its service where scheduling is on, for itself elsewhere.
+void RoutingForwarder::awaitServer(const ForwardRun& run, Duration delay, TimePoint now)
+{
+    if (!isScheduled(run.service)) {
+        setTimer(now + delay, { TimerKind::FindServer, run.id, {}, {} });
+        return;
+    }
+    const auto responseTime = usualTimeToFirstByte(run);
+    auto& queue = m_waitingRequests[run.service];
+    if (queue.empty())
+        logDecision(run, "request_queued", { { "service", run.service.value() } });
+    queue.add({ run.id.value(), run.priority, run.firstAttemptAt + run.route->latencyTarget - responseTime,
+        run.deadline - responseTime });
+    scheduleServing(run.service, now + delay);
+}
+
+void RoutingForwarder::scheduleServing(const ServiceId& service, TimePoint at)
+{
+    const auto [it, isNew] = m_servingTimers.try_emplace(service, at);
+    if (!isNew && it->second <= at)
+        return;
+    it->second = at;
+    setTimer(at, { TimerKind::ServeWaiting, {}, {}, service });
+}
+
+/// Sends the waiting requests of a service in their order, as far as there are servers for them.
+void RoutingForwarder::serveWaiting(const ServiceId& service, TimePoint now, ForwardActions& out)
+{
+    m_servingTimers.erase(service);
+    auto& queue = m_waitingRequests[service];
+    for (const auto id : queue.order(now)) {
+        auto* run = findRun(ForwardId(id));
+        if (run == nullptr || !run->calls.empty() || !run->allStagesDone() || !findServer(*run, now, out))
+            queue.remove(id);
+    }
+    if (!queue.empty())
+        scheduleServing(service, now + serverRetryInterval);
 }
 
 void RoutingForwarder::checkStreamSilence(ForwardRun& run, const Timer& timer, TimePoint now, ForwardActions& out)
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -4,6 +4,7 @@
 #include "ServerDirectory.h"
 #include "foxtailwheel/base/SmoothedLatency.h"
 #include "foxtailwheel/scheduling/AccountShares.h"
+#include "foxtailwheel/scheduling/RequestQueue.h"
 #include "foxtailwheel/scheduling/ReturnSchedule.h"
 #include "foxtailwheel/serving/Forwarder.h"
 
@@ -24,7 +25,7 @@
 unsigned httpStatus(ForwardOutcome outcome);
 
 /// @brief Purpose of a timer.
-enum class TimerKind { Deadline, FindServer, Hedge, StreamSilence, Dispatch };
+enum class TimerKind { Deadline, FindServer, Hedge, StreamSilence, Dispatch, ServeWaiting };
 
 /// @brief A scheduled timer; ignored if its run or call has ended.
 struct Timer {
@@ -198,7 +199,10 @@
     void closeRun(ForwardRun& run, TimePoint now, ForwardActions& out);
     void fail(ForwardRun& run, ForwardOutcome outcome, TimePoint now, ForwardActions& out);
     void handleTimer(const Timer& timer, TimePoint now, ForwardActions& out);
-    void findServer(ForwardRun& run, const Timer& timer, TimePoint now, ForwardActions& out);
+    bool findServer(ForwardRun& run, TimePoint now, ForwardActions& out);
+    void awaitServer(const ForwardRun& run, Duration delay, TimePoint now);
+    void serveWaiting(const ServiceId& service, TimePoint now, ForwardActions& out);
+    void scheduleServing(const ServiceId& service, TimePoint at);
     void onDeadline(ForwardRun& run, TimePoint now, ForwardActions& out);
 
     ForwarderOptions m_options;
@@ -209,6 +213,8 @@
     std::size_t m_instanceCount = 1;
     bool m_accepting = true;
     TimePoint m_endsAt = TimePoint::max(); ///< End of the process, if it is known.
+    std::map<ServiceId, scheduling::RequestQueue> m_waitingRequests; ///< Where scheduling is on.
+    std::map<ServiceId, TimePoint> m_servingTimers; ///< Next time at which waiting requests of a service are sent.
     scheduling::ReturnSchedule m_returns;
     scheduling::AccountShares m_accountShares;
     Random m_random;
