Servers are chosen by expected time where scheduling is on; instances share load reports

Cause: requests with prompts went by rendezvous hash, with a load bound of 1.5 times the mean plus 6 calls, whatever the server was doing. Engines of different speed got the same share, and the load of other instances was known only from own responses.

Change: EvenLoad counts the tokens that each engine has to read for own calls, what it has cached, the tokens in its memory, its lasting speed (time to the first event by tokens) and its reported slowdown. The server with the least expected time is chosen; ties are spread at random. Load reports are passed on in the digests of pings and acknowledgements (64 reports of 16 bytes, newest first, each with its age); there are no further messages. Nothing changes where scheduling is off.

Ruled out: counting a part as cached by all instances after one own use, which had 31% of the shared tokens read again; a half-life of reports of more than half a call, with which instances followed reports of 1 s together.

Not measured in a deployment.

--- a/cmake/Programs.cmake
+++ b/cmake/Programs.cmake
@@ -17,6 +17,7 @@
 foxtailwheel_program(foxtailwheel-microbench serving)
 target_link_libraries(foxtailwheel-microbench PRIVATE benchmark::benchmark)
 foxtailwheel_program(foxtailwheel-load standin)
+foxtailwheel_program(foxtailwheel-spread bench)
 
 foreach(it drive_a_run choose_a_server gossip)
   add_executable(example-${it} ${PROJECT_SOURCE_DIR}/examples/${it}.cpp)
--- a/include/foxtailwheel/daemon/ForwardService.h
+++ b/include/foxtailwheel/daemon/ForwardService.h
@@ -62,6 +62,10 @@
     void setShareLeavingServer(std::function<void(const serving::LeavingServer&)> share);
     /// @brief Another instance learned that a server is leaving.
     void onServerLeaving(const serving::LeavingServer& server);
+    /// @brief Returns the newest load reports of servers, for other instances.
+    std::vector<routing::SharedLoad> loadReports();
+    /// @brief Handles load reports of another instance.
+    void onSharedLoads(const std::vector<routing::SharedLoad>& reports);
     /// @brief Replaces the crash records that the instances share.
     void setCrashRecords(const std::vector<serving::CrashRecord>& records);
     /// @brief Rejects all new requests; requests in progress continue.
--- a/include/foxtailwheel/daemon/PeerLink.h
+++ b/include/foxtailwheel/daemon/PeerLink.h
@@ -28,6 +28,8 @@
     std::function<void(const control::TableUpdate& update)> onTableUpdate;
     std::function<void(const membership::ServerNotice& notice)> onServerNotice; ///< Of a server that is leaving.
     std::function<void(bool)> onPollerChanged; ///< Whether this instance polls the store for its zone.
+    std::function<std::vector<routing::SharedLoad>()> loadReports; ///< Returns reports for others; may be empty.
+    std::function<void(const std::vector<routing::SharedLoad>& reports)> onLoadReports; ///< May be empty.
 };
 
 /// @brief Options of a peer link.
--- a/include/foxtailwheel/membership/Member.h
+++ b/include/foxtailwheel/membership/Member.h
@@ -3,6 +3,7 @@
 #include "foxtailwheel/base/Ids.h"
 #include "foxtailwheel/base/Units.h"
 #include "foxtailwheel/config/Settings.h"
+#include "foxtailwheel/routing/LoadExchange.h"
 
 #include <cstdint>
 #include <string>
@@ -46,6 +47,7 @@
     Member sender;
     std::vector<Member> members;
     std::vector<ServerNotice> servers;
+    std::vector<routing::SharedLoad> loads; ///< Newest first; empty where load is not shared.
 
     friend bool operator==(const Digest&, const Digest&) = default;
 };
--- a/include/foxtailwheel/peer/Messages_generated.h
+++ b/include/foxtailwheel/peer/Messages_generated.h
@@ -23,6 +23,8 @@
 struct ServerNotice;
 struct ServerNoticeBuilder;
 
+struct ServerLoad;
+
 struct Digest;
 struct DigestBuilder;
 
@@ -200,6 +202,47 @@
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ServerLoad FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t server_;
+  uint16_t running_;
+  uint16_t queued_;
+  uint16_t slowdown_percent_;
+  uint16_t age_ms_;
+
+ public:
+  ServerLoad()
+      : server_(0),
+        running_(0),
+        queued_(0),
+        slowdown_percent_(0),
+        age_ms_(0) {
+  }
+  ServerLoad(uint64_t _server, uint16_t _running, uint16_t _queued, uint16_t _slowdown_percent, uint16_t _age_ms)
+      : server_(flatbuffers::EndianScalar(_server)),
+        running_(flatbuffers::EndianScalar(_running)),
+        queued_(flatbuffers::EndianScalar(_queued)),
+        slowdown_percent_(flatbuffers::EndianScalar(_slowdown_percent)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)) {
+  }
+  uint64_t server() const {
+    return flatbuffers::EndianScalar(server_);
+  }
+  uint16_t running() const {
+    return flatbuffers::EndianScalar(running_);
+  }
+  uint16_t queued() const {
+    return flatbuffers::EndianScalar(queued_);
+  }
+  uint16_t slowdown_percent() const {
+    return flatbuffers::EndianScalar(slowdown_percent_);
+  }
+  uint16_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(ServerLoad, 16);
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Copy FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t offset_;
@@ -448,7 +491,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SENDER = 4,
     VT_MEMBERS = 6,
-    VT_SERVERS = 8
+    VT_SERVERS = 8,
+    VT_LOADS = 10
   };
   const foxtailwheel::peer::wire::Member *sender() const {
     return GetPointer<const foxtailwheel::peer::wire::Member *>(VT_SENDER);
@@ -459,6 +503,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::ServerNotice>> *servers() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::ServerNotice>> *>(VT_SERVERS);
   }
+  const flatbuffers::Vector<const foxtailwheel::peer::wire::ServerLoad *> *loads() const {
+    return GetPointer<const flatbuffers::Vector<const foxtailwheel::peer::wire::ServerLoad *> *>(VT_LOADS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -469,6 +516,8 @@
            VerifyOffset(verifier, VT_SERVERS) &&
            verifier.VerifyVector(servers()) &&
            verifier.VerifyVectorOfTables(servers()) &&
+           VerifyOffset(verifier, VT_LOADS) &&
+           verifier.VerifyVector(loads()) &&
            verifier.EndTable();
   }
 };
@@ -486,6 +535,9 @@
   void add_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::ServerNotice>>> servers) {
     fbb_.AddOffset(Digest::VT_SERVERS, servers);
   }
+  void add_loads(flatbuffers::Offset<flatbuffers::Vector<const foxtailwheel::peer::wire::ServerLoad *>> loads) {
+    fbb_.AddOffset(Digest::VT_LOADS, loads);
+  }
   explicit DigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -501,8 +553,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::Member>>> members = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::ServerNotice>>> servers = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::ServerNotice>>> servers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const foxtailwheel::peer::wire::ServerLoad *>> loads = 0) {
   DigestBuilder builder_(_fbb);
+  builder_.add_loads(loads);
   builder_.add_servers(servers);
   builder_.add_members(members);
   builder_.add_sender(sender);
@@ -513,14 +567,17 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender = 0,
     const std::vector<flatbuffers::Offset<foxtailwheel::peer::wire::Member>> *members = nullptr,
-    const std::vector<flatbuffers::Offset<foxtailwheel::peer::wire::ServerNotice>> *servers = nullptr) {
+    const std::vector<flatbuffers::Offset<foxtailwheel::peer::wire::ServerNotice>> *servers = nullptr,
+    const std::vector<foxtailwheel::peer::wire::ServerLoad> *loads = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<foxtailwheel::peer::wire::Member>>(*members) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<foxtailwheel::peer::wire::ServerNotice>>(*servers) : 0;
+  auto loads__ = loads ? _fbb.CreateVectorOfStructs<foxtailwheel::peer::wire::ServerLoad>(*loads) : 0;
   return foxtailwheel::peer::wire::CreateDigest(
       _fbb,
       sender,
       members__,
-      servers__);
+      servers__,
+      loads__);
 }
 
 struct Ping FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/include/foxtailwheel/routing/LoadBalancingPolicy.h
+++ b/include/foxtailwheel/routing/LoadBalancingPolicy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "foxtailwheel/base/Ids.h"
 #include "foxtailwheel/base/Random.h"
 #include "foxtailwheel/base/Units.h"
 
@@ -15,6 +16,7 @@
     double reportedLoad = 0; ///< Calls at the server according to its last load report.
     double costSeconds = 0; ///< Price of the link, converted to seconds by the service's cost weight.
     bool isLocal = false; ///< True for a server in the zone of this instance.
+    const BackendServerId* id = nullptr; ///< Valid during the choice.
 };
 
 /// @brief Load balancing policy: picks the server for each call.
--- a/include/foxtailwheel/routing/ServerPool.h
+++ b/include/foxtailwheel/routing/ServerPool.h
@@ -37,6 +37,7 @@
     std::optional<Duration> maxExpectedTime = std::nullopt; ///< Excludes servers with a longer expected time.
     std::optional<AvailabilityZoneId> preferredZone
         = std::nullopt; ///< Limits the choice to usable servers in this zone, if there are any.
+    LoadBalancingPolicy* policy = nullptr; ///< Chooses in place of the policy of the pool and of `affinityKey`.
 };
 
 /// @brief Server chosen for a call.
--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -4,6 +4,7 @@
 #include "foxtailwheel/base/Units.h"
 #include "foxtailwheel/config/Routes.h"
 #include "foxtailwheel/http/Message.h"
+#include "foxtailwheel/routing/LoadExchange.h"
 #include "foxtailwheel/routing/ServerPool.h"
 #include "foxtailwheel/serving/BatchQueue.h"
 #include "foxtailwheel/serving/CrashingParts.h"
@@ -34,6 +35,7 @@
     std::vector<std::uint32_t> pieceCounts; ///< Number of pieces for each stage of the route; 0 skips the stage.
     std::string pieceKey; ///< Key of the pieces of stages that depend on no other stage.
     std::vector<PromptPart> prompt;
+    TokenCounts tokens;
     std::optional<std::uint64_t> lastEventId; ///< Last event that the caller has received.
 };
 
@@ -293,6 +295,10 @@
         = 0;
     /// @brief The server of a call reported its load.
     virtual void onLoadReport(CallId call, const ReportedLoad& load, TimePoint now) = 0;
+    /// @brief Returns the newest load reports of servers for other instances; none while scheduling is on nowhere.
+    virtual std::vector<routing::SharedLoad> loadReports(TimePoint now) = 0;
+    /// @brief Handles load reports of another instance.
+    virtual void onSharedLoads(const std::vector<routing::SharedLoad>& reports, TimePoint now) = 0;
     /// @brief Runs all timers that are due.
     virtual void onTimer(TimePoint now, ForwardActions& out) = 0;
     /// @brief Returns when `onTimer` must be called next.
--- a/include/foxtailwheel/serving/Prompt.h
+++ b/include/foxtailwheel/serving/Prompt.h
@@ -17,6 +17,13 @@
     std::uint32_t tokens = 0;
 };
 
+/// @brief Token counts that the caller of a model engine states; 0 if it does not.
+struct TokenCounts {
+    std::uint32_t prompt = 0;
+    std::uint32_t maxOutput = 0;
+    std::uint32_t expectedOutput = 0;
+};
+
 /// @brief Returns all parts but the last, which belongs to one request or session only.
 inline std::span<const PromptPart> sharedParts(const std::vector<PromptPart>& prompt)
 {
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -564,6 +564,16 @@
     m_impl->forwarder->onServerLeaving(server, m_impl->clock.now());
 }
 
+std::vector<routing::SharedLoad> ForwardService::loadReports()
+{
+    return m_impl->forwarder->loadReports(m_impl->clock.now());
+}
+
+void ForwardService::onSharedLoads(const std::vector<routing::SharedLoad>& reports)
+{
+    m_impl->forwarder->onSharedLoads(reports, m_impl->clock.now());
+}
+
 void ForwardService::setCrashRecords(const std::vector<serving::CrashRecord>& records)
 {
     m_impl->forwarder->setCrashRecords(records, m_impl->clock.now());
--- a/src/foxtailwheel/daemon/PeerLink.cpp
+++ b/src/foxtailwheel/daemon/PeerLink.cpp
@@ -59,6 +59,7 @@
     void tick();
     void execute(const membership::MembershipActions& actions);
     void onMessage(const peer::Message& message);
+    void takeLoadReports(const membership::Digest& digest);
     void updateMembers();
     void updatePoller();
     void reportServerNotices();
@@ -91,9 +92,15 @@
 void PeerLink::Impl::execute(const membership::MembershipActions& actions)
 {
     bool changed = false;
+    const auto loads
+        = actions.empty() || !callbacks.loadReports ? std::vector<routing::SharedLoad>() : callbacks.loadReports();
     for (const auto& it : actions) {
         if (const auto* send = std::get_if<membership::SendMessage>(&it))
-            std::visit([this, send](const auto& message) { transport->send(send->to, peer::Message(message)); },
+            std::visit(
+                [this, send, &loads](auto message) {
+                    message.digest.loads = loads;
+                    transport->send(send->to, peer::Message(std::move(message)));
+                },
                 send->message);
         else
             changed = true;
@@ -167,14 +174,22 @@
     }
 }
 
+void PeerLink::Impl::takeLoadReports(const membership::Digest& digest)
+{
+    if (callbacks.onLoadReports && !digest.loads.empty())
+        callbacks.onLoadReports(digest.loads);
+}
+
 void PeerLink::Impl::onMessage(const peer::Message& message)
 {
     membership::MembershipActions actions;
-    if (const auto* ping = std::get_if<membership::Ping>(&message))
+    if (const auto* ping = std::get_if<membership::Ping>(&message)) {
+        takeLoadReports(ping->digest);
         membership.onPing(*ping, clock.now(), actions);
-    else if (const auto* ack = std::get_if<membership::Ack>(&message))
+    } else if (const auto* ack = std::get_if<membership::Ack>(&message)) {
+        takeLoadReports(ack->digest);
         membership.onAck(*ack, clock.now(), actions);
-    else if (const auto* piece = std::get_if<peer::PieceUpdate>(&message))
+    } else if (const auto* piece = std::get_if<peer::PieceUpdate>(&message))
         callbacks.onPieceMessage(piece->sender.id, piece->message);
     else if (const auto* table = std::get_if<peer::TableUpdate>(&message))
         callbacks.onTableUpdate({ table->table, table->baseVersion, table->changes });
--- a/src/foxtailwheel/membership/Membership.cpp
+++ b/src/foxtailwheel/membership/Membership.cpp
@@ -60,7 +60,7 @@
 
 Digest Membership::makeDigest()
 {
-    Digest digest { m_self, {}, {} };
+    Digest digest { m_self, {}, {}, {} };
     const auto transmissionLimit = maxTransmissions();
     const auto takeUpdates = [this, transmissionLimit](auto& updates, auto& selected) {
         const auto maxCount
--- a/src/foxtailwheel/peer/Message.cpp
+++ b/src/foxtailwheel/peer/Message.cpp
@@ -27,6 +27,8 @@
     /// Limits of the FlatBuffers verifier.
     constexpr unsigned maxNestingDepth = 16;
     constexpr unsigned maxTables = 200000;
+    /// Load reports that are read from one message; instances send fewer.
+    constexpr std::size_t maxLoads = 256;
 
     auto pack(FlatBufferBuilder& fbb, const Member& member)
     {
@@ -35,6 +37,35 @@
             static_cast<std::uint8_t>(member.state), member.configVersion.value(), member.cores);
     }
 
+    /// Limits a figure of a load report to the range of its field.
+    std::uint16_t toField(double n)
+    {
+        return static_cast<std::uint16_t>(std::clamp(n, 0.0, 65535.0));
+    }
+
+    std::vector<wire::ServerLoad> pack(const std::vector<routing::SharedLoad>& loads)
+    {
+        std::vector<wire::ServerLoad> packed;
+        for (const auto& it : loads)
+            packed.emplace_back(it.server, toField(it.running), toField(it.queued), toField(it.slowdown * 100),
+                toField(toMilliseconds(it.age)));
+        return packed;
+    }
+
+    std::vector<routing::SharedLoad> unpack(const flatbuffers::Vector<const wire::ServerLoad*>* loads)
+    {
+        std::vector<routing::SharedLoad> out;
+        const auto n = loads == nullptr ? 0 : std::min<std::size_t>(loads->size(), maxLoads);
+        for (flatbuffers::uoffset_t i = 0; i < n; ++i) {
+            const auto* it = loads->Get(i);
+            // A slowdown of 0 would make a server look infinitely fast.
+            const double slowdown = std::max<std::uint16_t>(1, it->slowdown_percent()) / 100.0;
+            out.push_back(
+                { it->server(), it->running(), it->queued(), slowdown, std::chrono::milliseconds(it->age_ms()) });
+        }
+        return out;
+    }
+
     auto pack(FlatBufferBuilder& fbb, const Digest& digest)
     {
         std::vector<flatbuffers::Offset<wire::Member>> members;
@@ -43,7 +74,12 @@
         std::vector<flatbuffers::Offset<wire::ServerNotice>> servers;
         for (const auto& it : digest.servers)
             servers.push_back(wire::CreateServerNoticeDirect(fbb, it.server.value().c_str(), it.leaving, it.sequence));
-        return wire::CreateDigestDirect(fbb, pack(fbb, digest.sender), &members, &servers);
+        const auto sender = pack(fbb, digest.sender);
+        const auto memberVector = fbb.CreateVector(members);
+        const auto serverVector = fbb.CreateVector(servers);
+        // Without load reports the message is the same as before they existed.
+        const auto loads = digest.loads.empty() ? 0 : fbb.CreateVectorOfStructs(pack(digest.loads));
+        return wire::CreateDigest(fbb, sender, memberVector, serverVector, loads);
     }
 
     auto pack(FlatBufferBuilder& fbb, const std::vector<AccountRate>& rates)
@@ -247,6 +283,7 @@
             for (const auto* it : *servers)
                 out.servers.push_back({ BackendServerId(stringOrEmpty(it->server())), it->leaving(), it->sequence() });
         }
+        out.loads = unpack(digest->loads());
         return out;
     }
 
--- /dev/null
+++ b/src/foxtailwheel/routing/EvenLoad.cpp
@@ -0,0 +1,308 @@
+#include "foxtailwheel/routing/EvenLoad.h"
+
+#include "foxtailwheel/base/Hash.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace foxtailwheel::routing {
+
+namespace {
+
+    /// Smallest weight of a new sample in the means of the service.
+    constexpr double meanSmoothing = 0.05;
+    /// Weight of a new sample in the reading speed of the service, and the bound of one sample.
+    constexpr double readingSmoothing = 0.02;
+    constexpr double maxReadingRatio = 4;
+    /// Calls with fewer tokens to read show little of the reading speed: other parts of the time outweigh it.
+    constexpr double minMeasuredTokens = 1000;
+    /// Shortest half-life of a load report, which is otherwise the mean call time.
+    constexpr double minReportHalfLifeSeconds = 0.05;
+    /// Shared parts whose uses are counted; more are forgotten all at once.
+    constexpr std::size_t maxCountedParts = 4096;
+
+    double decay(Duration age, Duration time)
+    {
+        return std::exp(-std::max(0.0, toSeconds(age)) / toSeconds(time));
+    }
+
+    /// Returns the rank of each candidate among the first `n` of the rendezvous order of `key`; empty for the others.
+    std::vector<std::optional<std::size_t>> preferredRanks(
+        std::span<const Candidate> candidates, std::uint64_t key, std::size_t n)
+    {
+        std::vector<std::pair<std::uint64_t, std::size_t>> order;
+        order.reserve(candidates.size());
+        for (std::size_t i = 0; i < candidates.size(); ++i)
+            order.emplace_back(hashOf(candidates[i].id->value(), key), i);
+        n = std::min(n, order.size());
+        std::partial_sort(
+            order.begin(), order.begin() + static_cast<std::ptrdiff_t>(n), order.end(), std::greater<> {});
+        std::vector<std::optional<std::size_t>> ranks(candidates.size());
+        for (std::size_t i = 0; i < n; ++i)
+            ranks[order[i].second] = i;
+        return ranks;
+    }
+
+} // namespace
+
+void SampleMean::add(double sample)
+{
+    m_samples = std::min(m_samples + 1, 1 / meanSmoothing);
+    m_mean += (sample - m_mean) / m_samples;
+}
+
+EvenLoad::EvenLoad(EvenLoadParameters parameters)
+    : m_parameters(parameters)
+    , m_secondsPerToken(1 / parameters.initialTokensPerSecond)
+{
+}
+
+void EvenLoad::configure(const std::vector<BackendServerId>& servers, std::uint32_t slots, std::uint64_t memoryTokens)
+{
+    m_slots = std::max(1U, slots);
+    m_memoryTokens = memoryTokens;
+    std::unordered_map<std::uint64_t, Server> remaining;
+    for (const auto& it : servers) {
+        const auto key = hashOf(it.value());
+        const auto known = m_servers.find(key);
+        remaining.emplace(key, known == m_servers.end() ? Server {} : std::move(known->second));
+    }
+    m_servers = std::move(remaining);
+    m_meanOtherCalls = 0;
+    for (const auto& it : m_servers)
+        m_meanOtherCalls += it.second.load.otherCalls() / static_cast<double>(m_servers.size());
+}
+
+EvenLoad::Server* EvenLoad::find(std::uint64_t server)
+{
+    const auto it = m_servers.find(server);
+    return it == m_servers.end() ? nullptr : &it->second;
+}
+
+/// Calls of other instances by the last report, which ages towards the mean of all servers.
+double EvenLoad::otherCalls(const Server& server, TimePoint now) const
+{
+    const double age = std::max(0.0, toSeconds(now - server.load.reportedAt()));
+    const double weight
+        = std::exp2(-age / std::max(m_parameters.reportHalfLife * meanCallSeconds(), minReportHalfLifeSeconds));
+    return weight * server.load.otherCalls() + (1 - weight) * m_meanOtherCalls;
+}
+
+/// Uses of a part by all instances within the retention of the caches. Clients reach all instances alike. A single own
+/// use says nothing about the others: most parts are rare.
+double EvenLoad::usesEverywhere(std::uint64_t part, TimePoint now) const
+{
+    const auto it = m_uses.find(part);
+    return it == m_uses.end()
+        ? 0
+        : std::max(0.0, it->second.count * decay(now - it->second.at, m_parameters.cacheRetention) - 1) * m_instances;
+}
+
+void EvenLoad::recordUses(const EngineDemand& demand, TimePoint now)
+{
+    if (m_uses.size() > maxCountedParts)
+        m_uses.clear();
+    for (const auto& it : demand.sharedParts()) {
+        auto& uses = m_uses[it.id];
+        uses.count = uses.count * decay(now - uses.at, m_parameters.cacheRetention) + 1;
+        uses.at = now;
+    }
+}
+
+/// Returns the probability that a server has the last shared part, and with it all before, cached.
+/// @param rank Place of the server in the rendezvous order of the part, if it is one of the preferred.
+double EvenLoad::cachedProbability(
+    const Server& server, std::uint64_t part, std::optional<std::size_t> rank, TimePoint now) const
+{
+    if (server.cache.contains(part, m_parameters.cacheRetention, now))
+        return 1;
+    if (!rank)
+        return 0;
+    const double prior
+        = m_parameters.firstCachedProbability * std::pow(m_parameters.nextCachedRatio, static_cast<double>(*rank));
+    const double usesHere = usesEverywhere(part, now) / static_cast<double>(m_parameters.preferredServers);
+    return 1 - (1 - prior) * std::exp(-usesHere);
+}
+
+/// Expected number of prompt tokens that the server does not have cached.
+double EvenLoad::tokensToRead(
+    const Server& server, const EngineDemand& demand, std::optional<std::size_t> rank, TimePoint now) const
+{
+    const auto shared = demand.sharedParts();
+    double tokens = demand.promptTokens();
+    if (shared.empty())
+        return tokens;
+    const double allCached = cachedProbability(server, shared.back().id, rank, now);
+    const double lastTokens = shared.back().tokens;
+    tokens -= allCached * lastTokens;
+    if (!rank)
+        tokens += (1 - allCached) * (m_parameters.spillWeight - 1) * lastTokens;
+    double cached = 1; ///< Probability that all parts so far are cached.
+    for (const auto& it : shared.first(shared.size() - 1)) {
+        if (!server.cache.contains(it.id, m_parameters.cacheRetention, now)) {
+            // Requests with the part go to servers by their later parts, so it is read everywhere.
+            const double usesHere
+                = usesEverywhere(it.id, now) / static_cast<double>(std::max<std::size_t>(1, m_servers.size()));
+            cached *= 1 - std::exp(-usesHere);
+        }
+        tokens -= std::max(cached, allCached) * it.tokens;
+    }
+    return tokens;
+}
+
+/// Tokens of calls on the server that have not been read: exactly for own calls; for others the queued ones, and those
+/// running by the fraction of its time that a call is read.
+double EvenLoad::waitingTokens(const Server& server, TimePoint now) const
+{
+    const double callSeconds = m_callSeconds.valueOr(0);
+    const double readingShare
+        = callSeconds > 0 ? std::min(1.0, m_readingSeconds.valueOr(0) / callSeconds) : m_parameters.initialReadingShare;
+    return server.unreadTokens + otherCalls(server, now) * readingShare * m_unreadTokens.valueOr(0);
+}
+
+double EvenLoad::expectedSeconds(
+    const Server& server, const EngineDemand& demand, std::optional<std::size_t> rank, TimePoint now) const
+{
+    const double others = otherCalls(server, now);
+    const double calls = server.load.ownCalls() + others;
+    const double slots = m_slots;
+    const double workSeconds = isEngine()
+        ? (tokensToRead(server, demand, rank, now) + waitingTokens(server, now)) * m_secondsPerToken
+        : meanCallSeconds();
+    const double queuedCalls = std::max(0.0, calls + 1 - slots);
+    double seconds = workSeconds * (1 + m_parameters.loadWeight * std::min(1.0, calls / slots))
+        + queuedCalls / slots * meanCallSeconds();
+    seconds *= server.speed.lastingFactor(m_parameters.speedHalfLife, now)
+        * server.speed.slowdown(m_parameters.slowdownHalfLife, now);
+    if (isEngine()) {
+        const double needed = demand.promptTokens() + demand.outputTokens;
+        const double used = server.memory.usedTokens(others, m_heldTokens.valueOr(0));
+        if (used + needed > m_parameters.memoryLimit * static_cast<double>(m_memoryTokens))
+            seconds += toSeconds(m_parameters.fullPenalty);
+    }
+    return seconds;
+}
+
+double EvenLoad::expectedSeconds(const BackendServerId& server, const EngineDemand& demand, TimePoint now) const
+{
+    const auto it = m_servers.find(hashOf(server.value()));
+    return it == m_servers.end() ? meanCallSeconds() : expectedSeconds(it->second, demand, std::nullopt, now);
+}
+
+std::size_t EvenLoad::pick(std::span<const Candidate> candidates, const EngineDemand& demand,
+    std::optional<std::uint64_t> affinity, Random& random, TimePoint now) const
+{
+    const auto ranks = affinity && demand.prompt.size() > 1
+        ? preferredRanks(candidates, *affinity, m_parameters.preferredServers)
+        : std::vector<std::optional<std::size_t>>(candidates.size());
+    std::vector<double> seconds;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const auto it = m_servers.find(hashOf(candidates[i].id->value()));
+        seconds.push_back(
+            it == m_servers.end() ? meanCallSeconds() : expectedSeconds(it->second, demand, ranks[i], now));
+    }
+    // A random choice among servers with about the same expected time keeps instances that know the same from choosing
+    // the same server at once.
+    const double best = *std::min_element(seconds.begin(), seconds.end());
+    const double unit
+        = isEngine() ? std::max(m_unreadTokens.valueOr(0), minMeasuredTokens) * m_secondsPerToken : meanCallSeconds();
+    double sum = 0;
+    for (auto& it : seconds) {
+        it = std::exp(-(it - best) / (m_parameters.tieShare * unit));
+        sum += it;
+    }
+    double point = random.uniform() * sum;
+    for (std::size_t i = 0; i < seconds.size(); ++i) {
+        point -= seconds[i];
+        if (point < 0)
+            return i;
+    }
+    return static_cast<std::size_t>(std::max_element(seconds.begin(), seconds.end()) - seconds.begin());
+}
+
+void EvenLoad::onCallSent(PlacedCallId id, const BackendServerId& serverId, const EngineDemand& demand, TimePoint now)
+{
+    const auto key = hashOf(serverId.value());
+    auto* server = find(key);
+    if (server == nullptr)
+        return;
+    Call call { key, 0, waitingTokens(*server, now), 0, now };
+    if (isEngine()) {
+        call.unreadTokens = tokensToRead(*server, demand, 0, now);
+        call.heldTokens = demand.promptTokens() + demand.outputTokens;
+        m_unreadTokens.add(call.unreadTokens);
+        m_heldTokens.add(call.heldTokens);
+        server->cache.onUsed(demand.sharedParts(), now);
+        recordUses(demand, now);
+    }
+    server->load.onCallStarted(now);
+    server->memory.onCallStarted(call.heldTokens);
+    server->unreadTokens += call.unreadTokens;
+    m_calls.emplace(id, call);
+}
+
+void EvenLoad::onCallBegan(PlacedCallId id, TimePoint now)
+{
+    const auto it = m_calls.find(id);
+    if (it == m_calls.end() || std::exchange(it->second.began, true))
+        return;
+    const auto& call = it->second;
+    auto* server = find(call.server);
+    if (server == nullptr)
+        return;
+    server->unreadTokens = std::max(0.0, server->unreadTokens - call.unreadTokens);
+    const double seconds = toSeconds(now - call.sentAt);
+    m_readingSeconds.add(seconds);
+    if (!isEngine() || call.unreadTokens < minMeasuredTokens)
+        return;
+    const double usualSeconds = seconds / server->speed.slowdown(m_parameters.slowdownHalfLife, now);
+    const double ratio = usualSeconds / ((call.unreadTokens + call.tokensAhead) * m_secondsPerToken);
+    server->speed.onMeasured(ratio, now);
+    m_secondsPerToken *= std::exp(readingSmoothing * std::log(std::clamp(ratio, 1 / maxReadingRatio, maxReadingRatio)));
+}
+
+void EvenLoad::onCallEnded(PlacedCallId id, bool succeeded, TimePoint now)
+{
+    const auto it = m_calls.find(id);
+    if (it == m_calls.end())
+        return;
+    const auto call = it->second;
+    m_calls.erase(it);
+    auto* server = find(call.server);
+    if (server == nullptr)
+        return;
+    server->load.onCallEnded(now);
+    server->memory.onCallEnded(call.heldTokens);
+    if (!call.began)
+        server->unreadTokens = std::max(0.0, server->unreadTokens - call.unreadTokens);
+    if (!succeeded)
+        return;
+    const double seconds = toSeconds(now - call.sentAt);
+    if (!isEngine())
+        server->speed.onMeasured(
+            seconds / server->speed.slowdown(m_parameters.slowdownHalfLife, now) / meanCallSeconds(), now);
+    m_callSeconds.add(seconds);
+}
+
+void EvenLoad::onReport(const SharedLoad& report, TimePoint now)
+{
+    auto* server = find(report.server);
+    if (server == nullptr)
+        return;
+    const auto measuredAt = now - report.age;
+    const double before = server->load.otherCalls();
+    server->load.onReport({ report.running, report.queued, measuredAt });
+    m_meanOtherCalls += (server->load.otherCalls() - before) / static_cast<double>(m_servers.size());
+    server->speed.onSlowdown(report.slowdown, measuredAt);
+}
+
+std::vector<KnownLoad> EvenLoad::knownLoads(TimePoint now) const
+{
+    std::vector<KnownLoad> loads;
+    for (const auto& it : m_servers)
+        loads.push_back({ it.second.load.ownCalls() + otherCalls(it.second, now), now - it.second.load.reportedAt() });
+    return loads;
+}
+
+} // namespace foxtailwheel::routing
--- a/src/foxtailwheel/routing/ServerPool.cpp
+++ b/src/foxtailwheel/routing/ServerPool.cpp
@@ -170,7 +170,7 @@
     const double milliCredits = static_cast<double>(server.linkCost.microCredits) / 1000;
     const double costSeconds = service.costWeight * milliCredits / 1000;
     return { index, seconds + queueingSeconds + slowdownSeconds + server.linkSeconds, server.load.reportedCalls(),
-        costSeconds, server.isLocal };
+        costSeconds, server.isLocal, &server.declared.id };
 }
 
 void ServerPool::Impl::collectCandidates(const PlacementRequest& request, bool applyAvoid, TimePoint now)
@@ -205,6 +205,8 @@
 
 std::size_t ServerPool::Impl::pickServer(const PlacementRequest& request, TimePoint now)
 {
+    if (request.policy != nullptr)
+        return candidates[request.policy->pick(candidates, random)].server;
     if (request.affinityKey)
         return pickByAffinity(*request.affinityKey, now);
     return candidates[policy->pick(candidates, random)].server;
--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -85,6 +85,10 @@
     placementRequest.preferredZone = run.homeZone;
     if (placementRequest.healthyOnly)
         checkSuspectedServer(run.service, now, out);
+    const auto demand = engineDemandOf(run.request);
+    routing::EvenLoadPolicy policy(state->evenLoad, demand, placementRequest.affinityKey, now);
+    if (isScheduled(run.service))
+        placementRequest.policy = &policy;
     const auto placement = state->pool->place(placementRequest, now);
     if (!placement)
         return false;
@@ -97,6 +101,7 @@
     ++run.possibleExecutions;
     run.mayHaveRun = true;
     m_calls[call] = run.id;
+    onCallPlaced(run, run.calls.back(), demand);
     SendUpstreamRequest send { call, run.id, server, run.request.message, run.request.attemptId, run.account,
         run.remainingTime(now), run.priority, run.inputs(), run.lastEventId, run.route->streaming, run.idempotent(),
         run.deadline };
@@ -124,8 +129,10 @@
         = std::find_if(run.calls.begin(), run.calls.end(), [call](const OpenCall& c) { return c.id == call; });
     if (it == run.calls.end())
         return;
-    if (auto* state = m_directory.find(run.service))
+    if (auto* state = m_directory.find(run.service)) {
         logHealthChange(run, it->server, state->pool->onCallEnded(it->server, { outcome, now - it->sentAt, {} }, now));
+        state->evenLoad.onCallEnded(routing::PlacedCallId(call.value()), outcome == routing::CallOutcome::Success, now);
+    }
     if (stop)
         out.emplace_back(CancelUpstreamRequest { call });
     m_calls.erase(call);
@@ -397,6 +404,8 @@
 {
     if (std::exchange(call.eventReceived, true))
         return;
+    if (auto* state = m_directory.find(run.service))
+        state->evenLoad.onCallBegan(routing::PlacedCallId(call.id.value()), now);
     auto update = m_crashingParts.onAnswerBegan(run.request.prompt, now);
     if (update.removed.empty())
         return;
--- /dev/null
+++ b/src/foxtailwheel/serving/ForwardLoads.cpp
@@ -0,0 +1,60 @@
+#include "RoutingForwarder.h"
+#include "foxtailwheel/base/Hash.h"
+
+#include <algorithm>
+
+namespace foxtailwheel::serving {
+
+routing::EngineDemand engineDemandOf(const ForwardRequest& request)
+{
+    routing::EngineDemand demand;
+    for (const auto& it : request.prompt)
+        demand.prompt.push_back({ it.id.value(), it.tokens });
+    // Tokens that the list of parts does not name belong to this request only.
+    if (const auto listed = demand.promptTokens(); request.tokens.prompt > listed)
+        demand.prompt.push_back({ 0, request.tokens.prompt - listed });
+    demand.outputTokens = request.tokens.expectedOutput > 0 ? request.tokens.expectedOutput : request.tokens.maxOutput;
+    return demand;
+}
+
+/// Counts a call on its server.
+void RoutingForwarder::onCallPlaced(const ForwardRun& run, const OpenCall& call, const routing::EngineDemand& demand)
+{
+    auto* state = m_directory.find(run.service);
+    if (state != nullptr && m_options.scheduling != SchedulingMode::Off)
+        state->evenLoad.onCallSent(routing::PlacedCallId(call.id.value()), call.server, demand, call.sentAt);
+}
+
+/// Notes what a server reported, for this instance and for the others.
+void RoutingForwarder::shareLoad(
+    const BackendServerId& server, const ReportedLoad& load, ServiceState& state, TimePoint now)
+{
+    if (m_options.scheduling == SchedulingMode::Off)
+        return;
+    const routing::SharedLoad report { hashOf(server.value()), load.running, load.queued, load.slowdown.value_or(1),
+        {} };
+    if (m_loadExchange.add(report, now))
+        state.evenLoad.onReport(report, now);
+}
+
+std::vector<routing::SharedLoad> RoutingForwarder::loadReports(TimePoint now)
+{
+    const auto& services = m_directory.services();
+    const bool isOn
+        = std::any_of(services.begin(), services.end(), [this](const auto& it) { return isScheduled(it.first); });
+    return isOn ? m_loadExchange.newest(now) : std::vector<routing::SharedLoad>();
+}
+
+void RoutingForwarder::onSharedLoads(const std::vector<routing::SharedLoad>& reports, TimePoint now)
+{
+    if (m_options.scheduling == SchedulingMode::Off)
+        return;
+    for (const auto& report : reports) {
+        if (!m_loadExchange.add(report, now))
+            continue;
+        for (auto& it : m_directory.services())
+            it.second.evenLoad.onReport(report, now);
+    }
+}
+
+} // namespace foxtailwheel::serving
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -219,6 +219,7 @@
         return;
     state->reportsSlowdown = state->reportsSlowdown || load.slowdown;
     state->pool->onLoadReport(openCall->server, { load.running, load.queued, now });
+    shareLoad(openCall->server, load, *state, now);
 }
 
 /// Returns true if scheduling under overload applies to requests for a service.
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -1,4 +1,5 @@
 #include "foxtailwheel/serving/Forwarder.h"
+#include "foxtailwheel/base/Hash.h"
 
 #include <algorithm>
 #include <criterion/criterion.h>
@@ -1453,3 +1454,56 @@
     cr_assert_eq(fixture.replies.back().outcome, ForwardOutcome::CredentialsOutdated);
     cr_assert(!fixture.forwarder->status(start + 3s).credentialsCurrent);
 }
+
+namespace {
+
+/// Sends 20 requests after another instance has reported that `busy` is overloaded; returns how many it gets.
+/// @param load Reported by a server to this instance before.
+std::size_t countSentTo(const BackendServerId& busy, SchedulingMode mode, const ReportedLoad& load)
+{
+    ForwarderOptions options;
+    options.scheduling = mode;
+    ForwarderFixture fixture(options);
+    fixture.prompt = { { PromptPartId(1), 100 }, { PromptPartId(2), 200 } };
+    fixture.submit("plan");
+    fixture.forwarder->onLoadReport(fixture.sent[0].call, load, start);
+    fixture.forwarder->onSharedLoads({ { hashOf(busy.value()), 500, 90, 1, 5ms } }, start + 10ms);
+    fixture.sent.clear();
+    for (int i = 0; i < 20; ++i)
+        fixture.submit("plan", start + 10ms);
+    return static_cast<std::size_t>(
+        std::count_if(fixture.sent.begin(), fixture.sent.end(), [&](const auto& it) { return it.server.id == busy; }));
+}
+
+} // namespace
+
+// Load that other instances saw must move requests where scheduling is on, and change nothing where it is off.
+Test(Forwarder, sharedLoadMovesRequestsWhereSchedulingIsOn)
+{
+    for (const auto* name : { "m1", "m2" }) {
+        const BackendServerId busy(name);
+        cr_assert_eq(countSentTo(busy, SchedulingMode::On, { 1, 0 }), 0);
+        cr_assert_eq(countSentTo(busy, SchedulingMode::WhereReported, { 1, 0, 1.5 }), 0);
+    }
+    const auto off = [](const char* name, SchedulingMode mode) {
+        return countSentTo(BackendServerId(name), mode, { 1, 0 });
+    };
+    cr_assert_eq(off("m1", SchedulingMode::Off) + off("m2", SchedulingMode::Off), 20);
+    cr_assert_eq(off("m1", SchedulingMode::WhereReported) + off("m2", SchedulingMode::WhereReported), 20);
+}
+
+// Messages between instances must stay as they were where scheduling is off.
+Test(Forwarder, loadIsSharedOnlyWhereSchedulingIsOn)
+{
+    for (const auto mode : { SchedulingMode::Off, SchedulingMode::WhereReported, SchedulingMode::On }) {
+        ForwarderOptions options;
+        options.scheduling = mode;
+        ForwarderFixture fixture(options);
+        fixture.submit("plan");
+        fixture.forwarder->onLoadReport(fixture.sent[0].call, { 3, 1 }, start);
+        const auto reports = fixture.forwarder->loadReports(start + 100ms);
+        cr_assert_eq(reports.size(), mode == SchedulingMode::On ? 1 : 0);
+        if (mode == SchedulingMode::On)
+            cr_assert_eq(reports[0].age, 100ms);
+    }
+}
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -18,6 +18,9 @@
 /// @brief Formats a number for logs, truncated to an integer.
 std::string formatInteger(double n);
 
+/// @brief Returns what a request needs from a model engine.
+routing::EngineDemand engineDemandOf(const ForwardRequest& request);
+
 /// @brief HTTP status of a response that the forwarder itself creates.
 unsigned httpStatus(ForwardOutcome outcome);
 
@@ -101,6 +104,8 @@
     void onBatchEnd(CallId call, BatchOutcome outcome, const std::vector<PieceResult>& results, TimePoint now,
         ForwardActions& out) override;
     void onLoadReport(CallId call, const ReportedLoad& load, TimePoint now) override;
+    std::vector<routing::SharedLoad> loadReports(TimePoint now) override;
+    void onSharedLoads(const std::vector<routing::SharedLoad>& reports, TimePoint now) override;
     void onTimer(TimePoint now, ForwardActions& out) override;
     TimePoint nextTimerAt() const override
     {
@@ -115,6 +120,8 @@
     void dispatchAll(TimePoint now, ForwardActions& out);
     void updateQueueShares(TimePoint now);
     bool isScheduled(const ServiceId& service) const;
+    void shareLoad(const BackendServerId& server, const ReportedLoad& load, ServiceState& state, TimePoint now);
+    void onCallPlaced(const ForwardRun& run, const OpenCall& call, const routing::EngineDemand& demand);
     ForwardRun* findRun(ForwardId id);
     ForwardRun* findRunOfCall(CallId call);
     void setTimer(TimePoint at, Timer timer) { m_timers.emplace(at, std::move(timer)); }
@@ -196,6 +203,7 @@
     ServerDirectory m_directory;
     PieceBroker m_broker;
     CrashingParts m_crashingParts;
+    routing::LoadExchange m_loadExchange;
     std::size_t m_instanceCount = 1;
     bool m_accepting = true;
     TimePoint m_endsAt = TimePoint::max(); ///< End of the process, if it is known.
--- a/src/foxtailwheel/serving/ServerDirectory.cpp
+++ b/src/foxtailwheel/serving/ServerDirectory.cpp
@@ -75,7 +75,13 @@
     const auto& servers = m_announced[service.id];
     state.announced = servers;
     state.healthPath = service.healthPath;
-    state.pool->update(toService(service, servers), crossZoneLinks(servers));
+    const auto declared = toService(service, servers);
+    std::vector<BackendServerId> ids;
+    for (const auto& it : servers)
+        ids.push_back(it.server.id);
+    state.evenLoad.configure(ids, declared.concurrency, service.kvCacheTokens);
+    state.evenLoad.setInstanceCount(m_instanceCount);
+    state.pool->update(declared, crossZoneLinks(servers));
     updateLeaving(service.id);
     if (!service.batch)
         return;
@@ -205,8 +211,10 @@
 void ServerDirectory::setInstanceCount(std::size_t n)
 {
     m_instanceCount = std::max<std::size_t>(1, n);
-    for (auto& it : m_services)
+    for (auto& it : m_services) {
         it.second.retryBudget.setInstanceCount(m_instanceCount);
+        it.second.evenLoad.setInstanceCount(m_instanceCount);
+    }
 }
 
 ServiceState* ServerDirectory::find(const ServiceId& id)
--- a/src/foxtailwheel/serving/ServerDirectory.h
+++ b/src/foxtailwheel/serving/ServerDirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foxtailwheel/limits/SlidingWindowRetryBudget.h"
+#include "foxtailwheel/routing/EvenLoad.h"
 #include "foxtailwheel/serving/Forwarder.h"
 
 #include <functional>
@@ -19,6 +20,7 @@
     std::string healthPath;
     TimePoint lastCheckAt {}; ///< Of any server of the service.
     bool reportsSlowdown = false; ///< A server has reported how slow its machine is.
+    routing::EvenLoad evenLoad {}; ///< Used where scheduling is on.
 };
 
 /// @brief Tracks the routed services, following the configuration and the announced servers.
