--- a/include/foxtailwheel/routing/EvenLoad.h
+++ b/include/foxtailwheel/routing/EvenLoad.h
@@ -32,6 +32,8 @@
     /// @brief Half-life of a load report, in mean call times. With 1 or more, instances follow reports of 1 s together
     /// and overload servers in turns.
     double reportHalfLife = 0.5;
+    Duration levelTime = std::chrono::seconds(10); ///< Over which the level of the reports of a server is averaged.
+    Duration levelHalfLife = std::chrono::seconds(5); ///< Of this level without new reports.
     double initialReadingShare = 0.1; ///< Fraction of the time of a call that is reading, until it is measured.
     double initialTokensPerSecond = 36000; ///< Reading speed of an engine until measurements are available.
     double memoryLimit = 0.9; ///< Fraction of the memory of an engine above which it has no room.
@@ -94,6 +96,7 @@
         PromptCache cache;
         EngineMemory memory;
         double unreadTokens = 0; ///< Of own calls without a first event.
+        double level = 0; ///< Calls of other instances, averaged over the last reports.
     };
     struct Call {
         std::uint64_t server = 0;
--- a/src/foxtailwheel/apps/foxtailwheel-spread.cpp
+++ b/src/foxtailwheel/apps/foxtailwheel-spread.cpp
@@ -60,6 +60,7 @@
     add("preferred", "Parameter preferredServers", cxxopts::value<std::size_t>()->default_value("3"));
     add("half-life", "Parameter reportHalfLife", cxxopts::value<double>()->default_value("0.5"));
     add("load-weight", "Parameter loadWeight", cxxopts::value<double>()->default_value("0.3"));
+    add("level-ms", "Parameter levelTime", cxxopts::value<long>()->default_value("10000"));
     add("seeds", "Number of seeds", cxxopts::value<std::uint64_t>()->default_value("3"));
     add("only", "Only the choice with this name", cxxopts::value<std::string>()->default_value(""));
     add("help", "Prints this text");
@@ -83,6 +84,7 @@
         scenario.parameters.preferredServers = parsed["preferred"].as<std::size_t>();
         scenario.parameters.reportHalfLife = parsed["half-life"].as<double>();
         scenario.parameters.loadWeight = parsed["load-weight"].as<double>();
+        scenario.parameters.levelTime = std::chrono::milliseconds(parsed["level-ms"].as<long>());
         const auto only = parsed["only"].as<std::string>();
         std::printf("%-16s %7s %8s %8s %8s %8s %8s %8s\n", "choice", "spread", "uneven", "full", "read", "50%/ms",
             "95%/ms", "99%/ms");
--- a/src/foxtailwheel/routing/EvenLoad.cpp
+++ b/src/foxtailwheel/routing/EvenLoad.cpp
@@ -80,13 +80,16 @@
     return it == m_servers.end() ? nullptr : &it->second;
 }
 
-/// Calls of other instances by the last report, which ages towards the mean of all servers.
+/// Calls of other instances by the last report. It ages first towards the level of the last reports of the server, then
+/// towards the mean of all servers.
 double EvenLoad::otherCalls(const Server& server, TimePoint now) const
 {
     const double age = std::max(0.0, toSeconds(now - server.load.reportedAt()));
     const double weight
         = std::exp2(-age / std::max(m_parameters.reportHalfLife * meanCallSeconds(), minReportHalfLifeSeconds));
-    return weight * server.load.otherCalls() + (1 - weight) * m_meanOtherCalls;
+    const double levelWeight = std::exp2(-age / toSeconds(m_parameters.levelHalfLife));
+    const double usual = levelWeight * server.level + (1 - levelWeight) * m_meanOtherCalls;
+    return weight * server.load.otherCalls() + (1 - weight) * usual;
 }
 
 /// Uses of a part by all instances within the retention of the caches. Clients reach all instances alike. A single own
@@ -292,7 +295,9 @@
         return;
     const auto measuredAt = now - report.age;
     const double before = server->load.otherCalls();
+    const double levelKept = decay(measuredAt - server->load.reportedAt(), m_parameters.levelTime);
     server->load.onReport({ report.running, report.queued, measuredAt });
+    server->level = levelKept * server->level + (1 - levelKept) * server->load.otherCalls();
     m_meanOtherCalls += (server->load.otherCalls() - before) / static_cast<double>(m_servers.size());
     server->speed.onSlowdown(report.slowdown, measuredAt);
 }
