Bounds on chunk headers, trailers and the read buffer of requests

Cause: the limits of Beast's parser are for the head and the body.

Ruled out: flat_buffer::max_size with async_read alone. It bounds memory, but cannot tell trailers from chunk headers, and offers no place to count bytes.

Change: http/RequestParser bounds each part, and the connection reads in steps into a buffer of bounded size, which is released after each request. A refused client is read from for up to 1 s and 8 MB after the response, since closing a connection with unread bytes resets it and the client may lose the response.

--- a/include/foxtailwheel/config/Settings.h
+++ b/include/foxtailwheel/config/Settings.h
@@ -33,6 +33,9 @@
     std::uint32_t threads = 2;
     std::uint32_t shards = 8;
     std::uint64_t maxBodyBytes = 1U << 20U;
+    std::uint32_t maxChunkHeaderBytes = 16U << 10U; ///< Of a request, one chunk with its extensions.
+    std::uint32_t maxTrailerBytes = 16U << 10U; ///< Of all trailers of a request.
+    std::uint32_t maxReadBufferBytes = 16U << 10U; ///< Bytes of a connection that are received and not yet parsed.
     std::uint32_t maxConnections = 4096;
     Duration balancerDelay {}; ///< Time on shutdown between failing readiness checks and rejecting new requests.
     Duration drainTimeout {}; ///< Timeout of a graceful shutdown.
--- a/include/foxtailwheel/http/Server.h
+++ b/include/foxtailwheel/http/Server.h
@@ -36,6 +36,11 @@
 struct ServerLimits {
     std::uint64_t maxBodyBytes = 1U << 20U;
     std::uint32_t maxHeaderBytes = 16U << 10U;
+    std::uint32_t maxChunkHeaderBytes = 16U << 10U; ///< Of one chunk, with its extensions.
+    std::uint32_t maxTrailerBytes = 16U << 10U; ///< Of all trailers of a request.
+    /// @brief Received bytes of a connection that are not parsed yet, such as requests that wait for the one before. At
+    /// least as many as a head, or a chunk header with the trailers, may have.
+    std::uint32_t maxReadBufferBytes = 16U << 10U;
     Duration headerTimeout = std::chrono::seconds(5);
     Duration bodyTimeout = std::chrono::seconds(10);
     Duration idleTimeout = std::chrono::seconds(30);
--- a/src/foxtailwheel/config/Settings.cpp
+++ b/src/foxtailwheel/config/Settings.cpp
@@ -47,6 +47,11 @@
         settings.threads = static_cast<std::uint32_t>(root.unsignedInteger("threads", 2, 1, 256));
         settings.shards = static_cast<std::uint32_t>(root.unsignedInteger("shards", 8, 1, 1024));
         settings.maxBodyBytes = root.size("max_body", 1U << 20U, 1024, 64U << 20U);
+        settings.maxChunkHeaderBytes
+            = static_cast<std::uint32_t>(root.size("max_chunk_header", 16U << 10U, 256, 1U << 20U));
+        settings.maxTrailerBytes = static_cast<std::uint32_t>(root.size("max_trailers", 16U << 10U, 256, 1U << 20U));
+        settings.maxReadBufferBytes
+            = static_cast<std::uint32_t>(root.size("max_read_buffer", 16U << 10U, 4096, 16U << 20U));
         settings.maxConnections
             = static_cast<std::uint32_t>(root.unsignedInteger("max_connections", 4096, 16, 1U << 20U));
         settings.balancerDelay = root.duration("balancer_delay", 2s, 0ms, 60s);
--- a/src/foxtailwheel/daemon/Instance.cpp
+++ b/src/foxtailwheel/daemon/Instance.cpp
@@ -164,6 +164,9 @@
         callers.listen = m_settings.callers;
         callers.maxBodyBytes = m_settings.maxBodyBytes;
         callers.maxConnections = m_settings.maxConnections;
+        callers.maxChunkHeaderBytes = m_settings.maxChunkHeaderBytes;
+        callers.maxTrailerBytes = m_settings.maxTrailerBytes;
+        callers.maxReadBufferBytes = m_settings.maxReadBufferBytes;
         BOOST_OUTCOME_TRY(m_callerServer,
             http::Server::listen(*m_pool, callers,
                 [this](const http::Request& request, const std::shared_ptr<http::Responder>& responder) {
--- a/src/foxtailwheel/http/Connection.cpp
+++ b/src/foxtailwheel/http/Connection.cpp
@@ -1,5 +1,6 @@
 #include "Connection.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -19,6 +20,11 @@
     constexpr auto completionToken = net::as_tuple(net::use_awaitable);
     constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
     constexpr Duration cancelRetryDelay = std::chrono::milliseconds(50);
+    constexpr std::size_t headStepBytes = std::size_t { 4 } << 10U;
+    constexpr std::size_t readStepBytes = std::size_t { 16 } << 10U;
+    /// Bounds of the bytes that are read from a client after its request was refused.
+    constexpr Duration discardTime = std::chrono::seconds(1);
+    constexpr std::size_t maxDiscardedBytes = std::size_t { 8 } << 20U;
 
     Response errorResponse(unsigned status, const std::string& code)
     {
@@ -152,11 +158,14 @@
 net::awaitable<void> Connection::sendReadError(const boost::system::error_code& ec)
 {
     namespace bhttp = beast::http;
-    cancelReadTimeout();
-    if (ec == bhttp::error::end_of_stream || ec == net::error::connection_reset)
+    if (ec == bhttp::error::end_of_stream || ec == net::error::connection_reset) {
+        cancelReadTimeout();
         co_return;
-    if (ec == net::error::operation_aborted && !m_readTimedOut)
+    }
+    if (ec == net::error::operation_aborted && !m_readTimedOut) {
+        cancelReadTimeout();
         co_return;
+    }
     Response response = errorResponse(400, "malformed_http");
     if (ec == bhttp::error::body_limit)
         response = errorResponse(413, "body_too_large");
@@ -164,7 +173,7 @@
         response = errorResponse(431, "header_too_large");
     else if (m_readTimedOut)
         response = errorResponse(408, "too_slow");
-    co_await sendComplete(std::move(response), false);
+    co_await refuse(std::move(response));
 }
 
 /// Waits until a byte of a request arrives.
@@ -182,6 +191,73 @@
     co_return !ec || hasBytesInSocket();
 }
 
+/// Reads once into the buffer, which may have `bufferBytes` at most.
+net::awaitable<boost::system::error_code> Connection::readMore(std::size_t bufferBytes, std::size_t stepBytes)
+{
+    if (m_buffer.size() >= bufferBytes)
+        co_return beast::http::error::header_limit;
+    const auto n = std::min(stepBytes, bufferBytes - m_buffer.size());
+    auto [ec, received] = co_await m_stream.async_read_some(m_buffer.prepare(n), completionToken);
+    m_buffer.commit(received);
+    co_return ec;
+}
+
+net::awaitable<boost::system::error_code> Connection::readHead(RequestParser& parser, std::size_t bufferBytes)
+{
+    for (;;) {
+        if (m_buffer.size() > 0) {
+            const auto parseError = parser.parseHead(m_buffer);
+            if (parseError || parser.isHeadDone())
+                co_return parseError;
+        }
+        const auto readError = co_await readMore(bufferBytes, headStepBytes);
+        if (readError)
+            co_return readError == net::error::eof ? parser.endOfInput() : readError;
+    }
+}
+
+net::awaitable<boost::system::error_code> Connection::readBody(RequestParser& parser, std::size_t bufferBytes)
+{
+    while (!parser.isDone()) {
+        if (m_buffer.size() > 0) {
+            const auto parseError = parser.parseBody(m_buffer);
+            if (parseError || parser.isDone())
+                co_return parseError;
+        }
+        const auto readError = co_await readMore(bufferBytes, readStepBytes);
+        if (readError)
+            co_return readError == net::error::eof ? parser.endOfInput() : readError;
+    }
+    co_return boost::system::error_code();
+}
+
+/// Refuses a request that may not have been read completely, and ends the connection.
+net::awaitable<void> Connection::refuse(Response response)
+{
+    cancelReadTimeout();
+    const bool sent = co_await sendComplete(std::move(response), false);
+    if (sent)
+        co_await discardInput();
+}
+
+/// Reads and discards what the client still sends, for a while: a connection that is closed with unread bytes is reset,
+/// and the client may lose the response.
+net::awaitable<void> Connection::discardInput()
+{
+    boost::system::error_code ignored;
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    m_buffer.clear();
+    m_buffer.shrink_to_fit();
+    const auto end = std::chrono::steady_clock::now() + discardTime;
+    for (std::size_t total = 0; total < maxDiscardedBytes;) {
+        m_stream.expires_at(end);
+        auto [ec, n] = co_await m_stream.async_read_some(m_buffer.prepare(readStepBytes), completionToken);
+        if (ec)
+            co_return;
+        total += n;
+    }
+}
+
 net::awaitable<std::optional<Request>> Connection::readRequest(bool& keepAlive, bool first)
 {
     namespace bhttp = beast::http;
@@ -189,31 +265,30 @@
     const bool arrived = co_await awaitRequest(first);
     if (!arrived)
         co_return std::nullopt;
-    bhttp::request_parser<bhttp::string_body> parser;
     const auto limits = m_currentLimits->get();
-    parser.header_limit(limits.maxHeaderBytes);
-    parser.body_limit(limits.maxBodyBytes);
+    RequestParser parser(limits);
+    const auto bufferBytes = RequestParser::bufferBytes(limits);
     startReadTimeout(limits.headerTimeout);
-    auto [headerError, headerBytes] = co_await bhttp::async_read_header(m_stream, m_buffer, parser, completionToken);
-    if (headerError) {
-        co_await sendReadError(headerError);
+    const auto headError = co_await readHead(parser, bufferBytes);
+    if (headError) {
+        co_await sendReadError(headError);
         co_return std::nullopt;
     }
-    if (const auto error = findFramingError(parser.get())) {
-        cancelReadTimeout();
-        co_await sendComplete(errorResponse(error->status, error->code), false);
+    if (const auto error = findFramingError(parser.message())) {
+        co_await refuse(errorResponse(error->status, error->code));
         co_return std::nullopt;
     }
-    const bool expectsContinue = beast::iequals(parser.get()[bhttp::field::expect], "100-continue");
-    if (expectsContinue && !parser.is_done() && m_buffer.size() == 0) {
+    const bool expectsContinue = beast::iequals(parser.message()[bhttp::field::expect], "100-continue");
+    if (expectsContinue && !parser.isDone() && m_buffer.size() == 0) {
         cancelReadTimeout();
         const bool sent = co_await sendContinue();
         if (!sent)
             co_return std::nullopt;
     }
     startReadTimeout(limits.bodyTimeout);
-    auto [bodyError, bodyBytes] = co_await bhttp::async_read(m_stream, m_buffer, parser, completionToken);
+    const auto bodyError = co_await readBody(parser, bufferBytes);
     if (bodyError) {
+        parser.discardBody();
         co_await sendReadError(bodyError);
         co_return std::nullopt;
     }
@@ -225,6 +300,9 @@
         std::move(message.body()) };
     for (const auto& it : message)
         request.headers.push_back({ std::string(it.name_string()), std::string(it.value()) });
+    // A buffer that has grown would stay with an idle connection.
+    if (m_buffer.size() == 0)
+        m_buffer.shrink_to_fit();
     if (m_options.identifyResponses)
         m_requestId = findHeader(request.headers, identityField);
     co_return request;
--- a/src/foxtailwheel/http/Connection.h
+++ b/src/foxtailwheel/http/Connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Exchange.h"
+#include "RequestParser.h"
 
 #include <atomic>
 #include <boost/asio/awaitable.hpp>
@@ -72,6 +73,11 @@
 private:
     boost::asio::awaitable<bool> awaitRequest(bool first);
     boost::asio::awaitable<std::optional<Request>> readRequest(bool& keepAlive, bool first);
+    boost::asio::awaitable<boost::system::error_code> readHead(RequestParser& parser, std::size_t bufferBytes);
+    boost::asio::awaitable<boost::system::error_code> readBody(RequestParser& parser, std::size_t bufferBytes);
+    boost::asio::awaitable<boost::system::error_code> readMore(std::size_t bufferBytes, std::size_t stepBytes);
+    boost::asio::awaitable<void> refuse(Response response);
+    boost::asio::awaitable<void> discardInput();
     boost::asio::awaitable<bool> sendComplete(Response response, bool keepAlive);
     boost::asio::awaitable<bool> sendHeaders(Response response, bool keepAlive, bool chunked);
     boost::asio::awaitable<bool> sendContinue();
