--- a/include/foxtailwheel/config/Declarations.h
+++ b/include/foxtailwheel/config/Declarations.h
@@ -73,6 +73,7 @@
 struct Zone {
     AvailabilityZoneId id;
     std::string region;
+    bool drained = false; ///< Its servers get no new calls.
 
     friend bool operator==(const Zone&, const Zone&) = default;
 };
--- a/include/foxtailwheel/config/Routes.h
+++ b/include/foxtailwheel/config/Routes.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -48,6 +49,7 @@
     bool prefixAffinity = false; ///< Requests with a common prompt prefix benefit from the same server.
     std::vector<RouteTarget> targets;
     std::vector<RouteStage> stages;
+    std::set<std::string> allowedRegions {}; ///< Requests go only to servers in these regions; empty for all.
 };
 
 /// @brief Batching limits of a backend server, which processes pieces of several requests in one call.
@@ -68,12 +70,15 @@
     std::uint32_t slots = 0; ///< Concurrent requests of one server; 0 if the servers report it themselves.
     std::uint64_t kvCacheTokens = 0; ///< KV cache size of one model engine, in tokens; 0 for other services.
     std::string healthPath {}; ///< Path of the health check of a server.
+    Duration coldTime {}; ///< Time for which a server is cold after its start.
+    double coldCallsPerSecond = 0; ///< Calls per second that a cold server can handle; 0 for no limit.
 };
 
 /// @brief The account that a credential belongs to.
 struct CredentialOwner {
     ClientAccountId account;
     std::optional<std::uint32_t> priority; ///< Overrides the priority of the route.
+    std::set<std::string> allowedRegions {}; ///< Requests go only to servers in these regions; empty for all.
 };
 
 /// @brief Limits for connections and requests of callers.
--- a/include/foxtailwheel/config/YamlReader.h
+++ b/include/foxtailwheel/config/YamlReader.h
@@ -26,6 +26,8 @@
 
     /// @brief Returns true if the key is present.
     bool has(std::string_view key);
+    /// @brief Returns the keys of this mapping, in ascending order.
+    std::vector<std::string> keys() const;
     /// @brief Reads a non-empty string. Like all methods with a fallback, reports a fault if the key is missing and
     /// there is none.
     std::string text(std::string_view key, const std::optional<std::string>& fallback = {});
--- a/include/foxtailwheel/peer/Messages_generated.h
+++ b/include/foxtailwheel/peer/Messages_generated.h
@@ -1239,7 +1239,8 @@
     VT_ZONE = 18,
     VT_ZONE_US = 22,
     VT_RESULT_BYTES = 24,
-    VT_REPEATED = 26
+    VT_REPEATED = 26,
+    VT_ALLOWED_ZONES = 28
   };
   const foxtailwheel::peer::wire::Member *sender() const {
     return GetPointer<const foxtailwheel::peer::wire::Member *>(VT_SENDER);
@@ -1274,6 +1275,9 @@
   bool repeated() const {
     return GetField<uint8_t>(VT_REPEATED, 0) != 0;
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *allowed_zones() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_ALLOWED_ZONES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -1292,6 +1296,9 @@
            VerifyField<int64_t>(verifier, VT_ZONE_US, 8) &&
            VerifyField<uint64_t>(verifier, VT_RESULT_BYTES, 8) &&
            VerifyField<uint8_t>(verifier, VT_REPEATED, 1) &&
+           VerifyOffset(verifier, VT_ALLOWED_ZONES) &&
+           verifier.VerifyVector(allowed_zones()) &&
+           verifier.VerifyVectorOfStrings(allowed_zones()) &&
            verifier.EndTable();
   }
 };
@@ -1333,6 +1340,9 @@
   void add_repeated(bool repeated) {
     fbb_.AddElement<uint8_t>(PiecesAsked::VT_REPEATED, static_cast<uint8_t>(repeated), 0);
   }
+  void add_allowed_zones(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> allowed_zones) {
+    fbb_.AddOffset(PiecesAsked::VT_ALLOWED_ZONES, allowed_zones);
+  }
   explicit PiecesAskedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1356,13 +1366,15 @@
     flatbuffers::Offset<flatbuffers::String> zone = 0,
     int64_t zone_us = 0,
     uint64_t result_bytes = 0,
-    bool repeated = false) {
+    bool repeated = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> allowed_zones = 0) {
   PiecesAskedBuilder builder_(_fbb);
   builder_.add_result_bytes(result_bytes);
   builder_.add_zone_us(zone_us);
   builder_.add_left_us(left_us);
   builder_.add_goal_us(goal_us);
   builder_.add_group(group);
+  builder_.add_allowed_zones(allowed_zones);
   builder_.add_zone(zone);
   builder_.add_priority(priority);
   builder_.add_pieces(pieces);
@@ -1384,10 +1396,12 @@
     const char *zone = nullptr,
     int64_t zone_us = 0,
     uint64_t result_bytes = 0,
-    bool repeated = false) {
+    bool repeated = false,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *allowed_zones = nullptr) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto pieces__ = pieces ? _fbb.CreateVector<flatbuffers::Offset<foxtailwheel::peer::wire::Piece>>(*pieces) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto allowed_zones__ = allowed_zones ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*allowed_zones) : 0;
   return foxtailwheel::peer::wire::CreatePiecesAsked(
       _fbb,
       sender,
@@ -1400,7 +1414,8 @@
       zone__,
       zone_us,
       result_bytes,
-      repeated);
+      repeated,
+      allowed_zones__);
 }
 
 struct PiecesTaken FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/include/foxtailwheel/routing/ServerPool.h
+++ b/include/foxtailwheel/routing/ServerPool.h
@@ -2,12 +2,14 @@
 
 #include "foxtailwheel/base/Ids.h"
 #include "foxtailwheel/config/Declarations.h"
+#include "foxtailwheel/routing/ColdCallLimiter.h"
 #include "foxtailwheel/routing/LoadBalancingPolicy.h"
 #include "foxtailwheel/routing/LoadEstimate.h"
 #include "foxtailwheel/routing/PrefixIndex.h"
 #include "foxtailwheel/routing/ServerHealth.h"
 #include "foxtailwheel/routing/ZoneRamp.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -38,6 +40,8 @@
     std::optional<Duration> maxExpectedTime = std::nullopt; ///< Excludes servers with a longer expected time.
     std::optional<AvailabilityZoneId> preferredZone
         = std::nullopt; ///< Limits the choice to usable servers in this zone, if there are any.
+    std::optional<std::set<AvailabilityZoneId>> allowedZones
+        = std::nullopt; ///< Excludes servers in other zones, even if there are no others.
 };
 
 /// @brief Server chosen for a call.
@@ -81,7 +85,7 @@
     ServerPool& operator=(const ServerPool&) = delete;
 
     /// @brief Applies a new declaration of the service; keeps the state of servers whose address is unchanged. What is
-    /// known of an earlier process of a server does not hold for the next one.
+    /// known of an earlier process of a server does not hold for the next one. Servers in drained zones get no calls.
     void update(const config::Service& service, const config::Declarations& declarations);
     /// @brief Chooses a server and counts the call as in progress there; returns an empty value if no server is usable.
     std::optional<Placement> place(const PlacementRequest& request, TimePoint now);
@@ -96,6 +100,13 @@
     void onCacheEvent(const BackendServerId& server, const CacheEvent& event);
     /// @brief Sets the servers that are leaving and receive no new calls; replaces the previous set.
     void setLeaving(const std::set<BackendServerId>& leaving);
+    /// @brief Limits the calls to cold servers, which get no call that `limiter` does not admit (see
+    /// `ColdCallLimiter`).
+    void updateColdCalls(const std::function<void(ColdCallLimiter& limiter)>& update);
+    /// @brief Returns the number of calls that cold servers were left out of, since the pool was created.
+    std::uint64_t coldCallsHeld() const;
+    /// @brief Returns the servers for which the limit has taken effect since the last call.
+    std::vector<BackendServerId> takeNewlyLimited();
     /// @brief Sets when zones were restored; their servers get their traffic in steps (see `ZoneRamp`), unless no other
     /// server is usable.
     void setRestoredZones(std::map<AvailabilityZoneId, TimePoint> restoredAt);
@@ -104,7 +115,8 @@
     Duration pause(const BackendServerId& server, Duration time, TimePoint now);
     /// @brief Returns the time until which a server is paused; empty if it is not.
     std::optional<TimePoint> pausedUntil(const BackendServerId& server, TimePoint now) const;
-    /// @brief Returns the earliest time at which a pause ends, if all servers of the subset are paused.
+    /// @brief Returns the earliest time at which a pause ends, if all servers of the subset are paused, and one second
+    /// from now if all are in zones that are declared as drained.
     std::optional<TimePoint> pausedUntil(TimePoint now) const;
     /// @brief Returns the suspected servers whose check is due. Until they pass it, no `healthyOnly` call is placed
     /// there.
--- a/include/foxtailwheel/routing/ZoneRamp.h
+++ b/include/foxtailwheel/routing/ZoneRamp.h
@@ -14,6 +14,8 @@
 public:
     /// @brief Sets when zones were restored; replaces the previous ones. Zones without a time get all their traffic.
     void setRestored(std::map<AvailabilityZoneId, TimePoint> restoredAt) { m_restoredAt = std::move(restoredAt); }
+    /// @brief Sets when one more zone was restored.
+    void addRestored(const AvailabilityZoneId& zone, TimePoint at) { m_restoredAt[zone] = at; }
     /// @brief Returns true if a zone gets only a part of its traffic.
     bool isActive(TimePoint now) const;
     /// @brief Returns the share of requests for which the servers of a zone are candidates, from above 0 to 1.
--- a/include/foxtailwheel/serving/BatchQueue.h
+++ b/include/foxtailwheel/serving/BatchQueue.h
@@ -53,6 +53,7 @@
     /// Pieces expected to finish later than this in the preferred zone may be processed in another one.
     TimePoint crossZoneAfter;
     std::uint64_t resultBytes = 0; ///< Approximate size of the result of one piece.
+    std::vector<AvailabilityZoneId> allowedZones {}; ///< Zones in which the pieces may be processed; empty for all.
 };
 
 /// @brief Action and message: release results that are no longer needed at their producer.
--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -12,6 +12,7 @@
 #include "foxtailwheel/serving/PieceBroker.h"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -45,6 +46,7 @@
     std::uint32_t slots = 0; ///< Calls that the server runs at once.
     WallTime startedAt {}; ///< Tells processes with the same id apart; unset if the entry does not have it.
     std::uint64_t sequence = 0; ///< Number of the entry, which grows with each write of the same process.
+    Duration coldRemaining {}; ///< Time for which the server remained cold when it wrote the entry.
 
     friend bool operator==(const AnnouncedServer&, const AnnouncedServer&) = default;
 };
@@ -54,6 +56,7 @@
     bool leaving = false; ///< It ends soon and wants no new calls.
     Duration pause {}; ///< It rejected the call and wants no further ones for this time.
     bool isOther = false; ///< It is not the server that was called, but another one at its address.
+    Duration coldRemaining {}; ///< Time for which it remains cold; 0 if it does not say.
 };
 
 /// @brief A server said in a response that it is leaving. As an action: to be shared with all instances.
@@ -104,6 +107,7 @@
     NoServer,
     Overloaded,
     StageFailed,
+    NoServerInRegion, ///< A service that the request needs has no server in the regions that the request allows.
     ZonesDrained, ///< All servers of a service that the request needs are in drained zones.
     ServersPaused, ///< All servers of the service asked to be left alone for a while.
     CrashesServers, ///< The prompt has a part on which servers crash.
@@ -175,6 +179,7 @@
 /// @brief Options of request forwarding.
 struct ForwarderOptions {
     routing::PoolOptions pools;
+    std::map<AvailabilityZoneId, std::string> zoneRegions {}; ///< Region of each zone; a zone without one is in none.
     Duration crossZoneDelay = std::chrono::milliseconds(5); ///< One-way network delay, as specified.
     double retryBudgetFraction = 0.2; ///< Retries per first call, over all instances; limit set by the operators.
     double retryBudgetReserve = 50; ///< Additional retries per window, over all instances; limit set by the operators.
@@ -291,6 +296,8 @@
     /// @brief Returns when `onTimer` must be called next.
     virtual TimePoint nextTimerAt() const = 0;
 
+    /// @brief Returns the number of calls that cold servers were left out of, since the start.
+    virtual std::uint64_t coldCallsHeld() const = 0;
     virtual ForwarderStatus status(TimePoint now) const = 0;
 };
 
--- a/include/foxtailwheel/serving/PieceBroker.h
+++ b/include/foxtailwheel/serving/PieceBroker.h
@@ -28,6 +28,7 @@
     Duration remainingTimeInZone {}; ///< Time after which the pieces may be processed in another zone.
     std::uint64_t resultBytes = 0; ///< Approximate size of one result.
     bool repeated = false; ///< Sent to the same owner before, which may have it in its queue.
+    std::vector<AvailabilityZoneId> allowedZones {}; ///< Zones in which the pieces may be processed; empty for all.
 
     friend bool operator==(const PieceRequest&, const PieceRequest&) = default;
 };
--- a/src/foxtailwheel/config/Difference.cpp
+++ b/src/foxtailwheel/config/Difference.cpp
@@ -43,7 +43,8 @@
     {
         FieldsByPath fieldsByPath;
         for (const auto& it : declarations.zones)
-            fieldsByPath["zones/" + it.id.value()] = formatField("region", it.region);
+            fieldsByPath["zones/" + it.id.value()]
+                = formatField("region", it.region) + (it.drained ? formatField("drained", "true") : "");
         for (const auto& it : declarations.links)
             fieldsByPath["links/" + it.from.value() + "/" + it.to.value()]
                 = formatField("one_way", formatMilliseconds(it.oneWay))
--- a/src/foxtailwheel/config/ParseDeclarations.cpp
+++ b/src/foxtailwheel/config/ParseDeclarations.cpp
@@ -98,6 +98,7 @@
             Zone zone;
             zone.id = readName(reader, m_zones);
             zone.region = reader.text("region");
+            zone.drained = reader.flag("drained", false);
             reader.reportUnknownKeys();
             m_out.declarations.zones.push_back(std::move(zone));
         }
--- a/src/foxtailwheel/config/YamlReader.cpp
+++ b/src/foxtailwheel/config/YamlReader.cpp
@@ -312,6 +312,14 @@
     return readers;
 }
 
+std::vector<std::string> YamlReader::keys() const
+{
+    std::vector<std::string> keys;
+    for (const auto& it : m_impl->fields)
+        keys.push_back(it.first);
+    return keys;
+}
+
 YamlReader YamlReader::section(std::string_view key)
 {
     const auto* node = m_impl->find(key);
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -6,6 +6,7 @@
 #include <cctype>
 #include <exception>
 #include <unordered_map>
+#include <utility>
 
 namespace foxtailwheel::daemon {
 
@@ -110,6 +111,7 @@
     std::function<void(const serving::CrashRecordUpdate&)> shareCrashRecords;
     std::function<void(const serving::LeavingServer&)> shareLeavingServer;
     TimePoint timerAt = TimePoint::max();
+    std::uint64_t coldCallsHeld = 0; ///< As last counted in the metrics.
 };
 
 void ForwardService::Impl::executeAll(serving::ForwardActions actions)
@@ -123,6 +125,9 @@
             std::visit([this](const auto& action) { onFailed(action); }, it);
         }
     }
+    const auto held = forwarder->coldCallsHeld();
+    if (const auto before = std::exchange(coldCallsHeld, held); before < held)
+        metrics.increment("foxtailwheel_cold_calls_held_total", {}, static_cast<double>(held - before));
     scheduleTimer();
 }
 
--- a/src/foxtailwheel/peer/Message.cpp
+++ b/src/foxtailwheel/peer/Message.cpp
@@ -108,11 +108,14 @@
         flatbuffers::Offset<wire::Envelope> operator()(const serving::PieceRequest& it) const
         {
             const auto pieces = pack(fbb, it.pieces);
+            std::vector<flatbuffers::Offset<flatbuffers::String>> zones;
+            for (const auto& zone : it.allowedZones)
+                zones.push_back(fbb.CreateString(zone.value()));
             return wrap(wire::Body::PiecesAsked,
                 wire::CreatePiecesAskedDirect(fbb, pack(fbb, sender), it.group.value(), it.service.value().c_str(),
                     &pieces, it.priority, microseconds(it.remainingTimeToTarget), microseconds(it.remainingTime),
-                    it.preferredZone.value().c_str(), microseconds(it.remainingTimeInZone), it.resultBytes,
-                    it.repeated));
+                    it.preferredZone.value().c_str(), microseconds(it.remainingTimeInZone), it.resultBytes, it.repeated,
+                    zones.empty() ? nullptr : &zones));
         }
         flatbuffers::Offset<wire::Envelope> operator()(const serving::PieceRequestAck& it) const
         {
@@ -283,6 +286,10 @@
         out.remainingTimeInZone = boundedMicroseconds(request.zone_us());
         out.resultBytes = request.result_bytes();
         out.repeated = request.repeated();
+        if (const auto* zones = request.allowed_zones()) {
+            for (const auto* it : *zones)
+                out.allowedZones.emplace_back(it->str());
+        }
         if (request.pieces() == nullptr)
             return out;
         for (const auto* it : *request.pieces()) {
--- a/src/foxtailwheel/peer/PeerTest.cpp
+++ b/src/foxtailwheel/peer/PeerTest.cpp
@@ -49,7 +49,8 @@
                 7, 11s, store::StoreEpoch(3) } },
         peer::PieceUpdate { makeMember("x"),
             serving::PieceRequest { serving::PieceGroupId(3), ServiceId("portal"), { { "r", 1, 2, "k", { "h" } } }, 1,
-                -2ms, 3s, AvailabilityZoneId("a"), 4ms, 99, true } },
+                -2ms, 3s, AvailabilityZoneId("a"), 4ms, 99, true,
+                { AvailabilityZoneId("a"), AvailabilityZoneId("b") } } },
         peer::PieceUpdate {
             makeMember("x"), serving::PieceRequestAck { serving::PieceGroupId(3), { { 1ms, 2ms, 3ms, 4ms }, 5ms } } },
         peer::PieceUpdate { makeMember("x"), serving::PieceRequestCancel { serving::PieceGroupId(3) } },
--- a/src/foxtailwheel/routing/RoutingTest.cpp
+++ b/src/foxtailwheel/routing/RoutingTest.cpp
@@ -191,3 +191,28 @@
     cr_assert_eq(own, 1U);
     cr_assert_eq(pool->status().size(), 4U);
 }
+
+// Fails if a zone that is declared as drained gets calls, or all servers being drained does not show as a pause.
+Test(ServerPool, serversInZonesDeclaredAsDrainedGetNoCalls)
+{
+    const auto service = testing::makeService("encode", config::ServiceKind::Encoder, 4);
+    auto declarations = *testing::smallDeployment(4);
+    routing::PoolOptions options;
+    options.self = InstanceId("instance-0");
+    options.zone = AvailabilityZoneId("a");
+    const auto pool = routing::ServerPool::create(service, declarations, options);
+    const auto zones = pool->serversByZone();
+    cr_assert_geq(zones.size(), 2);
+    const auto drained = zones.begin()->first;
+    for (auto& it : declarations.zones)
+        it.drained = it.id == drained;
+    pool->update(service, declarations);
+    for (int i = 0; i < 50; ++i)
+        cr_assert_neq(pool->place({}, start)->server.zone, drained);
+    cr_assert(!pool->pausedUntil(start));
+    for (auto& it : declarations.zones)
+        it.drained = true;
+    pool->update(service, declarations);
+    cr_assert(!pool->place({}, start));
+    cr_assert(pool->pausedUntil(start) == start + 1s);
+}
--- a/src/foxtailwheel/routing/ServerPool.cpp
+++ b/src/foxtailwheel/routing/ServerPool.cpp
@@ -8,6 +8,7 @@
 #include <cmath>
 #include <mutex>
 #include <unordered_map>
+#include <utility>
 
 namespace foxtailwheel::routing {
 
@@ -37,6 +38,8 @@
     constexpr double affinityLoadFactor = 1.5;
     constexpr double affinityLoadSlack = 6;
 
+    /// Time after which a caller may try again if all servers are in drained zones.
+    constexpr Duration drainedRetryAfter = 1s;
     /// Longest pause of a server.
     constexpr Duration maxPause = 10min;
 
@@ -70,6 +73,7 @@
         : options(std::move(o))
         , random(options.seed ^ hashOf(options.self.value()))
         , policy(makeLoadBalancingPolicy(options.policy))
+        , cold(options.self)
     {
     }
 
@@ -82,6 +86,7 @@
     Candidate makeCandidate(std::size_t index, const PlacementRequest& request, TimePoint now) const;
     void collectCandidates(const PlacementRequest& request, bool applyAvoid, TimePoint now);
     void keepCandidatesInZone(const AvailabilityZoneId& zone);
+    bool isDrained() const;
     void keepAdmittedCandidates(const PlacementRequest& request, TimePoint now);
     bool isAdmitted(const Server& server, TimePoint now) const;
     std::size_t pickServer(const PlacementRequest& request, TimePoint now);
@@ -99,7 +104,12 @@
     std::vector<std::size_t> subset;
     std::vector<Candidate> candidates;
     std::set<BackendServerId> leaving;
+    std::set<AvailabilityZoneId> drained; ///< By the declarations.
+    std::set<AvailabilityZoneId> restored; ///< By the declarations, since the last placement.
     ZoneRamp ramp;
+    ColdCallLimiter cold;
+    std::uint64_t coldCallsHeld = 0;
+    std::vector<BackendServerId> newlyLimited;
     LatencyHistogram times;
     double meanCallSeconds = 0;
     double activeServers = 0;
@@ -121,7 +131,7 @@
     std::vector<std::size_t> indices;
     for (std::size_t i = 0; i < servers.size(); ++i) {
         servers[i].inSubset = false;
-        servers[i].leaving = leaving.contains(servers[i].declared.id);
+        servers[i].leaving = leaving.contains(servers[i].declared.id) || drained.contains(servers[i].declared.zone);
         if (servers[i].leaving)
             continue;
         active.push_back(servers[i].declared);
@@ -179,6 +189,7 @@
 void ServerPool::Impl::collectCandidates(const PlacementRequest& request, bool applyAvoid, TimePoint now)
 {
     candidates.clear();
+    bool isHeld = false;
     meanOtherCalls = 0;
     for (const auto index : subset)
         meanOtherCalls += servers[index].load.otherCalls() / static_cast<double>(subset.size());
@@ -190,12 +201,29 @@
         const bool isAvoided = applyAvoid
             && std::find(request.avoid.begin(), request.avoid.end(), server.declared.id) != request.avoid.end();
         const bool isFull = request.maxOwnCalls && server.load.ownCalls() >= *request.maxOwnCalls;
-        if (!isUsable || isAvoided || isFull)
+        const bool isForbidden = request.allowedZones && !request.allowedZones->contains(server.declared.zone);
+        if (!isUsable || isAvoided || isFull || isForbidden)
             continue;
+        if (!cold.admits(server.declared.id, now)) {
+            isHeld = true;
+            if (cold.onCallHeld(server.declared.id))
+                newlyLimited.push_back(server.declared.id);
+            continue;
+        }
         const auto candidate = makeCandidate(index, request, now);
         if (!request.maxExpectedTime || fromSeconds(candidate.expectedSeconds) <= *request.maxExpectedTime)
             candidates.push_back(candidate);
     }
+    coldCallsHeld += isHeld ? 1 : 0;
+}
+
+/// Returns true if all servers that are not leaving are in zones that are declared as drained.
+bool ServerPool::Impl::isDrained() const
+{
+    const auto isInDrainedZone = [this](const Server& it) { return drained.contains(it.declared.zone); };
+    return subset.empty() && std::any_of(servers.begin(), servers.end(), [&](const Server& it) {
+        return isInDrainedZone(it) && !leaving.contains(it.declared.id);
+    });
 }
 
 /// Removes the candidates outside `zone`, unless that would remove all.
@@ -313,6 +341,15 @@
         m_impl->setLink(server, declarations);
         servers.push_back(std::move(server));
     }
+    std::set<AvailabilityZoneId> drained;
+    for (const auto& it : declarations.zones) {
+        if (it.drained)
+            drained.insert(it.id);
+    }
+    for (const auto& it : std::exchange(m_impl->drained, drained)) {
+        if (!drained.contains(it))
+            m_impl->restored.insert(it);
+    }
     m_impl->service = service;
     m_impl->servers = std::move(servers);
     m_impl->indexById.clear();
@@ -324,6 +361,8 @@
 std::optional<Placement> ServerPool::place(const PlacementRequest& request, TimePoint now)
 {
     const std::lock_guard lock(m_impl->mutex);
+    for (const auto& it : std::exchange(m_impl->restored, {}))
+        m_impl->ramp.addRestored(it, now);
     m_impl->collectCandidates(request, true, now);
     if (m_impl->candidates.empty() && !request.avoid.empty())
         m_impl->collectCandidates(request, false, now);
@@ -337,6 +376,7 @@
     const double expected = m_impl->makeCandidate(index, request, now).expectedSeconds;
     server.load.onCallStarted(now);
     server.health.onCallStarted(now);
+    m_impl->cold.onCall(server.declared.id, now);
     if (request.prefix)
         server.prefixes.onPrefixUsed(*request.prefix);
     return Placement { server.declared, server.linkCost, fromSeconds(expected), !server.isLocal };
@@ -353,6 +393,8 @@
         m_impl->recordCallTime(*server, toSeconds(report.latency), now);
     }
     server->load.onCallEnded(now);
+    if (report.outcome == CallOutcome::Unreachable)
+        m_impl->cold.markCold(id, now);
     return server->health.onCallEnded(report.outcome, now);
 }
 
@@ -392,6 +434,24 @@
     m_impl->rebuildSubset();
 }
 
+void ServerPool::updateColdCalls(const std::function<void(ColdCallLimiter& limiter)>& update)
+{
+    const std::lock_guard lock(m_impl->mutex);
+    update(m_impl->cold);
+}
+
+std::uint64_t ServerPool::coldCallsHeld() const
+{
+    const std::lock_guard lock(m_impl->mutex);
+    return m_impl->coldCallsHeld;
+}
+
+std::vector<BackendServerId> ServerPool::takeNewlyLimited()
+{
+    const std::lock_guard lock(m_impl->mutex);
+    return std::exchange(m_impl->newlyLimited, {});
+}
+
 void ServerPool::setRestoredZones(std::map<AvailabilityZoneId, TimePoint> restoredAt)
 {
     const std::lock_guard lock(m_impl->mutex);
@@ -418,6 +478,8 @@
 std::optional<TimePoint> ServerPool::pausedUntil(TimePoint now) const
 {
     const std::lock_guard lock(m_impl->mutex);
+    if (m_impl->isDrained())
+        return now + drainedRetryAfter;
     std::optional<TimePoint> earliest;
     for (const auto index : m_impl->subset) {
         const auto& health = m_impl->servers[index].health;
@@ -434,7 +496,7 @@
     std::vector<config::BackendServer> due;
     for (const auto index : m_impl->subset) {
         const auto& server = m_impl->servers[index];
-        if (server.health.needsCheck(now))
+        if (server.health.needsCheck(now) && m_impl->cold.admits(server.declared.id, now))
             due.push_back(server.declared);
     }
     return due;
@@ -445,14 +507,18 @@
     const std::lock_guard lock(m_impl->mutex);
     if (auto* server = m_impl->find(id))
         server->health.onCheckStarted(now);
+    m_impl->cold.onCall(id, now);
 }
 
 void ServerPool::onCheckEnded(const config::BackendServer& checked, bool passed, TimePoint now)
 {
     const std::lock_guard lock(m_impl->mutex);
     auto* server = m_impl->find(checked.id);
-    if (server != nullptr && server->declared == checked)
-        server->health.onCheckEnded(passed, now);
+    if (server == nullptr || server->declared != checked)
+        return;
+    server->health.onCheckEnded(passed, now);
+    if (!passed)
+        m_impl->cold.markCold(checked.id, now);
 }
 
 Duration ServerPool::expectedCallTime() const
@@ -494,7 +560,8 @@
     std::vector<config::BackendServer> notAdmitted;
     for (const auto index : m_impl->subset) {
         const auto& server = m_impl->servers[index];
-        if (server.health.isUsable(now, server.load.ownCalls()) && server.load.ownCalls() < maxOwnCalls)
+        if (server.health.isUsable(now, server.load.ownCalls()) && server.load.ownCalls() < maxOwnCalls
+            && m_impl->cold.admits(server.declared.id, now))
             (m_impl->isAdmitted(server, now) ? available : notAdmitted).push_back(server.declared);
     }
     return available.empty() ? notAdmitted : available;
--- a/src/foxtailwheel/serving/BatchPlacement.cpp
+++ b/src/foxtailwheel/serving/BatchPlacement.cpp
@@ -89,14 +89,18 @@
 std::optional<AvailabilityZoneId> BatchQueue::Impl::nextZone(
     const CapacityByZone& capacityByZone, const ArrivalNumbers& crossing, const GroupSizes& sizes) const
 {
-    const auto largest = std::max_element(
-        capacityByZone.begin(), capacityByZone.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
     for (const auto& it : waiting) {
+        auto largest = capacityByZone.end();
+        for (auto zone = capacityByZone.begin(); zone != capacityByZone.end(); ++zone) {
+            if (it.isAllowedIn(zone->first) && (largest == capacityByZone.end() || largest->second < zone->second))
+                largest = zone;
+        }
         const auto bytes = piecesInSameCall(it, sizes) * it.resultBytes;
         const auto preferred = it.zone ? capacityByZone.find(*it.zone) : capacityByZone.end();
         if (preferred != capacityByZone.end() && preferred->second >= bytes)
             return preferred->first;
-        if ((!it.zone || crossing.contains(it.arrivalNumber)) && largest->second >= bytes)
+        const bool mayCross = !it.zone || crossing.contains(it.arrivalNumber);
+        if (mayCross && largest != capacityByZone.end() && largest->second >= bytes)
             return largest->first;
     }
     return std::nullopt;
@@ -118,8 +122,8 @@
             const bool localZone = !it->zone || *it->zone == server.zone;
             const bool inTime
                 = it->targetTime >= now + forecast.callTime(std::min<std::size_t>(pieces.size() + n, limits.maxPieces));
-            const bool eligible
-                = (late || inTime) && (localZone || (fromOtherZones && crossing.contains(it->arrivalNumber)));
+            const bool eligible = it->isAllowedIn(server.zone) && (late || inTime)
+                && (localZone || (fromOtherZones && crossing.contains(it->arrivalNumber)));
             bool selected = eligible && it->resultBytes <= available;
             if (n > 1) {
                 const bool whole = pieces.size() + n <= limits.maxPieces && n * it->resultBytes <= available;
--- a/src/foxtailwheel/serving/BatchQueue.cpp
+++ b/src/foxtailwheel/serving/BatchQueue.cpp
@@ -203,8 +203,9 @@
     if (group.targetTime >= now + m_impl->forecast.callTime(1))
         m_impl->forecast.recordArrival(group.priority, group.pieces.size(), now);
     for (auto& it : group.pieces)
-        m_impl->waiting.insert({ group.id, std::move(it), group.priority, group.targetTime, group.deadline,
-            group.preferredZone, group.crossZoneAfter, group.resultBytes, ++m_impl->lastArrivalNumber, now, 0 });
+        m_impl->waiting.insert(
+            { group.id, std::move(it), group.priority, group.targetTime, group.deadline, group.preferredZone,
+                group.crossZoneAfter, group.resultBytes, ++m_impl->lastArrivalNumber, now, 0, group.allowedZones });
     dispatch(now, out);
 }
 
@@ -233,6 +234,8 @@
     if (outcome == BatchOutcome::Answered && results.size() != call.pieces.size())
         outcome = BatchOutcome::Broken;
     m_impl->pool.onCallEnded(call.server.id, m_impl->callReport(call, outcome, now), now);
+    if (outcome == BatchOutcome::Broken)
+        m_impl->pool.updateColdCalls([&](auto& limiter) { limiter.markCold(call.server.id, now); });
     if (outcome == BatchOutcome::Answered)
         m_impl->forecast.recordCall(call.pieces.size(), now - call.startsAt);
     else if (outcome == BatchOutcome::NotStarted)
--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -68,7 +68,7 @@
     }
     if (refuseIfCrashing(run, now, out) || refuseIfEnding(run, now, out))
         return;
-    if (!trySend(run, !run.triedServers.empty(), now, out) && !refuseIfDrained(run, now, out)
+    if (!trySend(run, !run.triedServers.empty(), now, out) && !refuseIfWithoutServer(run, now, out)
         && !refuseIfAllPaused(run, now, out))
         setTimer(now + serverRetryInterval, { TimerKind::FindServer, run.id, {}, {} });
 }
@@ -84,9 +84,12 @@
     placementRequest.healthyOnly = !run.idempotent();
     placementRequest.affinityKey = affinityOf(run);
     placementRequest.preferredZone = run.homeZone;
+    placementRequest.allowedZones = run.allowedZones;
     if (placementRequest.healthyOnly)
         checkSuspectedServer(run.service, now, out);
     const auto placement = state->pool->place(placementRequest, now);
+    for (const auto& it : state->pool->takeNewlyLimited())
+        logServerDecision("server_cold", { { "server", it.value() }, { "service", run.service.value() } });
     if (!placement)
         return false;
     if (!std::exchange(run.retryBudgetCredited, true))
@@ -343,6 +346,7 @@
     case ForwardCallOutcome::Broken:
         if (!isEmptyRest)
             recordCrash(*run, openCall, now, out);
+        m_directory.markCold(openCall.server, std::nullopt, now);
         [[fallthrough]];
     case ForwardCallOutcome::TimedOut:
         closeCall(*run, call, routing::CallOutcome::Failed, false, now, out);
@@ -463,7 +467,9 @@
         return false;
     const auto servers = state->pool->availableServers(std::numeric_limits<std::uint32_t>::max(), now);
     const bool hasUntried = std::any_of(servers.begin(), servers.end(), [&run](const config::BackendServer& it) {
-        return std::find(run.triedServers.begin(), run.triedServers.end(), it.id) == run.triedServers.end();
+        const bool isAllowed = !run.allowedZones || run.allowedZones->contains(it.zone);
+        return isAllowed
+            && std::find(run.triedServers.begin(), run.triedServers.end(), it.id) == run.triedServers.end();
     });
     if (!hasUntried || !isAnsweredBeforeEnd(run, now) || !state->retryBudget.tryAcquire(1, now))
         return false;
--- a/src/foxtailwheel/serving/ForwardDrain.cpp
+++ b/src/foxtailwheel/serving/ForwardDrain.cpp
@@ -1,13 +1,15 @@
 #include "RoutingForwarder.h"
 
+#include <algorithm>
+
 namespace foxtailwheel::serving {
 
 namespace {
 
     using namespace std::chrono_literals;
 
-    /// Retry-After hint if all servers that may serve a request are in drained zones.
-    constexpr Duration drainedRetryAfter = 1s;
+    /// Retry-After hint if drained zones or the allowed regions of a request leave it no server.
+    constexpr Duration withoutServerRetryAfter = 1s;
 
 } // namespace
 
@@ -28,34 +30,47 @@
     dispatchAll(now, out);
 }
 
-/// Returns whether a request needs a service whose servers are all in drained zones.
-bool RoutingForwarder::needsDrainedService(const ForwardRun& run) const
+/// Limits a request to the servers in `regions`, and to those that it was limited to before; empty for all regions.
+void RoutingForwarder::restrictToRegions(ForwardRun& run, const std::set<std::string>& regions) const
 {
-    if (m_directory.isDrained(run.service))
-        return true;
-    for (StageIndex i = 0; i < run.stages.size(); ++i) {
-        if (!run.stages[i].started && run.stages[i].missing > 0 && m_directory.isDrained(run.route->stages[i].service))
-            return true;
+    if (regions.empty())
+        return;
+    std::set<AvailabilityZoneId> zones;
+    for (const auto& [zone, region] : m_options.zoneRegions) {
+        if (regions.contains(region) && (!run.allowedZones || run.allowedZones->contains(zone)))
+            zones.insert(zone);
     }
-    return false;
+    run.allowedZones = std::move(zones);
 }
 
-/// Refuses a request at once if drained zones leave it no server.
-bool RoutingForwarder::refuseIfDrained(ForwardRun& run, TimePoint now, ForwardActions& out)
+/// Returns the services that a request still needs.
+std::vector<ServiceId> RoutingForwarder::neededServices(const ForwardRun& run) const
 {
-    return needsDrainedService(run) && refuseDrained(run, now, out);
+    std::vector<ServiceId> services { run.service };
+    for (StageIndex i = 0; i < run.stages.size(); ++i) {
+        if (!run.stages[i].started && run.stages[i].missing > 0)
+            services.push_back(run.route->stages[i].service);
+    }
+    return services;
 }
 
-/// Refuses a request that drained zones leave no server. A stream that has begun waits for as long as it can be
-/// resumed, since the zone may be restored.
-bool RoutingForwarder::refuseDrained(ForwardRun& run, TimePoint now, ForwardActions& out)
+/// Refuses a request at once if drained zones or its allowed regions leave it no server of one of the services. A
+/// stream that has begun waits for as long as it can be resumed, since a zone may be restored.
+bool RoutingForwarder::refuseIfWithoutServer(
+    ForwardRun& run, const std::vector<ServiceId>& services, TimePoint now, ForwardActions& out)
 {
-    if (now < resumableUntil(run))
+    const bool isDrained = std::any_of(services.begin(), services.end(),
+        [&](const ServiceId& it) { return m_directory.isDrained(it, run.allowedZones); });
+    const bool isForbidden = run.allowedZones
+        && std::any_of(services.begin(), services.end(),
+            [&](const ServiceId& it) { return !m_directory.hasServerIn(it, *run.allowedZones); });
+    if ((!isDrained && !isForbidden) || now < resumableUntil(run))
         return false;
     if (run.mayHaveRun || run.headSent)
         fail(run, ForwardOutcome::BackendFailed, now, out);
     else
-        refuse(run, ForwardOutcome::ZonesDrained, drainedRetryAfter, now, out);
+        refuse(run, isForbidden ? ForwardOutcome::NoServerInRegion : ForwardOutcome::ZonesDrained,
+            withoutServerRetryAfter, now, out);
     return true;
 }
 
--- a/src/foxtailwheel/serving/ForwardDrainTest.cpp
+++ b/src/foxtailwheel/serving/ForwardDrainTest.cpp
@@ -1,6 +1,7 @@
 #include "foxtailwheel/serving/Forwarder.h"
 
 #include <algorithm>
+#include <array>
 #include <criterion/criterion.h>
 
 using namespace foxtailwheel;
@@ -20,11 +21,13 @@
 
 /// A service with a stage service; each has servers in the zones a and b.
 struct DrainFixture {
-    DrainFixture()
+    explicit DrainFixture(
+        const std::set<std::string>& routeRegions = {}, const std::set<std::string>& accountRegions = {})
     {
         ForwarderOptions options;
         options.pools.self = InstanceId("i");
         options.pools.zone = AvailabilityZoneId("a");
+        options.zoneRegions = { { AvailabilityZoneId("a"), "west" }, { AvailabilityZoneId("b"), "east" } };
         forwarder = Forwarder::create(options);
         auto table = std::make_shared<config::RouteTable>();
         table->version = 1;
@@ -36,15 +39,19 @@
         route.timeout = 8s;
         route.latencyTarget = 4s;
         route.prefixAffinity = true;
-        route.isPublic = true;
+        route.allowedRegions = routeRegions;
         route.maxCallsPerRequest = 3;
         route.targets = { { ServiceId("model"), 1 } };
         route.stages = { { ServiceId("portal"), {}, 1000 } };
         table->routes = { route };
-        table->services = { { ServiceId("model"), std::nullopt, 64, 1000 },
+        table->needsCredentials = true;
+        table->credentials = { { "key", { ClientAccountId("account"), std::nullopt, accountRegions } } };
+        table->services = { { ServiceId("model"), std::nullopt, 64, 1000, {}, 5s, 2 },
             { ServiceId("portal"), config::BatchLimits { 1, 2, 10, 200ms, 17ms, 4s, 0 }, 0, 0 } };
         table->buildIndex();
+        configured = table;
         act([&](auto& out) { forwarder->configure(table, start, out); });
+        forwarder->confirmCredentials(1, start);
         setServers({ server("m1", "model", "a"), server("m2", "model", "b"), server("p1", "portal", "a"),
             server("p2", "portal", "b") });
     }
@@ -54,6 +61,15 @@
         act([&](auto& out) { forwarder->setServers(servers, start, out); });
     }
 
+    /// Sets the calls per second that cold servers can handle.
+    void setColdLimit(double perSecond)
+    {
+        configured = std::make_shared<config::RouteTable>(*configured);
+        ++configured->version;
+        configured->services[0].coldCallsPerSecond = perSecond;
+        act([&](auto& out) { forwarder->configure(configured, start, out); });
+    }
+
     void drain(const std::set<AvailabilityZoneId>& zones, TimePoint now = start)
     {
         act([&](auto& out) { forwarder->setDrainedZones(zones, now, out); });
@@ -65,8 +81,10 @@
         request.attemptId = "r" + std::to_string(++count);
         request.host = "h";
         request.message = { "POST", "/", {}, {} };
+        request.credential = "key";
         request.pieceCounts = { pieces };
         request.prompt = { { PromptPartId(prompt), 10 }, { PromptPartId(count), 1 } };
+        forwarder->confirmCredentials(configured->version, now);
         const auto id = forwarder->allocateRequestId();
         act([&](auto& out) { forwarder->submit(id, std::move(request), now, out); });
     }
@@ -100,6 +118,7 @@
     }
 
     std::unique_ptr<Forwarder> forwarder;
+    std::shared_ptr<config::RouteTable> configured;
     std::size_t count = 0;
     std::vector<SendUpstreamRequest> sent;
     std::vector<SendBatch> batches;
@@ -199,6 +218,7 @@
 Test(ForwardDrain, restoredZoneGetsItsTrafficInSteps)
 {
     DrainFixture fixture;
+    fixture.setColdLimit(0);
     fixture.drain(zoneB);
     fixture.drain({}, start + 1s);
     std::set<std::uint64_t> moved;
@@ -225,3 +245,101 @@
     cr_assert(shares[2] >= 30 && shares[2] <= 80, "%zu", shares[2]);
     cr_assert_geq(shares[4], 70);
 }
+
+// Fails if the servers of a restored zone, which are empty, get as many calls as warm ones.
+Test(ForwardDrain, serversOfARestoredZoneAreCold)
+{
+    DrainFixture fixture;
+    fixture.act([&](auto& out) { fixture.forwarder->setMembers({ InstanceId("i") }, {}, {}, start, out); });
+    fixture.drain(zoneB, start + 3s);
+    fixture.drain({}, start + 4s);
+    for (int i = 0; i < 400; ++i)
+        fixture.submit(start + 8s + 2ms * i, 0, static_cast<std::uint64_t>(i));
+    cr_assert_eq(fixture.countSentTo("b"), 2, "%zu", fixture.countSentTo("b"));
+    cr_assert_gt(fixture.forwarder->coldCallsHeld(), 0);
+    const auto before = fixture.countSentTo("b");
+    for (int i = 0; i < 100; ++i)
+        fixture.submit(start + 9s, 0, static_cast<std::uint64_t>(i));
+    cr_assert_geq(fixture.countSentTo("b") - before, 20, "it is warm");
+}
+
+// Fails if a server that became cold without an entry that says so gets calls as before: after a call that broke off,
+// one that did not reach it, or a health response.
+Test(ForwardDrain, serverThatMayHaveRestartedIsCold)
+{
+    for (const int cause : { 0, 1, 2, 3 }) {
+        DrainFixture fixture;
+        fixture.act([&](auto& out) { fixture.forwarder->setMembers({ InstanceId("i") }, {}, {}, start, out); });
+        fixture.submit(start + 3s);
+        const auto first = fixture.sent.at(0);
+        fixture.act([&](auto& out) {
+            if (cause < 3)
+                fixture.forwarder->onCallEnd(first.call,
+                    std::array {
+                        ForwardCallOutcome::Broken, ForwardCallOutcome::NotSent, ForwardCallOutcome::Misdirected }
+                        .at(static_cast<std::size_t>(cause)),
+                    {}, start + 3s, out);
+            else
+                fixture.forwarder->onServerSignal(first.server, { false, {}, false, 5s }, start + 3s, out);
+        });
+        const auto zone = first.server.zone.value();
+        const auto before = fixture.countSentTo(zone);
+        for (int i = 0; i < 400; ++i)
+            fixture.submit(start + 4s + 2ms * i, 0, static_cast<std::uint64_t>(i));
+        cr_assert_leq(fixture.countSentTo(zone) - before, 2, "cause %d", cause);
+    }
+}
+
+// Fails if a new server whose entry says that it is cold gets calls as the others.
+Test(ForwardDrain, entryOfAColdServerLimitsItsCalls)
+{
+    DrainFixture fixture;
+    fixture.act([&](auto& out) { fixture.forwarder->setMembers({ InstanceId("i") }, {}, {}, start, out); });
+    auto cold = server("m3", "model", "b");
+    cold.coldRemaining = 10s;
+    fixture.setServers({ server("m1", "model", "a"), cold });
+    for (int i = 0; i < 20; ++i)
+        fixture.submit(start + 1s, 0, static_cast<std::uint64_t>(i));
+    cr_assert_eq(fixture.countSentTo("b"), 0, "it does not know the other instances yet");
+    for (int i = 0; i < 400; ++i)
+        fixture.submit(start + 3s + 2ms * i, 0, static_cast<std::uint64_t>(i));
+    cr_assert_leq(fixture.countSentTo("b"), 2);
+    cr_assert_geq(fixture.countSentTo("a"), 418);
+}
+
+// Fails if a request, one of its pieces or a retry leaves the regions that its route and its account allow.
+Test(ForwardDrain, requestsStayInTheirRegions)
+{
+    DrainFixture fixture({ "east", "north" }, { "west", "east" });
+    for (std::uint64_t i = 0; i < 20; ++i)
+        fixture.submit(start, 4, i);
+    for (std::size_t i = 0; i < fixture.batches.size() && i < 40; ++i) {
+        const auto batch = fixture.batches[i];
+        cr_assert_eq(batch.server.zone.value(), "b");
+        std::vector<PieceResult> results(batch.pieces.size(), ResultHandle { "h" + std::to_string(i), batch.server });
+        const auto now = start + 250ms + 20ms * i;
+        fixture.act(
+            [&](auto& out) { fixture.forwarder->onBatchEnd(batch.call, BatchOutcome::Answered, results, now, out); });
+    }
+    cr_assert_geq(fixture.sent.size(), 10);
+    cr_assert_eq(fixture.countSentTo("a"), 0);
+    const auto first = fixture.sent[0].call;
+    fixture.act([&](auto& out) { fixture.forwarder->onCallEnd(first, ForwardCallOutcome::Refused, {}, start, out); });
+    fixture.runTimers(start + 3s);
+    cr_assert_eq(fixture.countSentTo("a"), 0, "retried elsewhere");
+}
+
+// Fails if a request waits although no server is in a region that it allows.
+Test(ForwardDrain, requestWithoutAServerInItsRegionsIsRefusedAtOnce)
+{
+    DrainFixture none({ "west" }, { "east" });
+    none.submit(start);
+    cr_assert_eq(none.replies.size(), 1);
+    cr_assert(none.replies[0].outcome == ForwardOutcome::NoServerInRegion);
+    cr_assert_eq(none.replies[0].response.status, 503);
+    DrainFixture drained({ "east" });
+    drained.drain(zoneB);
+    drained.submit(start);
+    cr_assert_eq(drained.replies.size(), 1);
+    cr_assert(drained.replies[0].outcome == ForwardOutcome::ZonesDrained);
+}
--- a/src/foxtailwheel/serving/ForwardNames.cpp
+++ b/src/foxtailwheel/serving/ForwardNames.cpp
@@ -46,6 +46,8 @@
         return "overloaded";
     case ForwardOutcome::StageFailed:
         return "stage_failed";
+    case ForwardOutcome::NoServerInRegion:
+        return "no_server_in_region";
     case ForwardOutcome::ZonesDrained:
         return "zones_drained";
     case ForwardOutcome::ServersPaused:
--- a/src/foxtailwheel/serving/ForwardRequests.cpp
+++ b/src/foxtailwheel/serving/ForwardRequests.cpp
@@ -82,6 +82,7 @@
     if (run.request.credential.empty() || it == m_table->credentials.end())
         return ForwardOutcome::BadCredential;
     run.account = it->second.account;
+    restrictToRegions(run, it->second.allowedRegions);
     run.priority = it->second.priority.value_or(run.route->priority);
     return std::nullopt;
 }
@@ -124,6 +125,7 @@
         return;
     }
     run.priority = run.route->priority;
+    restrictToRegions(run, run.route->allowedRegions);
     if (const auto outcome = authorize(run, now)) {
         refuse(run, *outcome, *outcome == ForwardOutcome::CredentialsOutdated ? notReadyRetryAfter : Duration {}, now,
             out);
@@ -183,7 +185,7 @@
         run.stages[i].missing = n;
     }
     setTimer(run.deadline, { TimerKind::Deadline, run.id, {}, {} });
-    if (refuseIfEnding(run, now, out) || refuseIfDrained(run, now, out))
+    if (refuseIfEnding(run, now, out) || refuseIfWithoutServer(run, now, out))
         return;
     chooseZone(run, now);
     if (const auto retryAfter = retryAfterOverload(run, now); m_options.admissionControl && retryAfter) {
@@ -228,6 +230,8 @@
     for (const auto& it : run.route->stages)
         stages.push_back(it.service);
     auto shares = m_directory.zoneShares(stages, run.service);
+    if (run.allowedZones)
+        std::erase_if(shares, [&run](const auto& it) { return !run.allowedZones->contains(it.first); });
     if (std::any_of(shares.begin(), shares.end(),
             [&](const auto& it) { return m_directory.ramp().admits(it.first, *affinity, now); }))
         std::erase_if(shares, [&](const auto& it) { return !m_directory.ramp().admits(it.first, *affinity, now); });
--- a/src/foxtailwheel/serving/ForwardRun.h
+++ b/src/foxtailwheel/serving/ForwardRun.h
@@ -4,6 +4,7 @@
 #include "foxtailwheel/serving/Forwarder.h"
 
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace foxtailwheel::serving {
@@ -38,6 +39,7 @@
     ServiceId service; ///< Picked from the route's targets.
     ClientAccountId account;
     std::uint32_t priority = 0;
+    std::optional<std::set<AvailabilityZoneId>> allowedZones; ///< Zones of the allowed regions; empty for all zones.
     std::optional<AvailabilityZoneId> homeZone; ///< Preferred zone for the request and its stage results.
     TimePoint acceptedAt;
     TimePoint firstAttemptAt; ///< Estimated time of the caller's first attempt.
--- a/src/foxtailwheel/serving/ForwardStages.cpp
+++ b/src/foxtailwheel/serving/ForwardStages.cpp
@@ -119,7 +119,9 @@
     const auto targetTime = run.headSent ? now + begunStageTime : stageTargetTime(run, stage);
     const auto priority = run.headSent ? 0 : run.priority;
     PieceGroup group { {}, {}, priority, targetTime, run.deadline, preferredZoneOf(run, stage),
-        now + (targetTime - now) / countRemainingStages(run, stage), run.route->stages[stage].resultBytes };
+        now + (targetTime - now) / countRemainingStages(run, stage), run.route->stages[stage].resultBytes, {} };
+    if (run.allowedZones)
+        group.allowedZones.assign(run.allowedZones->begin(), run.allowedZones->end());
     for (std::uint32_t i = 0; i < progress.results.size(); ++i) {
         if (!progress.results[i])
             group.pieces.push_back(makePiece(run, stage, i));
@@ -149,7 +151,7 @@
 void RoutingForwarder::submitGroup(
     ForwardRun& run, StageIndex stage, PieceGroup group, TimePoint now, ForwardActions& out)
 {
-    if (m_directory.isDrained(run.route->stages[stage].service) && refuseDrained(run, now, out))
+    if (refuseIfWithoutServer(run, { run.route->stages[stage].service }, now, out))
         return;
     group.id = PieceGroupId(m_nextGroupId++);
     run.stages[stage].groups.push_back(group.id);
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -35,6 +35,8 @@
 void RoutingForwarder::onServerSignal(
     const config::BackendServer& server, const ServerSignal& signal, TimePoint now, ForwardActions& out)
 {
+    if (signal.coldRemaining > Duration {} && !signal.isOther)
+        m_directory.markCold(server.id, signal.coldRemaining, now);
     if (!signal.leaving && signal.pause == Duration {})
         return;
     std::vector<LeavingServer> senders;
@@ -153,7 +155,7 @@
     const std::set<InstanceId>& removed, TimePoint now, ForwardActions& out)
 {
     m_instanceCount = std::max<std::size_t>(1, live.size());
-    m_directory.setInstanceCount(m_instanceCount);
+    m_directory.setInstances(live, now);
     BrokerActions actions;
     m_broker.setMembers(m_options.batchAcrossInstances ? owners : std::vector<InstanceId>(), removed, now, actions);
     updateQueueShares(now);
@@ -279,7 +281,7 @@
     if (run.awaitsRetryBudget)
         run.awaitsRetryBudget = !m_directory.find(run.service)->retryBudget.tryAcquire(1, now);
     const bool sent = !run.awaitsRetryBudget && trySend(run, !run.triedServers.empty(), now, out);
-    if (sent || refuseIfDrained(run, now, out) || refuseIfAllPaused(run, now, out))
+    if (sent || refuseIfWithoutServer(run, now, out) || refuseIfAllPaused(run, now, out))
         return;
     const auto waitsUntil
         = run.headSent ? resumableUntil(run) : run.acceptedAt + std::max(serverWaitTimeout, run.route->latencyTarget);
--- a/src/foxtailwheel/serving/PieceBroker.cpp
+++ b/src/foxtailwheel/serving/PieceBroker.cpp
@@ -87,7 +87,7 @@
     PieceGroup withoutPieces(const PieceGroup& group)
     {
         return { group.id, {}, group.priority, group.targetTime, group.deadline, group.preferredZone,
-            group.crossZoneAfter, group.resultBytes };
+            group.crossZoneAfter, group.resultBytes, group.allowedZones };
     }
 
     /// Returns the expected waits for additional pieces.
@@ -103,7 +103,8 @@
     PieceRequest makeRequest(const ServiceId& service, const PieceGroup& group, TimePoint now)
     {
         return { group.id, service, group.pieces, group.priority, group.targetTime - now, group.deadline - now,
-            group.preferredZone.value_or(AvailabilityZoneId()), group.crossZoneAfter - now, group.resultBytes };
+            group.preferredZone.value_or(AvailabilityZoneId()), group.crossZoneAfter - now, group.resultBytes, false,
+            group.allowedZones };
     }
 
     void appendResult(PieceResults& message, const QueuedGroup& group, const PieceDone& done)
@@ -267,7 +268,8 @@
     out.emplace_back(
         SendToInstance { from, PieceRequestAck { request.group, queueWaits(*queue, request.pieces.size(), now) } });
     PieceGroup group { request.group, request.pieces, request.priority, now + request.remainingTimeToTarget,
-        now + request.remainingTime, std::nullopt, now + request.remainingTimeInZone, request.resultBytes };
+        now + request.remainingTime, std::nullopt, now + request.remainingTimeInZone, request.resultBytes,
+        request.allowedZones };
     if (!request.preferredZone.empty())
         group.preferredZone = request.preferredZone;
     if (request.repeated)
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -47,7 +47,8 @@
 /// @brief Implementation of `Forwarder`.
 ///
 /// The methods are split by concern: ForwardRequests.cpp (admission and completion), ForwardStages.cpp,
-/// ForwardCalls.cpp, ForwardDrain.cpp (drained zones), Forwarder.cpp (configuration, members and timers).
+/// ForwardCalls.cpp, ForwardDrain.cpp (drained zones and allowed regions), Forwarder.cpp (configuration, members and
+/// timers).
 class RoutingForwarder final : public Forwarder {
 public:
     explicit RoutingForwarder(ForwarderOptions options)
@@ -109,6 +110,7 @@
         const auto timer = m_timers.empty() ? TimePoint::max() : m_timers.begin()->first;
         return std::min(timer, m_broker.nextTimerAt());
     }
+    std::uint64_t coldCallsHeld() const override { return m_directory.coldCallsHeld(); }
     ForwarderStatus status(TimePoint now) const override;
 
 private:
@@ -129,9 +131,14 @@
     void checkSuspectedServer(const ServiceId& service, TimePoint now, ForwardActions& out);
     void pauseServer(const BackendServerId& server, Duration pause, TimePoint now);
     bool refuseIfAllPaused(ForwardRun& run, TimePoint now, ForwardActions& out);
-    bool needsDrainedService(const ForwardRun& run) const;
-    bool refuseDrained(ForwardRun& run, TimePoint now, ForwardActions& out);
-    bool refuseIfDrained(ForwardRun& run, TimePoint now, ForwardActions& out);
+    void restrictToRegions(ForwardRun& run, const std::set<std::string>& regions) const;
+    std::vector<ServiceId> neededServices(const ForwardRun& run) const;
+    bool refuseIfWithoutServer(
+        ForwardRun& run, const std::vector<ServiceId>& services, TimePoint now, ForwardActions& out);
+    bool refuseIfWithoutServer(ForwardRun& run, TimePoint now, ForwardActions& out)
+    {
+        return refuseIfWithoutServer(run, neededServices(run), now, out);
+    }
     bool refuseIfCrashing(ForwardRun& run, TimePoint now, ForwardActions& out);
     bool isAnsweredBeforeEnd(const ForwardRun& run, TimePoint now) const;
     bool refuseIfEnding(ForwardRun& run, TimePoint now, ForwardActions& out);
--- a/src/foxtailwheel/serving/ServerDirectory.cpp
+++ b/src/foxtailwheel/serving/ServerDirectory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace foxtailwheel::serving {
 
@@ -65,6 +66,8 @@
 {
     auto pool = routing::ServerPool::create(toService(service, {}), {}, m_options.pools);
     pool->setRestoredZones(m_restoredAt);
+    if (m_lastUpdateAt != TimePoint {})
+        pool->updateColdCalls([this](auto& limiter) { limiter.setLiveInstances(m_instances, m_lastUpdateAt); });
     limits::SlidingWindowRetryBudget retryBudget(
         m_options.retryBudgetFraction, m_options.retryBudgetReserve, m_options.retryBudgetWindow);
     retryBudget.setInstanceCount(m_instanceCount);
@@ -78,6 +81,7 @@
     state.healthPath = service.healthPath;
     state.pool->update(toService(service, servers), crossZoneLinks(servers));
     updateLeaving(service.id);
+    updateColdStarts(service.id);
     if (!service.batch)
         return;
     if (state.batchQueue) {
@@ -100,6 +104,27 @@
     m_services.at(id).pool->setLeaving(leaving);
 }
 
+void ServerDirectory::updateColdStarts(const ServiceId& id)
+{
+    const auto& service = m_routedServices.at(id);
+    m_services.at(id).pool->updateColdCalls([&](routing::ColdCallLimiter& limiter) {
+        limiter.setLimits({ service.coldCallsPerSecond, service.coldTime });
+        for (const auto& it : m_announced[id])
+            limiter.setColdByEntry(
+                it.server.id, m_coldStarts.coldUntil(it.server.id, service.coldTime), m_lastUpdateAt);
+    });
+}
+
+void ServerDirectory::markCold(const BackendServerId& server, std::optional<Duration> time, TimePoint now)
+{
+    const auto* announced = findServer(server);
+    auto* state = announced == nullptr ? nullptr : find(announced->service);
+    if (state == nullptr)
+        return;
+    state->pool->updateColdCalls(
+        [&](auto& limiter) { limiter.markCold(server, time.value_or(limiter.limits().time), now); });
+}
+
 bool ServerDirectory::isLeaving(const AnnouncedServer& server) const
 {
     if (server.leaving)
@@ -193,6 +218,9 @@
         const auto& mark = it.second;
         return !ids.contains(it.first) && (mark.startedAt == WallTime {} || now - mark.markedAt > leavingRetention);
     });
+    m_coldStarts.update(
+        servers, now, m_options.epoch + std::chrono::floor<std::chrono::milliseconds>(now.time_since_epoch()));
+    m_lastUpdateAt = now;
     std::map<ServiceId, std::vector<AnnouncedServer>> byService;
     for (const auto& it : servers)
         byService[it.service].push_back(it);
@@ -210,22 +238,39 @@
         if (!zones.contains(it))
             m_restoredAt[it] = now;
     }
-    m_drainedZones = std::move(zones);
+    const auto isRestoredNow = [before = std::exchange(m_drainedZones, std::move(zones)), this](const auto& zone) {
+        return before.contains(zone) && !m_drainedZones.contains(zone);
+    };
     m_ramp.setRestored(m_restoredAt);
     for (auto& [id, state] : m_services) {
         state.pool->setRestoredZones(m_restoredAt);
         updateLeaving(id);
+        state.pool->updateColdCalls([&, &servers = m_announced[id]](routing::ColdCallLimiter& limiter) {
+            for (const auto& it : servers) {
+                if (isRestoredNow(it.server.zone))
+                    limiter.markCold(it.server.id, now);
+            }
+        });
     }
 }
 
-bool ServerDirectory::isDrained(const ServiceId& service) const
+bool ServerDirectory::hasServerIn(const ServiceId& service, const std::set<AvailabilityZoneId>& zones) const
+{
+    const auto found = m_announced.find(service);
+    return found != m_announced.end()
+        && std::any_of(found->second.begin(), found->second.end(),
+            [&](const AnnouncedServer& it) { return zones.contains(it.server.zone) && !isLeaving(it); });
+}
+
+bool ServerDirectory::isDrained(
+    const ServiceId& service, const std::optional<std::set<AvailabilityZoneId>>& allowedZones) const
 {
     const auto found = m_announced.find(service);
     if (m_drainedZones.empty() || found == m_announced.end())
         return false;
     bool hasReadyServers = false;
     for (const auto& it : found->second) {
-        if (isLeaving(it))
+        if (isLeaving(it) || (allowedZones && !allowedZones->contains(it.server.zone)))
             continue;
         if (!m_drainedZones.contains(it.server.zone))
             return false;
@@ -234,11 +279,23 @@
     return hasReadyServers;
 }
 
-void ServerDirectory::setInstanceCount(std::size_t n)
+void ServerDirectory::setInstances(const std::vector<InstanceId>& live, TimePoint now)
 {
-    m_instanceCount = std::max<std::size_t>(1, n);
-    for (auto& it : m_services)
+    m_instances = live;
+    m_instanceCount = std::max<std::size_t>(1, live.size());
+    m_lastUpdateAt = now;
+    for (auto& it : m_services) {
         it.second.retryBudget.setInstanceCount(m_instanceCount);
+        it.second.pool->updateColdCalls([&](auto& limiter) { limiter.setLiveInstances(live, now); });
+    }
+}
+
+std::uint64_t ServerDirectory::coldCallsHeld() const
+{
+    std::uint64_t n = 0;
+    for (const auto& it : m_services)
+        n += it.second.pool->coldCallsHeld();
+    return n;
 }
 
 ServiceState* ServerDirectory::find(const ServiceId& id)
--- a/src/foxtailwheel/serving/ServerDirectory.h
+++ b/src/foxtailwheel/serving/ServerDirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foxtailwheel/limits/SlidingWindowRetryBudget.h"
+#include "foxtailwheel/serving/ColdStarts.h"
 #include "foxtailwheel/serving/Forwarder.h"
 
 #include <functional>
@@ -42,12 +43,17 @@
     /// restored now.
     void setDrainedZones(std::set<AvailabilityZoneId> zones, TimePoint now);
     const std::set<AvailabilityZoneId>& drainedZones() const { return m_drainedZones; }
-    /// @brief Returns true if all servers of a service that are not leaving are in drained zones; false if it has none.
-    bool isDrained(const ServiceId& service) const;
+    /// @brief Returns true if all servers of a service in the allowed zones that are not leaving are in drained zones;
+    /// false if it has none there.
+    bool isDrained(const ServiceId& service, const std::optional<std::set<AvailabilityZoneId>>& allowedZones) const;
+    /// @brief Returns true if a service has a server in these zones that is not leaving, even if its zone is drained.
+    bool hasServerIn(const ServiceId& service, const std::set<AvailabilityZoneId>& zones) const;
     /// @brief Returns the traffic of restored zones.
     const routing::ZoneRamp& ramp() const { return m_ramp; }
-    /// @brief Sets the number of live instances, which share the retry budgets.
-    void setInstanceCount(std::size_t n);
+    /// @brief Sets the live instances, which share the retry budgets and the calls to cold servers.
+    void setInstances(const std::vector<InstanceId>& live, TimePoint now);
+    /// @brief A server counts as cold for `time`, or for the time of its service if that is empty.
+    void markCold(const BackendServerId& server, std::optional<Duration> time, TimePoint now);
 
     /// @brief Returns the service, or null if it is unknown.
     ServiceState* find(const ServiceId& id);
@@ -55,6 +61,8 @@
     /// @brief Returns a weight for each zone that has servers of `target`: the smallest share of servers that the zone
     /// has in any of `stages`. Zones of weight 0 are left out.
     std::map<AvailabilityZoneId, double> zoneShares(const std::vector<ServiceId>& stages, const ServiceId& target);
+    /// @brief Returns the number of calls that cold servers were left out of.
+    std::uint64_t coldCallsHeld() const;
     /// @brief Returns all services, ordered by id.
     std::map<ServiceId, ServiceState>& services() { return m_services; }
 
@@ -66,6 +74,7 @@
     config::Declarations crossZoneLinks(const std::vector<AnnouncedServer>& servers) const;
     void updateService(const config::RoutedService& service, ServiceState& state);
     void updateLeaving(const ServiceId& id);
+    void updateColdStarts(const ServiceId& id);
     bool isLeaving(const AnnouncedServer& server) const;
 
     const ForwarderOptions& m_options;
@@ -82,7 +91,10 @@
     std::set<AvailabilityZoneId> m_drainedZones;
     std::map<AvailabilityZoneId, TimePoint> m_restoredAt;
     routing::ZoneRamp m_ramp;
+    ColdStarts m_coldStarts;
+    std::vector<InstanceId> m_instances;
     std::size_t m_instanceCount = 1;
+    TimePoint m_lastUpdateAt {}; ///< Latest time that was passed in with servers or instances.
 };
 
 } // namespace foxtailwheel::serving
--- a/src/foxtailwheel/serving/WaitingPiece.h
+++ b/src/foxtailwheel/serving/WaitingPiece.h
@@ -2,6 +2,7 @@
 
 #include "foxtailwheel/serving/BatchQueue.h"
 
+#include <algorithm>
 #include <tuple>
 #include <utility>
 
@@ -23,6 +24,12 @@
     std::uint64_t arrivalNumber = 0; ///< Breaks ties in the order of arrival.
     TimePoint queuedAt; ///< Time at which it was added to this queue.
     std::uint32_t requeues = 0; ///< Number of times that it was added to the queue again.
+    std::vector<AvailabilityZoneId> allowedZones {}; ///< Zones in which it may be processed; empty for all.
+
+    bool isAllowedIn(const AvailabilityZoneId& it) const
+    {
+        return allowedZones.empty() || std::find(allowedZones.begin(), allowedZones.end(), it) != allowedZones.end();
+    }
 
     PieceId id() const { return { group, piece.index }; }
     friend bool operator<(const WaitingPiece& a, const WaitingPiece& b)
