One memory budget for what is held for clients and servers

Cause: each body, head and stream was within its own limit, but nothing counted them together. A request in progress held its body up to four times.

Ruled out: reserving the announced length of a body. A client that announces 4 MB and sends nothing would keep others out, so received bytes count.

A request that was received completely is never given up, and one without other load is always admitted. A body counts twice, as it is kept for another attempt beside the copy that is sent; two further copies are gone.

--- a/include/foxtailwheel/http/Client.h
+++ b/include/foxtailwheel/http/Client.h
@@ -3,6 +3,7 @@
 #include "foxtailwheel/base/Clock.h"
 #include "foxtailwheel/config/Settings.h"
 #include "foxtailwheel/http/IoPool.h"
+#include "foxtailwheel/http/MemoryBudget.h"
 #include "foxtailwheel/http/Message.h"
 
 #include <functional>
@@ -74,6 +75,7 @@
     /// to another request, so the call ends with `ConnectionLost`; a connection whose response lacks the field is not
     /// reused. If false, connections are reused without this check.
     bool identifyRequests = true;
+    std::shared_ptr<MemoryBudget> memory {}; ///< Counts the bodies instead, with its own bound; may be null.
 };
 
 /// @brief HTTP/1.1 client with a connection pool.
--- a/include/foxtailwheel/http/Server.h
+++ b/include/foxtailwheel/http/Server.h
@@ -4,6 +4,7 @@
 #include "foxtailwheel/base/Units.h"
 #include "foxtailwheel/config/Settings.h"
 #include "foxtailwheel/http/IoPool.h"
+#include "foxtailwheel/http/MemoryBudget.h"
 #include "foxtailwheel/http/Message.h"
 
 #include <cstdint>
@@ -52,6 +53,7 @@
     std::uint32_t maxConnections = 4096;
     std::size_t maxQueuedBytes = 256U << 10U; ///< Per response; above it the connection is aborted.
     Duration writeTimeout = std::chrono::seconds(10);
+    std::shared_ptr<MemoryBudget> memory {}; ///< Counts what is held for the clients; null: no bound for all together.
     bool identifyResponses = true; ///< Repeats the `identityField` of a request in its response.
 };
 
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -184,6 +184,8 @@
         = [self = shared_from_this(), id](http::CallResult result) { self->onDone(id, std::move(result)); };
     auto& call = calls[id];
     call.request = std::move(send);
+    // The body is in the call and in the request that the forwarder keeps; a third copy would only take memory.
+    call.request.message.body = std::string();
     call.httpCall = client.start(std::move(request), std::move(callbacks));
 }
 
--- a/src/foxtailwheel/http/Client.cpp
+++ b/src/foxtailwheel/http/Client.cpp
@@ -115,65 +115,20 @@
         m_idleConnections.erase(server);
     }
 
-    /// Bytes of incomplete bodies, by call, and their limit for all calls together.
-    class BodyBudget {
-    public:
-        explicit BodyBudget(std::size_t maxBytes)
-            : m_maxBytes(maxBytes)
-        {
-        }
-
-        /// Adds bytes to the body of a call; above the limit, ends the call with the largest body.
-        /// @param end Ends the call; may run on the thread of another call.
-        void add(const Call& call, std::size_t n, const std::function<void()>& end);
-        void remove(const Call& call);
-
-    private:
-        struct Body {
-            std::size_t bytes = 0;
-            std::function<void()> end;
-        };
-
-        std::size_t m_maxBytes;
-        std::mutex m_mutex;
-        std::map<const Call*, Body> m_bodies;
-        std::size_t m_totalBytes = 0;
-    };
-
-    void BodyBudget::add(const Call& call, std::size_t n, const std::function<void()>& end)
+    std::shared_ptr<MemoryBudget> budgetOf(const ClientOptions& options)
     {
-        std::function<void()> endLargest;
-        {
-            const std::lock_guard lock(m_mutex);
-            auto& body = m_bodies[&call];
-            body.bytes += n;
-            if (!body.end)
-                body.end = end;
-            m_totalBytes += n;
-            if (m_totalBytes <= m_maxBytes)
-                return;
-            const auto largest = std::max_element(m_bodies.begin(), m_bodies.end(),
-                [](const auto& left, const auto& right) { return left.second.bytes < right.second.bytes; });
-            endLargest = largest->second.end;
-        }
-        endLargest();
-    }
-
-    void BodyBudget::remove(const Call& call)
-    {
-        const std::lock_guard lock(m_mutex);
-        const auto it = m_bodies.find(&call);
-        if (it == m_bodies.end())
-            return;
-        m_totalBytes -= it->second.bytes;
-        m_bodies.erase(it);
+        if (options.memory)
+            return options.memory;
+        MemoryBudgetOptions own;
+        own.maxServerResponseBytes = options.maxBufferedBytes;
+        return MemoryBudget::create(own);
     }
 
     /// State that the calls of a client share.
     struct ClientState {
         ClientState(const ClientOptions& options, IoPool::ErrorHandler errorHandler)
             : onError(std::move(errorHandler))
-            , bodyBudget(options.maxBufferedBytes)
+            , memory(budgetOf(options))
         {
         }
 
@@ -185,7 +140,7 @@
 
         IoPool::ErrorHandler onError;
         IdleConnectionPool idlePool;
-        BodyBudget bodyBudget;
+        std::shared_ptr<MemoryBudget> memory;
     };
 
     /// A call, run by a coroutine on its own strand.
@@ -231,7 +186,7 @@
 
         void end();
         void cancelStream();
-        void countBodyBytes(std::size_t bodyBytes, std::size_t received);
+        void countBodyBytes(std::size_t bodyBytes);
         std::optional<bool> isOwnResponse(const Response& head) const;
 
         net::any_io_executor m_strand;
@@ -247,6 +202,7 @@
         bhttp::request<bhttp::string_body> m_message;
         net::steady_timer m_writeEnd; ///< Cancelled when the concurrent write ends.
         boost::system::error_code m_writeError;
+        std::unique_ptr<MemoryHolding> m_memory; ///< Of the body; null while it is short.
         bool m_writing = false; ///< A concurrent write is in progress.
         bool m_stopsWriting = false;
         bool m_writeIncomplete = false;
@@ -278,14 +234,16 @@
     }
 
     /// Counts received bytes in the budget of all calls, except for bodies that fit into one chunk.
-    void PooledCall::countBodyBytes(std::size_t bodyBytes, std::size_t received)
+    void PooledCall::countBodyBytes(std::size_t bodyBytes)
     {
         if (bodyBytes <= readChunkBytes)
             return;
-        m_state->bodyBudget.add(*this, received, [weak = weak_from_this()] {
-            if (const auto self = weak.lock())
-                self->end();
-        });
+        if (!m_memory)
+            m_memory = m_state->memory->hold([weak = weak_from_this()] {
+                if (const auto self = weak.lock())
+                    self->end();
+            });
+        m_memory->set(MemoryUse::ServerResponse, bodyBytes);
     }
 
     /// Returns whether a response is the one to this request; nothing if that is unknown.
@@ -356,10 +314,14 @@
         if (!m_identity.empty())
             m_message.set(identityField, m_identity);
         m_message.keep_alive(true);
-        m_message.body() = request.body;
+        // A call on a reused connection may be sent once more.
+        if (m_reused)
+            m_message.body() = request.body;
+        else
+            m_message.body() = std::move(m_request.request.body);
         // Beast does not prepare the payload of a TRACE request that has one.
         if (m_message.method() == bhttp::verb::trace)
-            m_message.content_length(request.body.size());
+            m_message.content_length(m_message.body().size());
         else
             m_message.prepare_payload();
         if (!m_sendStarted && m_callbacks.onSendStart)
@@ -367,7 +329,7 @@
         m_sendStarted = true;
         setStreamDeadline(m_request.deadline);
         m_writeStarted = true;
-        if (request.body.size() > maxSequentialWriteBytes) {
+        if (m_message.body().size() > maxSequentialWriteBytes) {
             m_writing = true;
             m_writeIncomplete = true;
             net::co_spawn(
@@ -424,7 +386,7 @@
                 m_callbacks.onData(received);
             } else if (!received.empty()) {
                 body.append(received);
-                countBodyBytes(body.size(), received.size());
+                countBodyBytes(body.size());
             }
             if (ec && ec != bhttp::error::need_buffer)
                 co_return ec;
@@ -548,7 +510,7 @@
             m_state->idlePool.closeAll(m_request.server);
         if (m_stream)
             m_stream->close();
-        m_state->bodyBudget.remove(*this);
+        m_memory.reset();
         const auto callbacks = std::move(m_callbacks);
         try {
             callbacks.onDone(std::move(result));
--- a/src/foxtailwheel/http/Connection.cpp
+++ b/src/foxtailwheel/http/Connection.cpp
@@ -20,6 +20,8 @@
     constexpr auto completionToken = net::as_tuple(net::use_awaitable);
     constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
     constexpr Duration cancelRetryDelay = std::chrono::milliseconds(50);
+    /// While a request is forwarded, it is kept for another attempt beside the copy that is being sent.
+    constexpr std::size_t requestCopies = 2;
     constexpr std::size_t headStepBytes = std::size_t { 4 } << 10U;
     constexpr std::size_t readStepBytes = std::size_t { 16 } << 10U;
     /// Bounds of the bytes that are read from a client after its request was refused.
@@ -32,6 +34,14 @@
             "{\"outcome\":\"not_run\",\"reason\":\"" + code + "\"}" };
     }
 
+    /// Nothing was forwarded, so the client may send the request again.
+    Response memoryRefusal()
+    {
+        auto response = errorResponse(503, "memory");
+        response.headers.push_back({ "Retry-After", "1" });
+        return response;
+    }
+
     struct FramingError {
         unsigned status = 400;
         std::string code;
@@ -162,12 +172,14 @@
         cancelReadTimeout();
         co_return;
     }
-    if (ec == net::error::operation_aborted && !m_readTimedOut) {
+    if (ec == net::error::operation_aborted && !m_readTimedOut && !m_endedForMemory) {
         cancelReadTimeout();
         co_return;
     }
     Response response = errorResponse(400, "malformed_http");
-    if (ec == bhttp::error::body_limit)
+    if (m_endedForMemory)
+        response = memoryRefusal();
+    else if (ec == bhttp::error::body_limit)
         response = errorResponse(413, "body_too_large");
     else if (ec == bhttp::error::header_limit)
         response = errorResponse(431, "header_too_large");
@@ -194,6 +206,8 @@
 /// Reads once into the buffer, which may have `bufferBytes` at most.
 net::awaitable<boost::system::error_code> Connection::readMore(std::size_t bufferBytes, std::size_t stepBytes)
 {
+    if (m_endedForMemory)
+        co_return net::error::operation_aborted;
     if (m_buffer.size() >= bufferBytes)
         co_return beast::http::error::header_limit;
     const auto n = std::min(stepBytes, bufferBytes - m_buffer.size());
@@ -210,6 +224,7 @@
             if (parseError || parser.isHeadDone())
                 co_return parseError;
         }
+        countRequest(MemoryUse::IncompleteRequest, 0);
         const auto readError = co_await readMore(bufferBytes, headStepBytes);
         if (readError)
             co_return readError == net::error::eof ? parser.endOfInput() : readError;
@@ -224,6 +239,7 @@
             if (parseError || parser.isDone())
                 co_return parseError;
         }
+        countRequest(MemoryUse::IncompleteRequest, parser.bodyBytes());
         const auto readError = co_await readMore(bufferBytes, readStepBytes);
         if (readError)
             co_return readError == net::error::eof ? parser.endOfInput() : readError;
@@ -231,10 +247,41 @@
     co_return boost::system::error_code();
 }
 
+/// Returns a function that ends what is being read or written; the connection closes then.
+std::function<void()> Connection::cancelForMemory()
+{
+    return [weak = weak_from_this(), executor = m_stream.get_executor(), phase = ++m_memoryPhase] {
+        net::post(executor, [weak, phase] {
+            const auto self = weak.lock();
+            if (self && self->m_memoryPhase == phase) {
+                self->m_endedForMemory = true;
+                self->m_stream.cancel();
+            }
+        });
+    };
+}
+
+bool Connection::isAdmitted(const RequestParser& parser)
+{
+    if (!m_requestMemory)
+        return true;
+    // The bytes of its own head are no other load.
+    m_requestMemory->set(MemoryUse::IncompleteRequest, 0);
+    return m_options.memory->admits(requestCopies * parser.announcedBytes());
+}
+
+void Connection::countRequest(MemoryUse use, std::size_t bodyBytes)
+{
+    if (m_requestMemory)
+        m_requestMemory->set(use, m_buffer.capacity() + requestCopies * bodyBytes);
+}
+
 /// Refuses a request that may not have been read completely, and ends the connection.
 net::awaitable<void> Connection::refuse(Response response)
 {
     cancelReadTimeout();
+    m_requestMemory.reset();
+    ++m_memoryPhase;
     const bool sent = co_await sendComplete(std::move(response), false);
     if (sent)
         co_await discardInput();
@@ -265,6 +312,9 @@
     const bool arrived = co_await awaitRequest(first);
     if (!arrived)
         co_return std::nullopt;
+    m_endedForMemory = false;
+    if (m_options.memory)
+        m_requestMemory = m_options.memory->hold(cancelForMemory());
     const auto limits = m_currentLimits->get();
     RequestParser parser(limits);
     const auto bufferBytes = RequestParser::bufferBytes(limits);
@@ -278,6 +328,10 @@
         co_await refuse(errorResponse(error->status, error->code));
         co_return std::nullopt;
     }
+    if (!isAdmitted(parser)) {
+        co_await refuse(memoryRefusal());
+        co_return std::nullopt;
+    }
     const bool expectsContinue = beast::iequals(parser.message()[bhttp::field::expect], "100-continue");
     if (expectsContinue && !parser.isDone() && m_buffer.size() == 0) {
         cancelReadTimeout();
@@ -293,6 +347,8 @@
         co_return std::nullopt;
     }
     cancelReadTimeout();
+    countRequest(MemoryUse::RequestInProgress, parser.bodyBytes());
+    ++m_memoryPhase;
     auto message = parser.release();
     keepAlive = message.keep_alive();
     m_isHeadRequest = message.method() == bhttp::verb::head;
@@ -372,6 +428,8 @@
     while (sent) {
         m_stream.expires_never();
         auto part = co_await exchange->nextPart();
+        if (m_endedForMemory)
+            co_return false;
         switch (part.kind) {
         case ResponsePartKind::Complete:
             keepAlive = keepAlive && mayStayOpen();
@@ -425,6 +483,8 @@
             break;
         ++m_state->requestsInProgress;
         auto exchange = std::make_shared<Exchange>(m_stream.get_executor(), m_options.maxQueuedBytes);
+        if (m_options.memory)
+            exchange->countIn(*m_options.memory, cancelForMemory(), std::move(m_requestMemory));
         m_currentExchange = exchange;
         watchForDisconnect();
         handle(std::move(*request), exchange);
@@ -436,6 +496,7 @@
         }
         m_currentExchange.reset();
         exchange->close();
+        ++m_memoryPhase;
         --m_state->requestsInProgress;
     }
     m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
--- a/src/foxtailwheel/http/Connection.h
+++ b/src/foxtailwheel/http/Connection.h
@@ -78,6 +78,9 @@
     boost::asio::awaitable<boost::system::error_code> readMore(std::size_t bufferBytes, std::size_t stepBytes);
     boost::asio::awaitable<void> refuse(Response response);
     boost::asio::awaitable<void> discardInput();
+    std::function<void()> cancelForMemory();
+    bool isAdmitted(const RequestParser& parser);
+    void countRequest(MemoryUse use, std::size_t bodyBytes);
     boost::asio::awaitable<bool> sendComplete(Response response, bool keepAlive);
     boost::asio::awaitable<bool> sendHeaders(Response response, bool keepAlive, bool chunked);
     boost::asio::awaitable<bool> sendContinue();
@@ -110,6 +113,11 @@
     IoPool::ErrorHandler m_onError;
     std::shared_ptr<SharedState> m_state;
     std::weak_ptr<Exchange> m_currentExchange;
+    std::unique_ptr<MemoryHolding> m_requestMemory; ///< Of the current request; null without a budget.
+    bool m_endedForMemory = false;
+    /// Changes when a request is complete and when its response ends, so that what was to end then does not end what
+    /// follows it.
+    std::uint64_t m_memoryPhase = 0;
     bool m_watchingForDisconnect = false;
     bool m_isHeadRequest = false; ///< The response to the current request has no body.
     std::string m_requestId; ///< Identity of the current request; may be empty.
--- a/src/foxtailwheel/http/Exchange.cpp
+++ b/src/foxtailwheel/http/Exchange.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <optional>
 #include <utility>
 
 namespace foxtailwheel::http {
@@ -15,6 +16,35 @@
 
 } // namespace
 
+void Exchange::countIn(MemoryBudget& memory, std::function<void()> end, std::unique_ptr<MemoryHolding> request)
+{
+    m_memory = memory.hold(std::move(end));
+    m_requestMemory = std::move(request);
+}
+
+/// Must be called without the lock: the budget may end this exchange.
+void Exchange::countBytes()
+{
+    const std::lock_guard memoryLock(m_memoryMutex);
+    if (!m_memory)
+        return;
+    std::size_t n = 0;
+    bool isRequestOver = false;
+    auto use = MemoryUse::ReadyResponse;
+    {
+        const std::lock_guard lock(m_mutex);
+        n = m_sendingBytes;
+        for (const auto& it : m_parts)
+            n += it.chunk.size() + it.response.body.size();
+        isRequestOver = m_ended || m_closed;
+        use = m_isStream ? MemoryUse::StreamResponse : MemoryUse::ReadyResponse;
+    }
+    // Otherwise a long request could be the reason to give up its own response.
+    if (isRequestOver)
+        m_requestMemory.reset();
+    m_memory->set(use, n);
+}
+
 bool Exchange::push(ResponsePart part)
 {
     {
@@ -27,9 +57,11 @@
             m_overflowed = true;
         }
         m_begun = true;
+        m_isStream = m_isStream || part.kind == ResponsePartKind::Head;
         m_ended = part.kind != ResponsePartKind::Head && part.kind != ResponsePartKind::Chunk;
         m_parts.push_back(std::move(part));
     }
+    countBytes();
     net::post(m_wakeTimer.get_executor(), [self = shared_from_this()] { self->m_wakeTimer.cancel(); });
     const std::lock_guard lock(m_mutex);
     return m_queuedBytes <= m_maxQueuedBytes;
@@ -79,7 +111,9 @@
             work = std::move(m_onDisconnect);
         m_onDisconnect = nullptr;
         m_parts.clear();
+        m_sendingBytes = 0;
     }
+    countBytes();
     m_wakeTimer.cancel();
     if (work)
         work();
@@ -88,17 +122,21 @@
 net::awaitable<ResponsePart> Exchange::nextPart()
 {
     for (;;) {
+        std::optional<ResponsePart> part;
         {
             const std::lock_guard lock(m_mutex);
             if (!m_parts.empty()) {
-                auto part = std::move(m_parts.front());
+                part = std::move(m_parts.front());
                 m_parts.pop_front();
-                m_queuedBytes -= part.chunk.size();
-                co_return part;
+                m_queuedBytes -= part->chunk.size();
+            } else if (m_closed) {
+                part = ResponsePart { ResponsePartKind::Abort, {}, {} };
             }
-            if (m_closed)
-                co_return ResponsePart { ResponsePartKind::Abort, {}, {} };
+            m_sendingBytes = part ? part->chunk.size() + part->response.body.size() : 0;
         }
+        countBytes();
+        if (part)
+            co_return std::move(*part);
         m_wakeTimer.expires_at(net::steady_timer::time_point::max());
         co_await m_wakeTimer.async_wait(completionToken);
     }
--- a/src/foxtailwheel/http/Exchange.h
+++ b/src/foxtailwheel/http/Exchange.h
@@ -44,15 +44,25 @@
     boost::asio::awaitable<ResponsePart> nextPart();
     /// Ends a response whose handler has thrown: status 500, or an abort if a part of it is queued.
     void fail();
+    /// @brief Counts the parts of the response in a budget, until the exchange is closed.
+    /// @param end Ends the connection.
+    /// @param request Bytes of the request; they count until its response is complete.
+    void countIn(MemoryBudget& memory, std::function<void()> end, std::unique_ptr<MemoryHolding> request);
     /// Discards queued parts, and calls the disconnect callback if the response is incomplete.
     void close();
 
 private:
     bool push(ResponsePart part);
+    void countBytes();
 
     mutable std::mutex m_mutex;
     std::deque<ResponsePart> m_parts;
     std::size_t m_queuedBytes = 0;
+    std::size_t m_sendingBytes = 0; ///< Of the part that was taken last.
+    bool m_isStream = false;
+    std::mutex m_memoryMutex;
+    std::unique_ptr<MemoryHolding> m_memory; ///< May be null.
+    std::unique_ptr<MemoryHolding> m_requestMemory; ///< May be null.
     bool m_closed = false;
     bool m_begun = false;
     bool m_ended = false;
