--- a/include/foxtailwheel/daemon/ForwardService.h
+++ b/include/foxtailwheel/daemon/ForwardService.h
@@ -64,6 +64,8 @@
     void onServerLeaving(const serving::LeavingServer& server);
     /// @brief Returns the newest load reports of servers, for other instances.
     std::vector<routing::SharedLoad> loadReports();
+    /// @brief Sets the metrics of the known load of servers.
+    void updateLoadMetrics();
     /// @brief Handles load reports of another instance.
     void onSharedLoads(const std::vector<routing::SharedLoad>& reports);
     /// @brief Replaces the crash records that the instances share.
--- a/include/foxtailwheel/routing/EvenLoad.h
+++ b/include/foxtailwheel/routing/EvenLoad.h
@@ -43,10 +43,12 @@
     Duration initialCallTime = std::chrono::milliseconds(60); ///< Of a mean call until measurements are available.
 };
 
-/// @brief Load of one server as it is known, for metrics.
+/// @brief Load of the servers of a service as it is known, for metrics.
 struct KnownLoad {
-    double calls = 0;
-    Duration age {}; ///< Of the last report.
+    double meanCalls = 0; ///< At a server.
+    double spread = 0; ///< Standard deviation of the calls at a server divided by their mean.
+    Duration meanAge {}; ///< Of the last report of each server that has sent one.
+    std::size_t silentServers = 0; ///< Without a report.
 };
 
 /// @brief Mean of the samples so far, in which the later ones of many count more.
@@ -87,7 +89,7 @@
     /// @brief Applies a load report of a server, own or of another instance. Unknown servers are ignored.
     void onReport(const SharedLoad& report, TimePoint now);
 
-    std::vector<KnownLoad> knownLoads(TimePoint now) const;
+    KnownLoad knownLoad(TimePoint now) const;
 
 private:
     struct Server {
--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -4,7 +4,7 @@
 #include "foxtailwheel/base/Units.h"
 #include "foxtailwheel/config/Routes.h"
 #include "foxtailwheel/http/Message.h"
-#include "foxtailwheel/routing/LoadExchange.h"
+#include "foxtailwheel/routing/EvenLoad.h"
 #include "foxtailwheel/routing/ServerPool.h"
 #include "foxtailwheel/serving/BatchQueue.h"
 #include "foxtailwheel/serving/CrashingParts.h"
@@ -206,6 +206,13 @@
     DecisionLog decisionLog; ///< May be empty.
 };
 
+/// @brief Load of a service where scheduling is on, for metrics.
+struct ServiceLoad {
+    ServiceId service;
+    routing::KnownLoad known;
+    std::uint64_t callsAtFullServers = 0; ///< Own calls whose server reported waiting calls, since the start.
+};
+
 /// @brief State for metrics and readiness checks.
 struct ForwarderStatus {
     std::uint64_t configVersion = 0; ///< Version of the active configuration; 0 for none.
@@ -297,6 +304,8 @@
     virtual void onLoadReport(CallId call, const ReportedLoad& load, TimePoint now) = 0;
     /// @brief Returns the newest load reports of servers for other instances; none while scheduling is on nowhere.
     virtual std::vector<routing::SharedLoad> loadReports(TimePoint now) = 0;
+    /// @brief Returns the known load of all services without stages where scheduling is on.
+    virtual std::vector<ServiceLoad> serviceLoads(TimePoint now) const = 0;
     /// @brief Handles load reports of another instance.
     virtual void onSharedLoads(const std::vector<routing::SharedLoad>& reports, TimePoint now) = 0;
     /// @brief Runs all timers that are due.
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -569,6 +569,19 @@
     return m_impl->forwarder->loadReports(m_impl->clock.now());
 }
 
+void ForwardService::updateLoadMetrics()
+{
+    for (const auto& it : m_impl->forwarder->serviceLoads(m_impl->clock.now())) {
+        const telemetry::Labels labels { { "service", it.service.value() } };
+        auto& metrics = m_impl->metrics;
+        metrics.setGauge("foxtailwheel_server_load_mean", labels, it.known.meanCalls);
+        metrics.setGauge("foxtailwheel_server_load_spread", labels, it.known.spread);
+        metrics.setGauge("foxtailwheel_server_load_age_seconds", labels, toSeconds(it.known.meanAge));
+        metrics.setGauge("foxtailwheel_servers_without_report", labels, static_cast<double>(it.known.silentServers));
+        metrics.setGauge("foxtailwheel_calls_at_full_servers", labels, static_cast<double>(it.callsAtFullServers));
+    }
+}
+
 void ForwardService::onSharedLoads(const std::vector<routing::SharedLoad>& reports)
 {
     m_impl->forwarder->onSharedLoads(reports, m_impl->clock.now());
--- a/src/foxtailwheel/routing/EvenLoad.cpp
+++ b/src/foxtailwheel/routing/EvenLoad.cpp
@@ -302,12 +302,28 @@
     server->speed.onSlowdown(report.slowdown, measuredAt);
 }
 
-std::vector<KnownLoad> EvenLoad::knownLoads(TimePoint now) const
+KnownLoad EvenLoad::knownLoad(TimePoint now) const
 {
-    std::vector<KnownLoad> loads;
-    for (const auto& it : m_servers)
-        loads.push_back({ it.second.load.ownCalls() + otherCalls(it.second, now), now - it.second.load.reportedAt() });
-    return loads;
+    KnownLoad known;
+    const auto n = static_cast<double>(m_servers.size());
+    double squares = 0;
+    long reports = 0;
+    for (const auto& it : m_servers) {
+        const double calls = it.second.load.ownCalls() + otherCalls(it.second, now);
+        known.meanCalls += calls / n;
+        squares += calls * calls / n;
+        if (it.second.load.reportedAt() == TimePoint {}) {
+            ++known.silentServers;
+            continue;
+        }
+        known.meanAge += now - it.second.load.reportedAt();
+        ++reports;
+    }
+    if (reports > 0)
+        known.meanAge /= reports;
+    const double variance = std::max(0.0, squares - known.meanCalls * known.meanCalls);
+    known.spread = known.meanCalls > 0 ? std::sqrt(variance) / known.meanCalls : 0;
+    return known;
 }
 
 } // namespace foxtailwheel::routing
--- a/src/foxtailwheel/routing/EvenLoadTest.cpp
+++ b/src/foxtailwheel/routing/EvenLoadTest.cpp
@@ -139,11 +139,23 @@
     it.load.onCallBegan(PlacedCallId(1), start + 1s);
     it.load.onCallEnded(PlacedCallId(1), true, start + 2s);
     it.load.onCallEnded(PlacedCallId(2), true, start + 2s);
-    for (const auto& known : it.load.knownLoads(start + 2s))
-        cr_assert_float_eq(known.calls, 0, 1e-9);
+    cr_assert_float_eq(it.load.knownLoad(start + 2s).meanCalls, 0, 1e-9);
     cr_assert_eq(it.pickOften(shortPrompt, start + 2s, 2000).size(), 20);
 }
 
+// Operators must see uneven load and old knowledge.
+Test(EvenLoad, knownLoadTellsSpreadAndAge)
+{
+    Fixture it(4, 0);
+    it.report(0, 4, start);
+    it.report(1, 4, start);
+    it.report(2, 0, start);
+    const auto known = it.load.knownLoad(start);
+    cr_assert_eq(known.silentServers, 1);
+    cr_assert_gt(known.spread, 0.5);
+    cr_assert_eq(it.load.knownLoad(start + 2s).meanAge, 2s);
+}
+
 // A part counts as cached only for a time after its last use; the number of parts that are kept is bounded.
 Test(PromptCache, partsAreForgotten)
 {
--- a/src/foxtailwheel/serving/ForwardLoads.cpp
+++ b/src/foxtailwheel/serving/ForwardLoads.cpp
@@ -31,6 +31,7 @@
 {
     if (m_options.scheduling == SchedulingMode::Off)
         return;
+    state.callsAtFullServers += load.queued > 0 ? 1 : 0;
     const routing::SharedLoad report { hashOf(server.value()), load.running, load.queued, load.slowdown.value_or(1),
         {} };
     if (m_loadExchange.add(report, now))
@@ -45,6 +46,16 @@
     return isOn ? m_loadExchange.newest(now) : std::vector<routing::SharedLoad>();
 }
 
+std::vector<ServiceLoad> RoutingForwarder::serviceLoads(TimePoint now) const
+{
+    std::vector<ServiceLoad> loads;
+    for (const auto& [service, state] : m_directory.services()) {
+        if (isScheduled(service) && !state.batchQueue)
+            loads.push_back({ service, state.evenLoad.knownLoad(now), state.callsAtFullServers });
+    }
+    return loads;
+}
+
 void RoutingForwarder::onSharedLoads(const std::vector<routing::SharedLoad>& reports, TimePoint now)
 {
     if (m_options.scheduling == SchedulingMode::Off)
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -1503,7 +1503,11 @@
         fixture.forwarder->onLoadReport(fixture.sent[0].call, { 3, 1 }, start);
         const auto reports = fixture.forwarder->loadReports(start + 100ms);
         cr_assert_eq(reports.size(), mode == SchedulingMode::On ? 1 : 0);
-        if (mode == SchedulingMode::On)
-            cr_assert_eq(reports[0].age, 100ms);
+        const auto loads = fixture.forwarder->serviceLoads(start);
+        cr_assert_eq(loads.empty(), mode != SchedulingMode::On);
+        if (mode != SchedulingMode::On)
+            continue;
+        cr_assert_eq(reports[0].age, 100ms);
+        cr_assert(std::any_of(loads.begin(), loads.end(), [](const auto& it) { return it.callsAtFullServers == 1; }));
     }
 }
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -105,6 +105,7 @@
         ForwardActions& out) override;
     void onLoadReport(CallId call, const ReportedLoad& load, TimePoint now) override;
     std::vector<routing::SharedLoad> loadReports(TimePoint now) override;
+    std::vector<ServiceLoad> serviceLoads(TimePoint now) const override;
     void onSharedLoads(const std::vector<routing::SharedLoad>& reports, TimePoint now) override;
     void onTimer(TimePoint now, ForwardActions& out) override;
     TimePoint nextTimerAt() const override
--- a/src/foxtailwheel/serving/ServerDirectory.h
+++ b/src/foxtailwheel/serving/ServerDirectory.h
@@ -21,6 +21,7 @@
     TimePoint lastCheckAt {}; ///< Of any server of the service.
     bool reportsSlowdown = false; ///< A server has reported how slow its machine is.
     routing::EvenLoad evenLoad {}; ///< Used where scheduling is on.
+    std::uint64_t callsAtFullServers = 0; ///< Own calls whose server reported waiting calls.
 };
 
 /// @brief Tracks the routed services, following the configuration and the announced servers.
@@ -52,6 +53,7 @@
     std::map<AvailabilityZoneId, double> zoneShares(const std::vector<ServiceId>& stages, const ServiceId& target);
     /// @brief Returns all services, ordered by id.
     std::map<ServiceId, ServiceState>& services() { return m_services; }
+    const std::map<ServiceId, ServiceState>& services() const { return m_services; }
 
 private:
     ServiceState makeState(const config::RoutedService& service);
