--- a/src/foxtailwheel/serving/ServerDirectory.h
+++ b/src/foxtailwheel/serving/ServerDirectory.h
@@ -22,6 +22,7 @@
     TimePoint lastCheckAt {}; ///< Of any server of the service.
     bool reportsSlowdown = false; ///< A server has reported how slow its machine is.
     routing::EvenLoad evenLoad {}; ///< Used where scheduling is on.
+    std::uint64_t callsAtFullServers = 0; ///< Own calls whose server reported waiting calls.
 };
 
 /// @brief Tracks the routed services, following the configuration and the announced servers.
@@ -68,6 +69,7 @@
     std::uint64_t coldCallsHeld() const;
     /// @brief Returns all services, ordered by id.
     std::map<ServiceId, ServiceState>& services() { return m_services; }
+    const std::map<ServiceId, ServiceState>& services() const { return m_services; }
 
 private:
     ServiceState makeState(const config::RoutedService& service);
