Test of load reports in the digests of pings and acknowledgements

Cause: whether the messages that are sent anyway bring load reports to all instances soon enough was not known.

Ruled out: a message of its own every 250 ms; it is not needed for reports of about 1 s.

--- a/include/foxtailwheel/bench/GossipGroup.h
+++ b/include/foxtailwheel/bench/GossipGroup.h
@@ -46,11 +46,20 @@
     /// @brief Returns the encoded size of the sent messages in bytes; counts only while enabled by `setByteCounting()`.
     std::uint64_t sentBytes() const { return m_sentBytes; }
     void setByteCounting(bool on) { m_countBytes = on; }
+    /// @brief From now on, each instance passes on the load reports that it knows.
+    void shareLoads();
+    /// @brief Returns the load reports that an instance knows; `shareLoads` must have been called.
+    routing::LoadExchange& loadsOf(std::size_t index) { return m_loads.at(index); }
+    TimePoint now() const { return m_clock.now(); }
     /// @brief Returns true if every running instance knows that the server is leaving.
     bool allKnowLeaving(const BackendServerId& server) const;
     std::size_t runningCount() const { return m_members.size(); }
 
 private:
+    void takeLoads(std::size_t to, const membership::Digest& digest);
+    void attachLoads(std::size_t from, std::variant<membership::Ping, membership::Ack>& message);
+
+    std::map<std::size_t, routing::LoadExchange> m_loads; ///< Empty unless loads are shared.
     struct QueuedMessage {
         TimePoint due;
         std::size_t from = 0;
--- a/src/foxtailwheel/bench/GossipGroup.cpp
+++ b/src/foxtailwheel/bench/GossipGroup.cpp
@@ -48,6 +48,24 @@
     m_members[index] = std::move(member);
 }
 
+void GossipGroup::shareLoads()
+{
+    for (const auto& it : m_members)
+        m_loads.try_emplace(it.first);
+}
+
+void GossipGroup::attachLoads(std::size_t from, std::variant<membership::Ping, membership::Ack>& message)
+{
+    if (const auto it = m_loads.find(from); it != m_loads.end())
+        std::visit([&](auto& sent) { sent.digest.loads = it->second.newest(m_clock.now()); }, message);
+}
+
+void GossipGroup::takeLoads(std::size_t to, const membership::Digest& digest)
+{
+    for (const auto& it : digest.loads)
+        m_loads.at(to).add(it, m_clock.now());
+}
+
 void GossipGroup::enqueueMessages(std::size_t from, const membership::MembershipActions& actions)
 {
     for (const auto& it : actions) {
@@ -55,13 +73,16 @@
         if (send == nullptr)
             continue;
         ++m_sentMessages;
+        auto message = send->message;
+        attachLoads(from, message);
         if (m_countBytes)
             m_sentBytes += std::visit(
-                [](const auto& message) { return peer::encodeMessage(peer::Message(message)).size(); }, send->message);
+                [](const auto& sent) { return peer::encodeMessage(peer::Message(sent)).size(); }, message);
         const std::size_t to = send->to.port - 1U;
         const bool partitioned = !m_partition.empty() && m_partition.contains(from) != m_partition.contains(to);
         if (!partitioned && !m_random.chance(m_lossProbability))
-            m_queue.push_back({ m_clock.now() + fromSeconds(m_random.exponential(0.005)), from, to, send->message });
+            m_queue.push_back(
+                { m_clock.now() + fromSeconds(m_random.exponential(0.005)), from, to, std::move(message) });
     }
 }
 
@@ -78,6 +99,7 @@
         if (member == m_members.end())
             continue;
         membership::MembershipActions actions;
+        std::visit([&](const auto& received) { takeLoads(it.to, received.digest); }, it.message);
         if (const auto* ping = std::get_if<membership::Ping>(&it.message))
             member->second->onPing(*ping, m_clock.now(), actions);
         else
--- a/src/foxtailwheel/routing/EvenLoad.cpp
+++ b/src/foxtailwheel/routing/EvenLoad.cpp
@@ -154,8 +154,8 @@
     return tokens;
 }
 
-/// Tokens of calls on the server that have not been read: exactly for own calls; for others the queued ones, and those
-/// running by the fraction of its time that a call is read.
+/// Tokens of calls on the server that have not been read: counted for own calls, estimated for those of others by the
+/// fraction of its time that a mean call is read.
 double EvenLoad::waitingTokens(const Server& server, TimePoint now) const
 {
     const double callSeconds = m_callSeconds.valueOr(0);
