Shared tokens that another server has cached weigh more than waiting time

Ruled out: fewer preferred servers, which leaves a busy one no alternative. Change: rereadWeight 2.5 on all servers, with spillWeight beyond the preferred ones.

--- a/include/foxtailwheel/routing/EngineMemory.h
+++ b/include/foxtailwheel/routing/EngineMemory.h
@@ -21,6 +21,8 @@
     std::uint32_t outputTokens = 0; ///< Expected number of tokens of the response.
 
     std::uint32_t promptTokens() const;
+    /// @brief Returns the tokens that no other request shares.
+    std::uint32_t ownTokens() const { return prompt.empty() ? 0 : prompt.back().tokens; }
     /// @brief Returns the parts that other requests may share.
     std::span<const PromptSegment> sharedParts() const;
 };
--- a/include/foxtailwheel/routing/EvenLoad.h
+++ b/include/foxtailwheel/routing/EvenLoad.h
@@ -24,7 +24,10 @@
     /// @brief Probability that the first server of the rendezvous order has a rare part cached: others prefer it, too.
     double firstCachedProbability = 0.9;
     double nextCachedRatio = 0.3; ///< Of each further preferred server, relative to the one before.
-    double spillWeight = 1.5; ///< Weight of reading a shared part beyond the preferred servers: it takes others' time.
+    /// @brief Weight of reading shared tokens that another server has cached: it takes the time of other requests, too.
+    /// With 1, a tenth of the shared tokens was read again, as each of many servers is chosen with a small probability.
+    double rereadWeight = 2.5;
+    double spillWeight = 1.5; ///< Additional factor of this weight beyond the preferred servers.
     double loadWeight = 0.3; ///< Additional time on a server whose slots are all busy, as a fraction.
     /// @brief Servers within this fraction of the time of a mean call are about equally likely. With 0.1, instances
     /// that know the same old reports choose the same servers; with 0.6, shared parts are read more often.
@@ -113,7 +116,7 @@
     double otherCalls(const Server& server, TimePoint now) const;
     double cachedProbability(
         const Server& server, std::uint64_t part, std::optional<std::size_t> rank, TimePoint now) const;
-    double tokensToRead(
+    double sharedTokensToRead(
         const Server& server, const EngineDemand& demand, std::optional<std::size_t> rank, TimePoint now) const;
     double waitingTokens(const Server& server, TimePoint now) const;
     double expectedSeconds(
--- a/src/foxtailwheel/routing/EvenLoad.cpp
+++ b/src/foxtailwheel/routing/EvenLoad.cpp
@@ -128,19 +128,15 @@
     return 1 - (1 - prior) * std::exp(-usesHere);
 }
 
-/// Expected number of prompt tokens that the server does not have cached.
-double EvenLoad::tokensToRead(
+/// Expected number of tokens of the shared parts that the server does not have cached.
+double EvenLoad::sharedTokensToRead(
     const Server& server, const EngineDemand& demand, std::optional<std::size_t> rank, TimePoint now) const
 {
     const auto shared = demand.sharedParts();
-    double tokens = demand.promptTokens();
     if (shared.empty())
-        return tokens;
+        return 0;
     const double allCached = cachedProbability(server, shared.back().id, rank, now);
-    const double lastTokens = shared.back().tokens;
-    tokens -= allCached * lastTokens;
-    if (!rank)
-        tokens += (1 - allCached) * (m_parameters.spillWeight - 1) * lastTokens;
+    double tokens = (1 - allCached) * shared.back().tokens;
     double cached = 1; ///< Probability that all parts so far are cached.
     for (const auto& it : shared.first(shared.size() - 1)) {
         if (!server.cache.contains(it.id, m_parameters.cacheRetention, now)) {
@@ -149,7 +145,7 @@
                 = usesEverywhere(it.id, now) / static_cast<double>(std::max<std::size_t>(1, m_servers.size()));
             cached *= 1 - std::exp(-usesHere);
         }
-        tokens -= std::max(cached, allCached) * it.tokens;
+        tokens += (1 - std::max(cached, allCached)) * it.tokens;
     }
     return tokens;
 }
@@ -170,9 +166,12 @@
     const double others = otherCalls(server, now);
     const double calls = server.load.ownCalls() + others;
     const double slots = m_slots;
-    const double workSeconds = isEngine()
-        ? (tokensToRead(server, demand, rank, now) + waitingTokens(server, now)) * m_secondsPerToken
-        : meanCallSeconds();
+    double workSeconds = meanCallSeconds();
+    if (isEngine()) {
+        const double weight = m_parameters.rereadWeight * (rank ? 1 : m_parameters.spillWeight);
+        const double tokens = demand.ownTokens() + weight * sharedTokensToRead(server, demand, rank, now);
+        workSeconds = (tokens + waitingTokens(server, now)) * m_secondsPerToken;
+    }
     const double queuedCalls = std::max(0.0, calls + 1 - slots);
     double seconds = workSeconds * (1 + m_parameters.loadWeight * std::min(1.0, calls / slots))
         + queuedCalls / slots * meanCallSeconds();
@@ -232,7 +231,7 @@
         return;
     Call call { key, 0, waitingTokens(*server, now), 0, now };
     if (isEngine()) {
-        call.unreadTokens = tokensToRead(*server, demand, 0, now);
+        call.unreadTokens = demand.ownTokens() + sharedTokensToRead(*server, demand, 0, now);
         call.heldTokens = demand.promptTokens() + demand.outputTokens;
         m_unreadTokens.add(call.unreadTokens);
         m_heldTokens.add(call.heldTokens);
