--- a/src/foxtailwheel/serving/ColdStarts.cpp
+++ b/src/foxtailwheel/serving/ColdStarts.cpp
@@ -21,6 +21,9 @@
             // A new id may be that of a server that has run for long; a later start of a known one is a start.
             known.ageAtStart = isNew && it.startedAt != WallTime {} ? Duration(wallNow - it.startedAt) : Duration {};
         }
+        // A server that started shortly before this instance did.
+        if (isFirstRead && it.coldRemaining == Duration {} && it.startedAt != WallTime {})
+            known.startedAt = now - std::max(Duration {}, Duration(wallNow - it.startedAt));
         known.entry = it;
         known.seenAt = now;
     }
--- a/src/foxtailwheel/serving/ColdStartsTest.cpp
+++ b/src/foxtailwheel/serving/ColdStartsTest.cpp
@@ -40,8 +40,9 @@
 Test(ColdStarts, newProcessIsColdAlthoughItsEntryDoesNotSaySo)
 {
     ColdStarts starts;
-    starts.update({ entry(1, 0s, wall) }, start, wall + 1s);
+    starts.update({ entry(1, 0s, wall - 40s) }, start, wall);
     cr_assert_leq(starts.coldUntil(id, 30s), start, "known when this instance started");
+    cr_assert_eq(starts.coldUntil(id, 60s), start + 20s, "started shortly before");
     starts.update({ entry(1, 0s, wall + 10s) }, start + 11s, wall + 12s);
     cr_assert_eq(starts.coldUntil(id, 30s), start + 41s, "later start");
     starts.update({ entry(1, 0s, wall + 11s) }, start + 100s, wall + 100s);
