--- a/include/foxtailwheel/http/Server.h
+++ b/include/foxtailwheel/http/Server.h
@@ -4,6 +4,7 @@
 #include "foxtailwheel/base/Units.h"
 #include "foxtailwheel/config/Settings.h"
 #include "foxtailwheel/http/IoPool.h"
+#include "foxtailwheel/http/MemoryBudget.h"
 #include "foxtailwheel/http/Message.h"
 
 #include <cstdint>
@@ -36,6 +37,11 @@
 struct ServerLimits {
     std::uint64_t maxBodyBytes = 1U << 20U;
     std::uint32_t maxHeaderBytes = 16U << 10U;
+    std::uint32_t maxChunkHeaderBytes = 16U << 10U; ///< Of one chunk, with its extensions.
+    std::uint32_t maxTrailerBytes = 16U << 10U; ///< Of all trailers of a request.
+    /// @brief Received bytes of a connection that are not parsed yet, such as requests that wait for the one before. At
+    /// least as many as a head, or a chunk header with the trailers, may have.
+    std::uint32_t maxReadBufferBytes = 16U << 10U;
     Duration headerTimeout = std::chrono::seconds(5);
     Duration bodyTimeout = std::chrono::seconds(10);
     Duration idleTimeout = std::chrono::seconds(30);
@@ -47,6 +53,7 @@
     std::uint32_t maxConnections = 4096;
     std::size_t maxQueuedBytes = 256U << 10U; ///< Per response; above it the connection is aborted.
     Duration writeTimeout = std::chrono::seconds(10);
+    std::shared_ptr<MemoryBudget> memory {}; ///< Counts what is held for the clients; null: no bound for all together.
     bool identifyResponses = true; ///< Repeats the `identityField` of a request in its response.
 };
 
--- a/include/foxtailwheel/routing/EvenLoad.h
+++ b/include/foxtailwheel/routing/EvenLoad.h
@@ -24,7 +24,10 @@
     /// @brief Probability that the first server of the rendezvous order has a rare part cached: others prefer it, too.
     double firstCachedProbability = 0.9;
     double nextCachedRatio = 0.3; ///< Of each further preferred server, relative to the one before.
-    double spillWeight = 1.5; ///< Weight of reading a shared part beyond the preferred servers: it takes others' time.
+    /// @brief Weight of reading shared tokens that another server has cached: it takes the time of other requests, too.
+    /// With 1, a tenth of the shared tokens was read again, as each of many servers is chosen with a small probability.
+    double rereadWeight = 2.5;
+    double spillWeight = 1.5; ///< Additional factor of this weight beyond the preferred servers.
     double loadWeight = 0.3; ///< Additional time on a server whose slots are all busy, as a fraction.
     /// @brief Servers within this fraction of the time of a mean call are about equally likely. With 0.1, instances
     /// that know the same old reports choose the same servers; with 0.6, shared parts are read more often.
@@ -43,10 +46,12 @@
     Duration initialCallTime = std::chrono::milliseconds(60); ///< Of a mean call until measurements are available.
 };
 
-/// @brief Load of one server as it is known, for metrics.
+/// @brief Load of the servers of a service as it is known, for metrics.
 struct KnownLoad {
-    double calls = 0;
-    Duration age {}; ///< Of the last report.
+    double meanCalls = 0; ///< At a server.
+    double spread = 0; ///< Standard deviation of the calls at a server divided by their mean.
+    Duration meanAge {}; ///< Of the last report of each server that has sent one.
+    std::size_t silentServers = 0; ///< Without a report.
 };
 
 /// @brief Mean of the samples so far, in which the later ones of many count more.
@@ -87,7 +92,7 @@
     /// @brief Applies a load report of a server, own or of another instance. Unknown servers are ignored.
     void onReport(const SharedLoad& report, TimePoint now);
 
-    std::vector<KnownLoad> knownLoads(TimePoint now) const;
+    KnownLoad knownLoad(TimePoint now) const;
 
 private:
     struct Server {
@@ -111,7 +116,7 @@
     double otherCalls(const Server& server, TimePoint now) const;
     double cachedProbability(
         const Server& server, std::uint64_t part, std::optional<std::size_t> rank, TimePoint now) const;
-    double tokensToRead(
+    double sharedTokensToRead(
         const Server& server, const EngineDemand& demand, std::optional<std::size_t> rank, TimePoint now) const;
     double waitingTokens(const Server& server, TimePoint now) const;
     double expectedSeconds(
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -6,6 +6,7 @@
 #include <cctype>
 #include <exception>
 #include <unordered_map>
+#include <utility>
 
 namespace foxtailwheel::daemon {
 
@@ -110,6 +111,7 @@
     std::function<void(const serving::CrashRecordUpdate&)> shareCrashRecords;
     std::function<void(const serving::LeavingServer&)> shareLeavingServer;
     TimePoint timerAt = TimePoint::max();
+    std::uint64_t coldCallsHeld = 0; ///< As last counted in the metrics.
 };
 
 void ForwardService::Impl::executeAll(serving::ForwardActions actions)
@@ -123,6 +125,9 @@
             std::visit([this](const auto& action) { onFailed(action); }, it);
         }
     }
+    const auto held = forwarder->coldCallsHeld();
+    if (const auto before = std::exchange(coldCallsHeld, held); before < held)
+        metrics.increment("foxtailwheel_cold_calls_held_total", {}, static_cast<double>(held - before));
     scheduleTimer();
 }
 
@@ -184,6 +189,8 @@
         = [self = shared_from_this(), id](http::CallResult result) { self->onDone(id, std::move(result)); };
     auto& call = calls[id];
     call.request = std::move(send);
+    // The body is in the call and in the request that the forwarder keeps; a third copy would only take memory.
+    call.request.message.body = std::string();
     call.httpCall = client.start(std::move(request), std::move(callbacks));
 }
 
@@ -580,6 +587,19 @@
     return m_impl->forwarder->loadReports(m_impl->clock.now());
 }
 
+void ForwardService::updateLoadMetrics()
+{
+    for (const auto& it : m_impl->forwarder->serviceLoads(m_impl->clock.now())) {
+        const telemetry::Labels labels { { "service", it.service.value() } };
+        auto& metrics = m_impl->metrics;
+        metrics.setGauge("foxtailwheel_server_load_mean", labels, it.known.meanCalls);
+        metrics.setGauge("foxtailwheel_server_load_spread", labels, it.known.spread);
+        metrics.setGauge("foxtailwheel_server_load_age_seconds", labels, toSeconds(it.known.meanAge));
+        metrics.setGauge("foxtailwheel_servers_without_report", labels, static_cast<double>(it.known.silentServers));
+        metrics.setGauge("foxtailwheel_calls_at_full_servers", labels, static_cast<double>(it.callsAtFullServers));
+    }
+}
+
 void ForwardService::onSharedLoads(const std::vector<routing::SharedLoad>& reports)
 {
     m_impl->forwarder->onSharedLoads(reports, m_impl->clock.now());
--- a/src/foxtailwheel/routing/EvenLoad.cpp
+++ b/src/foxtailwheel/routing/EvenLoad.cpp
@@ -128,19 +128,15 @@
     return 1 - (1 - prior) * std::exp(-usesHere);
 }
 
-/// Expected number of prompt tokens that the server does not have cached.
-double EvenLoad::tokensToRead(
+/// Expected number of tokens of the shared parts that the server does not have cached.
+double EvenLoad::sharedTokensToRead(
     const Server& server, const EngineDemand& demand, std::optional<std::size_t> rank, TimePoint now) const
 {
     const auto shared = demand.sharedParts();
-    double tokens = demand.promptTokens();
     if (shared.empty())
-        return tokens;
+        return 0;
     const double allCached = cachedProbability(server, shared.back().id, rank, now);
-    const double lastTokens = shared.back().tokens;
-    tokens -= allCached * lastTokens;
-    if (!rank)
-        tokens += (1 - allCached) * (m_parameters.spillWeight - 1) * lastTokens;
+    double tokens = (1 - allCached) * shared.back().tokens;
     double cached = 1; ///< Probability that all parts so far are cached.
     for (const auto& it : shared.first(shared.size() - 1)) {
         if (!server.cache.contains(it.id, m_parameters.cacheRetention, now)) {
@@ -149,13 +145,13 @@
                 = usesEverywhere(it.id, now) / static_cast<double>(std::max<std::size_t>(1, m_servers.size()));
             cached *= 1 - std::exp(-usesHere);
         }
-        tokens -= std::max(cached, allCached) * it.tokens;
+        tokens += (1 - std::max(cached, allCached)) * it.tokens;
     }
     return tokens;
 }
 
-/// Tokens of calls on the server that have not been read: exactly for own calls; for others the queued ones, and those
-/// running by the fraction of its time that a call is read.
+/// Tokens of calls on the server that have not been read: counted for own calls, estimated for those of others by the
+/// fraction of its time that a mean call is read.
 double EvenLoad::waitingTokens(const Server& server, TimePoint now) const
 {
     const double callSeconds = m_callSeconds.valueOr(0);
@@ -170,9 +166,12 @@
     const double others = otherCalls(server, now);
     const double calls = server.load.ownCalls() + others;
     const double slots = m_slots;
-    const double workSeconds = isEngine()
-        ? (tokensToRead(server, demand, rank, now) + waitingTokens(server, now)) * m_secondsPerToken
-        : meanCallSeconds();
+    double workSeconds = meanCallSeconds();
+    if (isEngine()) {
+        const double weight = m_parameters.rereadWeight * (rank ? 1 : m_parameters.spillWeight);
+        const double tokens = demand.ownTokens() + weight * sharedTokensToRead(server, demand, rank, now);
+        workSeconds = (tokens + waitingTokens(server, now)) * m_secondsPerToken;
+    }
     const double queuedCalls = std::max(0.0, calls + 1 - slots);
     double seconds = workSeconds * (1 + m_parameters.loadWeight * std::min(1.0, calls / slots))
         + queuedCalls / slots * meanCallSeconds();
@@ -232,7 +231,7 @@
         return;
     Call call { key, 0, waitingTokens(*server, now), 0, now };
     if (isEngine()) {
-        call.unreadTokens = tokensToRead(*server, demand, 0, now);
+        call.unreadTokens = demand.ownTokens() + sharedTokensToRead(*server, demand, 0, now);
         call.heldTokens = demand.promptTokens() + demand.outputTokens;
         m_unreadTokens.add(call.unreadTokens);
         m_heldTokens.add(call.heldTokens);
@@ -302,12 +301,28 @@
     server->speed.onSlowdown(report.slowdown, measuredAt);
 }
 
-std::vector<KnownLoad> EvenLoad::knownLoads(TimePoint now) const
+KnownLoad EvenLoad::knownLoad(TimePoint now) const
 {
-    std::vector<KnownLoad> loads;
-    for (const auto& it : m_servers)
-        loads.push_back({ it.second.load.ownCalls() + otherCalls(it.second, now), now - it.second.load.reportedAt() });
-    return loads;
+    KnownLoad known;
+    const auto n = static_cast<double>(m_servers.size());
+    double squares = 0;
+    long reports = 0;
+    for (const auto& it : m_servers) {
+        const double calls = it.second.load.ownCalls() + otherCalls(it.second, now);
+        known.meanCalls += calls / n;
+        squares += calls * calls / n;
+        if (it.second.load.reportedAt() == TimePoint {}) {
+            ++known.silentServers;
+            continue;
+        }
+        known.meanAge += now - it.second.load.reportedAt();
+        ++reports;
+    }
+    if (reports > 0)
+        known.meanAge /= reports;
+    const double variance = std::max(0.0, squares - known.meanCalls * known.meanCalls);
+    known.spread = known.meanCalls > 0 ? std::sqrt(variance) / known.meanCalls : 0;
+    return known;
 }
 
 } // namespace foxtailwheel::routing
