foxtailwheel place: where a request would go now, and why

Cause: operators could not see which servers a request would get and which are left out for what reason without sending one. Change: Forwarder::explainPlacement changes no state; foxtailwheel-front answers it on its metrics port, the command prints it. Gauges of waiting requests, account usage and expected retries.

--- a/include/foxtailwheel/daemon/ForwardService.h
+++ b/include/foxtailwheel/daemon/ForwardService.h
@@ -37,6 +37,8 @@
     void handle(http::Request request, const std::shared_ptr<http::Responder>& responder);
     /// @brief Activates a configuration.
     void configure(std::shared_ptr<const config::RouteTable> table);
+    /// @brief Explains where a request would go now, without sending it.
+    serving::PlacementExplanation explainPlacement(const serving::ForwardRequest& request);
     /// @brief Sets the announced backend servers.
     void setServers(const std::vector<serving::AnnouncedServer>& servers);
     /// @brief Replaces the drained zones, whose servers get no calls.
--- a/include/foxtailwheel/routing/EvenLoad.h
+++ b/include/foxtailwheel/routing/EvenLoad.h
@@ -82,6 +82,9 @@
     /// @param affinity Key of related requests; they prefer the first servers of its rendezvous order.
     std::size_t pick(std::span<const Candidate> candidates, const EngineDemand& demand,
         std::optional<std::uint64_t> affinity, Random& random, TimePoint now) const;
+    /// @brief Returns the weight of each candidate in this choice, above 0 for the best ones; empty without candidates.
+    std::vector<double> weights(std::span<const Candidate> candidates, const EngineDemand& demand,
+        std::optional<std::uint64_t> affinity, TimePoint now) const;
     /// @brief Returns the expected time until the first event of a response of the server.
     double expectedSeconds(const BackendServerId& server, const EngineDemand& demand, TimePoint now) const;
 
--- a/include/foxtailwheel/scheduling/AccountShares.h
+++ b/include/foxtailwheel/scheduling/AccountShares.h
@@ -3,6 +3,7 @@
 #include "foxtailwheel/base/Ids.h"
 #include "foxtailwheel/base/Units.h"
 
+#include <map>
 #include <unordered_map>
 
 namespace foxtailwheel::scheduling {
@@ -19,6 +20,8 @@
     void add(const ClientAccountId& account, double cost, TimePoint now);
     /// @brief Returns the recent cost of an account divided by its fair share: 1 is exactly the share, 0 no cost.
     double usage(const ClientAccountId& account, TimePoint now) const;
+    /// @brief Returns the same for all accounts that were active lately.
+    std::map<ClientAccountId, double> usages(TimePoint now) const;
     /// @brief Returns true if the account has used so much more than its share that this is not chance.
     bool isOverShare(const ClientAccountId& account, TimePoint now) const { return usage(account, now) > overShare; }
 
--- a/src/foxtailwheel/cli/Commands.cpp
+++ b/src/foxtailwheel/cli/Commands.cpp
@@ -7,6 +7,7 @@
 #include "foxtailwheel/cli/ApiClient.h"
 #include "foxtailwheel/cli/Explain.h"
 #include "foxtailwheel/cli/Output.h"
+#include "foxtailwheel/cli/Place.h"
 #include "foxtailwheel/config/Declarations.h"
 #include "foxtailwheel/config/Difference.h"
 #include "foxtailwheel/config/Quantity.h"
@@ -68,6 +69,7 @@
         ExitCode drain();
         ExitCode call();
         ExitCode explainRequest();
+        ExitCode place();
 
         bool isJsonOutput() const { return m_args["output"].as<std::string>() == "json"; }
         std::string stringOption(const std::string& name) const
@@ -106,6 +108,7 @@
             { "drain", &CommandRunner::drain },
             { "call", &CommandRunner::call },
             { "explain", &CommandRunner::explainRequest },
+            { "place", &CommandRunner::place },
         };
         return table;
     }
@@ -432,6 +435,27 @@
         return ExitCode::Ok;
     }
 
+    ExitCode CommandRunner::place()
+    {
+        config::Endpoint endpoint;
+        if (m_positionals.size() != 2 || !m_positionals[1].starts_with('/'))
+            return reportError(ExitCode::Usage, "place requires a host and a path that begins with '/'");
+        if (!config::parseEndpoint(stringOption("metrics"), endpoint))
+            return reportError(ExitCode::Usage, "missing or invalid option --metrics IP:PORT");
+        const PlaceQuery query { m_positionals[0], m_positionals[1], stringOption("prompt"), stringOption("pieces") };
+        const auto client = ApiClient::create(endpoint, {});
+        const auto response = client->send({ "GET", placeTarget(query), {}, {} }, operatorTimeout);
+        if (!response.has_value())
+            return reportError(ExitCode::Unavailable, response.error().message());
+        if (response.value().status != 200)
+            return reportError(ExitCode::Failed, response.value().body);
+        if (isJsonOutput())
+            m_out << response.value().body;
+        else
+            printPlacement(m_out, parseJson(response.value().body));
+        return ExitCode::Ok;
+    }
+
     ExitCode CommandRunner::explainRequest()
     {
         if (m_positionals.empty())
@@ -554,6 +578,11 @@
         add("wait-limit", "timeout of --wait", cxxopts::value<std::string>()->default_value("10s"));
         add("limit", "maximum number of rows (config history, audit)", cxxopts::value<unsigned>()->default_value("50"));
         add("after", "show the rows after this key (config history, audit)", cxxopts::value<std::string>());
+        add("metrics", "address of the metrics of an instance of foxtailwheel-front, IP:PORT (place)",
+            cxxopts::value<std::string>());
+        add("prompt", "parts of the prompt, ID:TOKENS with hexadecimal ids, separated by commas (place)",
+            cxxopts::value<std::string>());
+        add("pieces", "number of pieces of each stage, separated by commas (place)", cxxopts::value<std::string>());
         add("json", "request body, a JSON object (call)", cxxopts::value<std::string>()->default_value("{}"));
         add("key", "value of the Idempotency-Key header (call)", cxxopts::value<std::string>());
         add("deadline", "request deadline, such as 1500ms (call)", cxxopts::value<std::string>());
@@ -577,6 +606,7 @@
   drain                shut one instance down gracefully
   call PIPELINE        run a pipeline as a client account
   explain ID [FILE...] show the log entries of one request, from log files or standard input
+  place HOST PATH      show where a request would go now, and why, without sending it
 
 Exit codes: 0 done, 1 failed, 2 usage, 3 invalid configuration, 4 conflict, 5 unavailable, 6 not run, 7 unknown.
 
@@ -584,6 +614,7 @@
   foxtailwheel config check examples/irish-agency.yaml
   foxtailwheel config apply netting.yaml --operators 10.0.0.5:7201 --token-file token --author mary --wait
   foxtailwheel explain 9c41d07be2a35f68 cork-a-1.log cork-b-2.log
+  foxtailwheel place nets.example /plan/ --metrics 10.0.0.5:9464 --prompt 5c1e07a2:800,91bd3f06:410 --pieces 2
   foxtailwheel call answer --callers 10.0.0.5:7200 --credential-file key --json '{"prompt": "nets for May"}' --stream
   foxtailwheel call book --callers 10.0.0.5:7200 --credential-file key --key order-17 --json '{"nets": 4}'
 )";
--- /dev/null
+++ b/src/foxtailwheel/cli/Place.cpp
@@ -0,0 +1,56 @@
+#include "foxtailwheel/cli/Place.h"
+
+#include "foxtailwheel/cli/Output.h"
+
+#include <array>
+#include <cctype>
+#include <cstdio>
+
+namespace foxtailwheel::cli {
+
+namespace {
+
+    std::string percentEncode(const std::string& text)
+    {
+        std::string out;
+        for (const char c : text) {
+            const auto byte = static_cast<unsigned char>(c);
+            if (std::isalnum(byte) != 0 || c == '-' || c == '.' || c == '_' || c == '/') {
+                out += c;
+                continue;
+            }
+            std::array<char, 4> buf {};
+            std::snprintf(buf.data(), buf.size(), "%%%02X", byte);
+            out += buf.data();
+        }
+        return out;
+    }
+
+} // namespace
+
+std::string placeTarget(const PlaceQuery& query)
+{
+    return "/placement?host=" + percentEncode(query.host) + "&path=" + percentEncode(query.path)
+        + "&prompt=" + percentEncode(query.prompt) + "&pieces=" + percentEncode(query.pieces);
+}
+
+void printPlacement(std::ostream& out, const nlohmann::json& placement)
+{
+    const auto route = textAt(placement, "route");
+    if (route.empty()) {
+        out << "no route matches\n";
+        return;
+    }
+    const bool admitted = flagAt(placement, "admitted");
+    out << "route " << route << ", service " << textAt(placement, "service") << ", "
+        << (admitted ? "admitted" : "refused, retry after " + textAt(placement, "retry_after")) << "\n";
+    out << "stages " << textAt(placement, "stages_if_timely") << " (" << textAt(placement, "stages_if_late")
+        << " if late), first byte " << textAt(placement, "time_to_first_byte") << ", target "
+        << textAt(placement, "latency_target") << "\n";
+    printTable(out,
+        { { "SERVER", "server" }, { "ZONE", "zone" }, { "STATE", "state" }, { "CHANCE", "probability" },
+            { "EXPECTED", "expected" }, { "OWN", "own_calls" }, { "KNOWN", "known_calls" }, { "AGE", "report_age" } },
+        arrayAt(placement, "candidates"));
+}
+
+} // namespace foxtailwheel::cli
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -513,6 +513,11 @@
     m_impl->executeAll(std::move(actions));
 }
 
+serving::PlacementExplanation ForwardService::explainPlacement(const serving::ForwardRequest& request)
+{
+    return m_impl->forwarder->explainPlacement(request, m_impl->clock.now());
+}
+
 void ForwardService::setServers(const std::vector<serving::AnnouncedServer>& servers)
 {
     serving::ForwardActions actions;
@@ -589,6 +594,13 @@
 
 void ForwardService::updateLoadMetrics()
 {
+    const auto status = this->status();
+    for (const auto& [service, n] : status.waitingRequests)
+        m_impl->metrics.setGauge(
+            "foxtailwheel_waiting_requests", { { "service", service.value() } }, static_cast<double>(n));
+    for (const auto& [account, usage] : status.accountUsage)
+        m_impl->metrics.setGauge("foxtailwheel_account_usage", { { "account", account.value() } }, usage);
+    m_impl->metrics.setGauge("foxtailwheel_expected_retry_seconds", {}, status.expectedRetrySeconds);
     for (const auto& it : m_impl->forwarder->serviceLoads(m_impl->clock.now())) {
         const telemetry::Labels labels { { "service", it.service.value() } };
         auto& metrics = m_impl->metrics;
--- a/src/foxtailwheel/routing/EvenLoad.cpp
+++ b/src/foxtailwheel/routing/EvenLoad.cpp
@@ -192,9 +192,11 @@
     return it == m_servers.end() ? meanCallSeconds() : expectedSeconds(it->second, demand, std::nullopt, now);
 }
 
-std::size_t EvenLoad::pick(std::span<const Candidate> candidates, const EngineDemand& demand,
-    std::optional<std::uint64_t> affinity, Random& random, TimePoint now) const
+std::vector<double> EvenLoad::weights(std::span<const Candidate> candidates, const EngineDemand& demand,
+    std::optional<std::uint64_t> affinity, TimePoint now) const
 {
+    if (candidates.empty())
+        return {};
     const auto ranks = affinity && demand.prompt.size() > 1
         ? preferredRanks(candidates, *affinity, m_parameters.preferredServers)
         : std::vector<std::optional<std::size_t>>(candidates.size());
@@ -209,18 +211,25 @@
     const double best = *std::min_element(seconds.begin(), seconds.end());
     const double unit
         = isEngine() ? std::max(m_unreadTokens.valueOr(0), minMeasuredTokens) * m_secondsPerToken : meanCallSeconds();
-    double sum = 0;
-    for (auto& it : seconds) {
+    for (auto& it : seconds)
         it = std::exp(-(it - best) / (m_parameters.tieShare * unit));
+    return seconds;
+}
+
+std::size_t EvenLoad::pick(std::span<const Candidate> candidates, const EngineDemand& demand,
+    std::optional<std::uint64_t> affinity, Random& random, TimePoint now) const
+{
+    const auto all = weights(candidates, demand, affinity, now);
+    double sum = 0;
+    for (const auto it : all)
         sum += it;
-    }
     double point = random.uniform() * sum;
-    for (std::size_t i = 0; i < seconds.size(); ++i) {
-        point -= seconds[i];
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        point -= all[i];
         if (point < 0)
             return i;
     }
-    return static_cast<std::size_t>(std::max_element(seconds.begin(), seconds.end()) - seconds.begin());
+    return static_cast<std::size_t>(std::max_element(all.begin(), all.end()) - all.begin());
 }
 
 void EvenLoad::onCallSent(PlacedCallId id, const BackendServerId& serverId, const EngineDemand& demand, TimePoint now)
--- a/src/foxtailwheel/scheduling/AccountShares.cpp
+++ b/src/foxtailwheel/scheduling/AccountShares.cpp
@@ -37,6 +37,14 @@
     return total <= 0 ? 0 : found->second.costAt(now) * static_cast<double>(m_accounts.size()) / total;
 }
 
+std::map<ClientAccountId, double> AccountShares::usages(TimePoint now) const
+{
+    std::map<ClientAccountId, double> usages;
+    for (const auto& it : m_accounts)
+        usages[it.first] = usage(it.first, now);
+    return usages;
+}
+
 void AccountShares::evictIdle(TimePoint now)
 {
     if (now - m_evictedAt < evictionInterval)
--- a/src/foxtailwheel/serving/ForwardRequests.cpp
+++ b/src/foxtailwheel/serving/ForwardRequests.cpp
@@ -261,8 +261,12 @@
 /// @return The Retry-After hint, or nothing if the request should be accepted.
 std::optional<Duration> RoutingForwarder::retryAfterOverload(const ForwardRun& run, TimePoint now)
 {
-    if (isScheduled(run.service))
-        return decideUnderOverload(run, now);
+    return isScheduled(run.service) ? decideUnderOverload(run, now) : retryAfterForecast(run, now);
+}
+
+/// The decision of `retryAfterOverload` by the forecast alone, where scheduling is off.
+std::optional<Duration> RoutingForwarder::retryAfterForecast(const ForwardRun& run, TimePoint now) const
+{
     const auto remainingToTarget = run.firstAttemptAt + run.route->latencyTarget - now;
     const auto stages = expectedTime(run, false, now);
     if (stages == Duration {} || stages + usualTimeToFirstByte(run) <= remainingToTarget)
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -194,6 +194,10 @@
     status.activeRequests = m_runs.size();
     status.credentialsCurrent
         = m_table && (!m_table->needsCredentials || now - m_credentialsConfirmedAt <= m_options.credentialMaxAge);
+    for (const auto& it : m_waitingRequests)
+        status.waitingRequests[it.first] = it.second.size();
+    status.accountUsage = m_accountShares.usages(now);
+    status.expectedRetrySeconds = m_returns.expectedCost(std::chrono::seconds(1), now);
     return status;
 }
 
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -122,6 +122,7 @@
     }
     std::uint64_t coldCallsHeld() const override { return m_directory.coldCallsHeld(); }
     ForwarderStatus status(TimePoint now) const override;
+    PlacementExplanation explainPlacement(const ForwardRequest& request, TimePoint now) override;
 
 private:
     CallId allocateCallId() { return CallId(++m_lastCallId); }
@@ -160,9 +161,15 @@
     void chooseZone(ForwardRun& run, TimePoint now);
     Duration expectedTime(const ForwardRun& run, bool late, TimePoint now) const;
     std::optional<Duration> retryAfterOverload(const ForwardRun& run, TimePoint now);
+    std::optional<Duration> retryAfterForecast(const ForwardRun& run, TimePoint now) const;
     std::optional<Duration> decideUnderOverload(const ForwardRun& run, TimePoint now);
     double serverSeconds(const ForwardRun& run) const;
 
+    CandidateState candidateState(
+        const ForwardRun& run, const ServiceState& state, const routing::ServerStatus& server, TimePoint now) const;
+    void explainCandidates(
+        const ForwardRun& run, const ServiceState& state, TimePoint now, PlacementExplanation& out) const;
+
     void startStages(ForwardRun& run, TimePoint now, ForwardActions& out);
     void requestPieces(ForwardRun& run, StageIndex stage, TimePoint now, ForwardActions& out);
     void submitGroup(ForwardRun& run, StageIndex stage, PieceGroup group, TimePoint now, ForwardActions& out);
