Load reports in messages are read whatever their alignment

Cause: a mutated message can place the reports at an address that is not aligned to 8 bytes, which the verifier does not check; the undefined-behaviour sanitizer ended PeerMessage::truncatedOrMutatedBytesAreRejectedOrDecoded. Change: the elements are copied before they are read, as for the copies of a row.

--- a/src/foxtailwheel/peer/Message.cpp
+++ b/src/foxtailwheel/peer/Message.cpp
@@ -57,11 +57,13 @@
         std::vector<routing::SharedLoad> out;
         const auto n = loads == nullptr ? 0 : std::min<std::size_t>(loads->size(), maxLoads);
         for (flatbuffers::uoffset_t i = 0; i < n; ++i) {
-            const auto* it = loads->Get(i);
+            // The verifier does not check the alignment of the elements.
+            wire::ServerLoad load;
+            std::memcpy(&load, loads->Data() + i * sizeof load, sizeof load);
             // A slowdown of 0 would make a server look infinitely fast.
-            const double slowdown = std::max<std::uint16_t>(1, it->slowdown_percent()) / 100.0;
+            const double slowdown = std::max<std::uint16_t>(1, load.slowdown_percent()) / 100.0;
             out.push_back(
-                { it->server(), it->running(), it->queued(), slowdown, std::chrono::milliseconds(it->age_ms()) });
+                { load.server(), load.running(), load.queued(), slowdown, std::chrono::milliseconds(load.age_ms()) });
         }
         return out;
     }
