Reported waits in messages are read whatever their alignment

Cause: the test of mutated messages, with load reports among them, also reaches vectors of 64-bit numbers at addresses that are not aligned; the verifier does not check the alignment of elements (undefined-behaviour sanitizer). Ruled out: the load reports themselves; the test failed in the same way after they were copied. Change: the numbers are copied before they are read.

--- a/src/foxtailwheel/peer/Message.cpp
+++ b/src/foxtailwheel/peer/Message.cpp
@@ -347,9 +347,14 @@
     template <class T> serving::QueueWaits unpackWaits(const T& message)
     {
         serving::QueueWaits waits;
-        const auto n = message.waits_us() == nullptr ? 0 : message.waits_us()->size();
-        for (flatbuffers::uoffset_t i = 0; i < std::min<std::size_t>(n, waits.byPriority.size()); ++i)
-            waits.byPriority.at(i) = boundedMicroseconds(message.waits_us()->Get(i));
+        const auto* reported = message.waits_us();
+        const auto n = reported == nullptr ? 0 : reported->size();
+        for (flatbuffers::uoffset_t i = 0; i < std::min<std::size_t>(n, waits.byPriority.size()); ++i) {
+            // The verifier does not check the alignment of the elements.
+            std::int64_t us = 0;
+            std::memcpy(&us, reported->Data() + i * sizeof us, sizeof us);
+            waits.byPriority.at(i) = boundedMicroseconds(flatbuffers::EndianScalar(us));
+        }
         waits.late = boundedMicroseconds(message.late_us());
         return waits;
     }
