foxtailwheel place uses the encoding and the fetching of the other commands

Change: http::percentEncode takes characters that are kept, fetchJson a client; the protocol is passed in.

--- a/include/foxtailwheel/http/Message.h
+++ b/include/foxtailwheel/http/Message.h
@@ -43,6 +43,7 @@
 };
 
 /// @brief Percent-encodes `text` for use in a path segment or query.
-std::string percentEncode(std::string_view text);
+/// @param kept Reserved characters that are left as they are.
+std::string percentEncode(std::string_view text, std::string_view kept = {});
 
 } // namespace foxtailwheel::http
--- a/src/foxtailwheel/cli/Commands.cpp
+++ b/src/foxtailwheel/cli/Commands.cpp
@@ -80,6 +80,7 @@
         std::optional<std::string> readFile(const std::string& path);
         std::unique_ptr<ApiClient> connect(const std::string& addressOption, const std::string& tokenFileOption);
         std::optional<json> fetchJson(const std::string& target, ExitCode& code);
+        std::optional<json> fetchJson(ApiClient& client, const std::string& target, ExitCode& code);
         ExitCode showRows(const std::string& target, const std::string& key, const std::vector<Column>& columns);
         std::optional<json> fetchRecords(const std::string& target, ExitCode& code);
         ExitCode showRecords(const std::string& target, const std::vector<Column>& columns);
@@ -163,9 +164,12 @@
     {
         const auto client = connect("operators", "token-file");
         code = ExitCode::Usage;
-        if (!client)
-            return std::nullopt;
-        const auto response = client->send({ "GET", target, {}, {} }, operatorTimeout);
+        return client ? fetchJson(*client, target, code) : std::nullopt;
+    }
+
+    std::optional<json> CommandRunner::fetchJson(ApiClient& client, const std::string& target, ExitCode& code)
+    {
+        const auto response = client.send({ "GET", target, {}, {} }, operatorTimeout);
         if (!response.has_value()) {
             code = reportError(ExitCode::Unavailable, response.error().message());
             return std::nullopt;
@@ -443,16 +447,14 @@
         if (!config::parseEndpoint(stringOption("metrics"), endpoint))
             return reportError(ExitCode::Usage, "missing or invalid option --metrics IP:PORT");
         const PlaceQuery query { m_positionals[0], m_positionals[1], stringOption("prompt"), stringOption("pieces") };
-        const auto client = ApiClient::create(endpoint, {});
-        const auto response = client->send({ "GET", placeTarget(query), {}, {} }, operatorTimeout);
-        if (!response.has_value())
-            return reportError(ExitCode::Unavailable, response.error().message());
-        if (response.value().status != 200)
-            return reportError(ExitCode::Failed, response.value().body);
+        ExitCode code = ExitCode::Ok;
+        const auto placement = fetchJson(*ApiClient::create(endpoint, {}), placeTarget(query), code);
+        if (!placement)
+            return code;
         if (isJsonOutput())
-            m_out << response.value().body;
+            m_out << placement->dump(2) << "\n";
         else
-            printPlacement(m_out, parseJson(response.value().body));
+            printPlacement(m_out, *placement);
         return ExitCode::Ok;
     }
 
--- a/src/foxtailwheel/cli/Place.cpp
+++ b/src/foxtailwheel/cli/Place.cpp
@@ -1,37 +1,14 @@
 #include "foxtailwheel/cli/Place.h"
 
 #include "foxtailwheel/cli/Output.h"
-
-#include <array>
-#include <cctype>
-#include <cstdio>
+#include "foxtailwheel/http/Message.h"
 
 namespace foxtailwheel::cli {
 
-namespace {
-
-    std::string percentEncode(const std::string& text)
-    {
-        std::string out;
-        for (const char c : text) {
-            const auto byte = static_cast<unsigned char>(c);
-            if (std::isalnum(byte) != 0 || c == '-' || c == '.' || c == '_' || c == '/') {
-                out += c;
-                continue;
-            }
-            std::array<char, 4> buf {};
-            std::snprintf(buf.data(), buf.size(), "%%%02X", byte);
-            out += buf.data();
-        }
-        return out;
-    }
-
-} // namespace
-
 std::string placeTarget(const PlaceQuery& query)
 {
-    return "/placement?host=" + percentEncode(query.host) + "&path=" + percentEncode(query.path)
-        + "&prompt=" + percentEncode(query.prompt) + "&pieces=" + percentEncode(query.pieces);
+    return "/placement?host=" + http::percentEncode(query.host) + "&path=" + http::percentEncode(query.path, "/")
+        + "&prompt=" + http::percentEncode(query.prompt) + "&pieces=" + http::percentEncode(query.pieces);
 }
 
 void printPlacement(std::ostream& out, const nlohmann::json& placement)
--- a/src/foxtailwheel/http/Message.cpp
+++ b/src/foxtailwheel/http/Message.cpp
@@ -62,12 +62,13 @@
     return {};
 }
 
-std::string percentEncode(std::string_view text)
+std::string percentEncode(std::string_view text, std::string_view kept)
 {
     std::string out;
     for (const char c : text) {
         const auto n = static_cast<unsigned char>(c);
-        if (std::isalnum(n) != 0 || c == '-' || c == '_' || c == '.' || c == '~') {
+        const bool isUnreserved = std::isalnum(n) != 0 || c == '-' || c == '_' || c == '.' || c == '~';
+        if (isUnreserved || kept.find(c) != std::string_view::npos) {
             out.push_back(c);
             continue;
         }
