--- a/src/foxtailwheel/peer/Message.cpp
+++ b/src/foxtailwheel/peer/Message.cpp
@@ -37,6 +37,14 @@
             static_cast<std::uint8_t>(member.state), member.configVersion.value(), member.cores);
     }
 
+    /// Copies an element of a vector of numbers or structs. The verifier does not check the alignment of the elements.
+    template <class Element, class Vector> Element elementAt(const Vector& vector, flatbuffers::uoffset_t i)
+    {
+        Element element;
+        std::memcpy(&element, vector.Data() + i * sizeof element, sizeof element);
+        return element;
+    }
+
     /// Limits a figure of a load report to the range of its field.
     std::uint16_t toField(double n)
     {
@@ -57,9 +65,7 @@
         std::vector<routing::SharedLoad> out;
         const auto n = loads == nullptr ? 0 : std::min<std::size_t>(loads->size(), maxLoads);
         for (flatbuffers::uoffset_t i = 0; i < n; ++i) {
-            // The verifier does not check the alignment of the elements.
-            wire::ServerLoad load;
-            std::memcpy(&load, loads->Data() + i * sizeof load, sizeof load);
+            const auto load = elementAt<wire::ServerLoad>(*loads, i);
             // A slowdown of 0 would make a server look infinitely fast.
             const double slowdown = std::max<std::uint16_t>(1, load.slowdown_percent()) / 100.0;
             out.push_back(
@@ -349,12 +355,9 @@
         serving::QueueWaits waits;
         const auto* reported = message.waits_us();
         const auto n = reported == nullptr ? 0 : reported->size();
-        for (flatbuffers::uoffset_t i = 0; i < std::min<std::size_t>(n, waits.byPriority.size()); ++i) {
-            // The verifier does not check the alignment of the elements.
-            std::int64_t us = 0;
-            std::memcpy(&us, reported->Data() + i * sizeof us, sizeof us);
-            waits.byPriority.at(i) = boundedMicroseconds(flatbuffers::EndianScalar(us));
-        }
+        for (flatbuffers::uoffset_t i = 0; i < std::min<std::size_t>(n, waits.byPriority.size()); ++i)
+            waits.byPriority.at(i)
+                = boundedMicroseconds(flatbuffers::EndianScalar(elementAt<std::int64_t>(*reported, i)));
         waits.late = boundedMicroseconds(message.late_us());
         return waits;
     }
@@ -401,9 +404,7 @@
     {
         TextDelta delta { {}, std::move(added), hash };
         for (flatbuffers::uoffset_t i = 0; i < copies.size(); ++i) {
-            // The verifier does not check the alignment of the elements.
-            wire::Copy copy;
-            std::memcpy(&copy, copies.Data() + i * sizeof copy, sizeof copy);
+            const auto copy = elementAt<wire::Copy>(copies, i);
             delta.copies.push_back({ copy.offset(), copy.size(), copy.new_bytes() });
         }
         return delta;
