Work of scheduling only where and when it is needed

Ruled out: counting calls before the first report, which only matters for calls in progress at that moment. Change: calls and reports count for services with scheduling only; the forecast of a late request is made when it is late; metrics have a status of their own; the fair share is computed once.

--- a/include/foxtailwheel/scheduling/AccountShares.h
+++ b/include/foxtailwheel/scheduling/AccountShares.h
@@ -4,6 +4,7 @@
 #include "foxtailwheel/base/Units.h"
 
 #include <map>
+#include <optional>
 #include <unordered_map>
 
 namespace foxtailwheel::scheduling {
@@ -39,6 +40,7 @@
         double costAt(TimePoint now) const;
     };
 
+    std::optional<double> fairShare(TimePoint now) const;
     void evictIdle(TimePoint now);
 
     std::unordered_map<ClientAccountId, Usage> m_accounts;
--- a/include/foxtailwheel/scheduling/OverloadPolicy.h
+++ b/include/foxtailwheel/scheduling/OverloadPolicy.h
@@ -9,7 +9,7 @@
 /// @brief Forecast for a request, as seen when it arrives.
 struct RequestForecast {
     Duration timelyWait {}; ///< Until its stages are done, if its pieces are processed in the order of their targets.
-    Duration lateWait {}; ///< The same if all pieces that can meet their target are processed before.
+    Duration lateWait {}; ///< The same if all pieces that can meet their target are processed before; unused if timely.
     Duration serverTime {}; ///< From sending the request to the first byte of its response.
 };
 
@@ -27,6 +27,9 @@
     Duration latest {}; ///< The caller observes no longer delay.
 };
 
+/// @brief Returns whether a request is expected to meet its latency target. One without work in stages counts as such.
+bool isTimely(const RequestForecast& forecast, const RequestSituation& situation);
+
 /// @brief Decides whether a request is admitted under overload.
 ///
 /// Answers bursts of two to three times the capacity for some seconds. A response after the latency target is worth a
--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -225,8 +225,12 @@
     std::uint64_t configVersion = 0; ///< Version of the active configuration; 0 for none.
     std::size_t activeRequests = 0; ///< In progress.
     bool credentialsCurrent = false;
-    std::map<ServiceId, std::size_t> waitingRequests; ///< Requests that wait for a server, where scheduling is on.
-    std::map<ClientAccountId, double> accountUsage; ///< Recent cost divided by the fair share, where scheduling is on.
+};
+
+/// @brief State of scheduling under overload for metrics, empty where it is off.
+struct SchedulingStatus {
+    std::map<ServiceId, std::size_t> waitingRequests; ///< Requests that wait for a server.
+    std::map<ClientAccountId, double> accountUsage; ///< Recent cost divided by the fair share.
     double expectedRetrySeconds = 0; ///< Server time of the retries that refused callers were told, of the next second.
 };
 
@@ -329,6 +333,7 @@
     /// @brief Returns the number of calls that cold servers were left out of, since the start.
     virtual std::uint64_t coldCallsHeld() const = 0;
     virtual ForwarderStatus status(TimePoint now) const = 0;
+    virtual SchedulingStatus schedulingStatus(TimePoint now) const = 0;
     /// @brief Explains where a request would go now, without sending it. The credential is not checked, and the regions
     /// and the share of its account are not considered.
     virtual PlacementExplanation explainPlacement(const ForwardRequest& request, TimePoint now) = 0;
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -594,14 +594,15 @@
 
 void ForwardService::updateLoadMetrics()
 {
-    const auto status = this->status();
+    const auto now = m_impl->clock.now();
+    const auto status = m_impl->forwarder->schedulingStatus(now);
     for (const auto& [service, n] : status.waitingRequests)
         m_impl->metrics.setGauge(
             "foxtailwheel_waiting_requests", { { "service", service.value() } }, static_cast<double>(n));
     for (const auto& [account, usage] : status.accountUsage)
         m_impl->metrics.setGauge("foxtailwheel_account_usage", { { "account", account.value() } }, usage);
     m_impl->metrics.setGauge("foxtailwheel_expected_retry_seconds", {}, status.expectedRetrySeconds);
-    for (const auto& it : m_impl->forwarder->serviceLoads(m_impl->clock.now())) {
+    for (const auto& it : m_impl->forwarder->serviceLoads(now)) {
         const telemetry::Labels labels { { "service", it.service.value() } };
         auto& metrics = m_impl->metrics;
         metrics.setGauge("foxtailwheel_server_load_mean", labels, it.known.meanCalls);
--- a/src/foxtailwheel/scheduling/AccountShares.cpp
+++ b/src/foxtailwheel/scheduling/AccountShares.cpp
@@ -26,22 +26,29 @@
     usage = { usage.costAt(now) + cost, now };
 }
 
-double AccountShares::usage(const ClientAccountId& account, TimePoint now) const
+/// Returns the cost that each account may have; empty if an account is alone, which has no share to exceed.
+std::optional<double> AccountShares::fairShare(TimePoint now) const
 {
-    const auto found = m_accounts.find(account);
-    if (found == m_accounts.end() || m_accounts.size() < 2)
-        return 0;
     double total = 0;
     for (const auto& it : m_accounts)
         total += it.second.costAt(now);
-    return total <= 0 ? 0 : found->second.costAt(now) * static_cast<double>(m_accounts.size()) / total;
+    return m_accounts.size() < 2 || total <= 0 ? std::nullopt
+                                               : std::optional(total / static_cast<double>(m_accounts.size()));
+}
+
+double AccountShares::usage(const ClientAccountId& account, TimePoint now) const
+{
+    const auto found = m_accounts.find(account);
+    const auto share = fairShare(now);
+    return found == m_accounts.end() || !share ? 0 : found->second.costAt(now) / *share;
 }
 
 std::map<ClientAccountId, double> AccountShares::usages(TimePoint now) const
 {
     std::map<ClientAccountId, double> usages;
-    for (const auto& it : m_accounts)
-        usages[it.first] = usage(it.first, now);
+    const auto share = fairShare(now);
+    for (const auto& [account, usage] : m_accounts)
+        usages[account] = share ? usage.costAt(now) / *share : 0;
     return usages;
 }
 
--- a/src/foxtailwheel/scheduling/OverloadPolicy.cpp
+++ b/src/foxtailwheel/scheduling/OverloadPolicy.cpp
@@ -28,9 +28,14 @@
 
 } // namespace
 
+bool isTimely(const RequestForecast& forecast, const RequestSituation& situation)
+{
+    return forecast.timelyWait == Duration {} || forecast.timelyWait + forecast.serverTime <= situation.timeToTarget;
+}
+
 std::optional<RetryWindow> decideAdmission(const RequestForecast& forecast, const RequestSituation& situation)
 {
-    if (forecast.timelyWait == Duration {} || forecast.timelyWait + forecast.serverTime <= situation.timeToTarget)
+    if (isTimely(forecast, situation))
         return std::nullopt;
     double share = situation.isRetry ? retryShare : firstAttemptShare;
     if (situation.isOverShare)
--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -87,9 +87,10 @@
     placementRequest.allowedZones = run.allowedZones;
     if (placementRequest.healthyOnly)
         checkSuspectedServer(run.service, now, out);
-    const auto demand = engineDemandOf(run.request);
+    const bool scheduled = isScheduled(run.service);
+    const auto demand = scheduled ? engineDemandOf(run.request) : routing::EngineDemand {};
     routing::EvenLoadPolicy policy(state->evenLoad, demand, placementRequest.affinityKey, now);
-    if (isScheduled(run.service))
+    if (scheduled)
         placementRequest.policy = &policy;
     const auto placement = state->pool->place(placementRequest, now);
     for (const auto& it : state->pool->takeNewlyLimited())
@@ -105,7 +106,8 @@
     ++run.possibleExecutions;
     run.mayHaveRun = true;
     m_calls[call] = run.id;
-    onCallPlaced(run, run.calls.back(), demand);
+    if (scheduled)
+        state->evenLoad.onCallSent(routing::PlacedCallId(call.value()), server.id, demand, now);
     SendUpstreamRequest send { call, run.id, server, run.request.message, run.request.attemptId, run.account,
         run.remainingTime(now), run.priority, run.inputs(), run.lastEventId, run.route->streaming, run.idempotent(),
         run.deadline };
--- a/src/foxtailwheel/serving/ForwardDrain.cpp
+++ b/src/foxtailwheel/serving/ForwardDrain.cpp
@@ -15,9 +15,9 @@
 
 void RoutingForwarder::setDrainedZones(std::set<AvailabilityZoneId> zones, TimePoint now, ForwardActions& out)
 {
-    const auto before = m_directory.drainedZones();
-    if (zones == before)
+    if (zones == m_directory.drainedZones())
         return;
+    const auto before = m_directory.drainedZones();
     for (const auto& it : zones) {
         if (!before.contains(it))
             logServerDecision("zone_drained", { { "zone", it.value() } });
--- a/src/foxtailwheel/serving/ForwardLoads.cpp
+++ b/src/foxtailwheel/serving/ForwardLoads.cpp
@@ -17,20 +17,10 @@
     return demand;
 }
 
-/// Counts a call on its server.
-void RoutingForwarder::onCallPlaced(const ForwardRun& run, const OpenCall& call, const routing::EngineDemand& demand)
-{
-    auto* state = m_directory.find(run.service);
-    if (state != nullptr && m_options.scheduling != SchedulingMode::Off)
-        state->evenLoad.onCallSent(routing::PlacedCallId(call.id.value()), call.server, demand, call.sentAt);
-}
-
-/// Notes what a server reported, for this instance and for the others.
+/// Notes what a server of a service with scheduling reported, for this instance and for the others.
 void RoutingForwarder::shareLoad(
     const BackendServerId& server, const ReportedLoad& load, ServiceState& state, TimePoint now)
 {
-    if (m_options.scheduling == SchedulingMode::Off)
-        return;
     state.callsAtFullServers += load.queued > 0 ? 1 : 0;
     const routing::SharedLoad report { hashOf(server.value()), load.running, load.queued, load.slowdown.value_or(1),
         {} };
--- a/src/foxtailwheel/serving/ForwardRequests.cpp
+++ b/src/foxtailwheel/serving/ForwardRequests.cpp
@@ -282,10 +282,12 @@
 /// spread over the time that callers wait.
 std::optional<Duration> RoutingForwarder::decideUnderOverload(const ForwardRun& run, TimePoint now)
 {
-    const scheduling::RequestForecast forecast { expectedTime(run, false, now), expectedTime(run, true, now),
-        usualTimeToFirstByte(run) };
+    scheduling::RequestForecast forecast { expectedTime(run, false, now), {}, usualTimeToFirstByte(run) };
     const scheduling::RequestSituation situation { run.firstAttemptAt + run.route->latencyTarget - now,
         run.remainingTime(now), run.firstAttemptAt < now, m_accountShares.isOverShare(run.account, now) };
+    // On an owner, each forecast walks through the queues of its stages.
+    if (!scheduling::isTimely(forecast, situation))
+        forecast.lateWait = expectedTime(run, true, now);
     const auto cost = serverSeconds(run);
     const auto window = scheduling::decideAdmission(forecast, situation);
     if (window)
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -194,6 +194,12 @@
     status.activeRequests = m_runs.size();
     status.credentialsCurrent
         = m_table && (!m_table->needsCredentials || now - m_credentialsConfirmedAt <= m_options.credentialMaxAge);
+    return status;
+}
+
+SchedulingStatus RoutingForwarder::schedulingStatus(TimePoint now) const
+{
+    SchedulingStatus status;
     for (const auto& it : m_waitingRequests)
         status.waitingRequests[it.first] = it.second.size();
     status.accountUsage = m_accountShares.usages(now);
@@ -225,7 +231,8 @@
         return;
     state->reportsSlowdown = state->reportsSlowdown || load.slowdown;
     state->pool->onLoadReport(openCall->server, { load.running, load.queued, now });
-    shareLoad(openCall->server, load, *state, now);
+    if (isScheduled(run->service))
+        shareLoad(openCall->server, load, *state, now);
 }
 
 /// Returns true if scheduling under overload applies to requests for a service.
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -122,6 +122,7 @@
     }
     std::uint64_t coldCallsHeld() const override { return m_directory.coldCallsHeld(); }
     ForwarderStatus status(TimePoint now) const override;
+    SchedulingStatus schedulingStatus(TimePoint now) const override;
     PlacementExplanation explainPlacement(const ForwardRequest& request, TimePoint now) override;
 
 private:
@@ -131,7 +132,6 @@
     void updateQueueShares(TimePoint now);
     bool isScheduled(const ServiceId& service) const;
     void shareLoad(const BackendServerId& server, const ReportedLoad& load, ServiceState& state, TimePoint now);
-    void onCallPlaced(const ForwardRun& run, const OpenCall& call, const routing::EngineDemand& demand);
     ForwardRun* findRun(ForwardId id);
     ForwardRun* findRunOfCall(CallId call);
     void setTimer(TimePoint at, Timer timer) { m_timers.emplace(at, std::move(timer)); }
