--- a/src/foxtailwheel/http/EndlessResponseTest.cpp
+++ b/src/foxtailwheel/http/EndlessResponseTest.cpp
@@ -59,7 +59,7 @@
 };
 
 struct ClientFixture {
-    explicit ClientFixture(http::ClientOptions options = {})
+    explicit ClientFixture(const http::ClientOptions& options = {})
         : client(http::Client::create(*pool, *clock, options))
     {
     }
