--- a/include/foxtailwheel/bench/LoadSimulation.h
+++ b/include/foxtailwheel/bench/LoadSimulation.h
@@ -31,6 +31,7 @@
     std::vector<double> timeFactors = { 1 }; ///< Time that work takes on the servers, in turn.
     double slowShare = 0; ///< Fraction of the servers that is in a slow phase of 600 ms, 2.5 times slower.
     bool reportsSlowdown = false; ///< Servers report their slow phases.
+    bool sharesSpeed = true; ///< Instances share measured times of calls in their reports.
     double longShare = 0.3; ///< Fraction of the requests with a prompt of 9,000 tokens; the others have 300.
     Duration callTime = std::chrono::milliseconds(1200); ///< Median time of a call after its prompt was read.
     Duration time = std::chrono::seconds(12);
--- a/include/foxtailwheel/config/Settings.h
+++ b/include/foxtailwheel/config/Settings.h
@@ -5,6 +5,7 @@
 #include "foxtailwheel/config/Fault.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,8 @@
     std::uint32_t maxTrailerBytes = 16U << 10U; ///< Of all trailers of a request.
     std::uint32_t maxReadBufferBytes = 16U << 10U; ///< Bytes of a connection that are received and not yet parsed.
     std::uint32_t maxConnections = 4096;
+    /// Memory of the instance, of which half may be held for callers and servers; empty for that of the machine.
+    std::optional<std::uint64_t> memoryBytes;
     Duration balancerDelay {}; ///< Time on shutdown between failing readiness checks and rejecting new requests.
     Duration drainTimeout {}; ///< Timeout of a graceful shutdown.
     std::string logLevel;
--- a/include/foxtailwheel/daemon/ForwardService.h
+++ b/include/foxtailwheel/daemon/ForwardService.h
@@ -72,6 +72,10 @@
     void updateLoadMetrics();
     /// @brief Handles load reports of another instance.
     void onSharedLoads(const std::vector<routing::SharedLoad>& reports);
+    /// @brief Returns the servers that this instance knows to be cold, for other instances.
+    std::vector<routing::ColdNotice> coldServers();
+    /// @brief Handles what another instance said of cold servers.
+    void onColdServers(const std::vector<routing::ColdNotice>& notices);
     /// @brief Replaces the crash records that the instances share.
     void setCrashRecords(const std::vector<serving::CrashRecord>& records);
     /// @brief Rejects all new requests; requests in progress continue.
--- a/include/foxtailwheel/daemon/PeerLink.h
+++ b/include/foxtailwheel/daemon/PeerLink.h
@@ -30,6 +30,9 @@
     std::function<void(bool)> onPollerChanged; ///< Whether this instance polls the store for its zone.
     std::function<std::vector<routing::SharedLoad>()> loadReports; ///< Returns reports for others; may be empty.
     std::function<void(const std::vector<routing::SharedLoad>& reports)> onLoadReports; ///< May be empty.
+    std::function<std::vector<routing::ColdNotice>()> coldServers; ///< Returns notices for others; may be empty.
+    /// @brief Called for the first message of another instance, and for each one with notices; may be empty.
+    std::function<void(const std::vector<routing::ColdNotice>& notices)> onColdServers;
 };
 
 /// @brief Options of a peer link.
--- a/include/foxtailwheel/membership/Member.h
+++ b/include/foxtailwheel/membership/Member.h
@@ -3,6 +3,7 @@
 #include "foxtailwheel/base/Ids.h"
 #include "foxtailwheel/base/Units.h"
 #include "foxtailwheel/config/Settings.h"
+#include "foxtailwheel/routing/ColdNotices.h"
 #include "foxtailwheel/routing/LoadExchange.h"
 
 #include <cstdint>
@@ -48,6 +49,7 @@
     std::vector<Member> members;
     std::vector<ServerNotice> servers;
     std::vector<routing::SharedLoad> loads; ///< Newest first; empty where load is not shared.
+    std::vector<routing::ColdNotice> coldServers {}; ///< Known to the sender itself.
 
     friend bool operator==(const Digest&, const Digest&) = default;
 };
--- a/include/foxtailwheel/peer/Messages_generated.h
+++ b/include/foxtailwheel/peer/Messages_generated.h
@@ -25,6 +25,8 @@
 
 struct ServerLoad;
 
+struct ColdServer;
+
 struct Digest;
 struct DigestBuilder;
 
@@ -243,6 +245,34 @@
 };
 FLATBUFFERS_STRUCT_END(ServerLoad, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ColdServer FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t server_;
+  uint32_t remaining_ms_;
+  int32_t padding0__;
+
+ public:
+  ColdServer()
+      : server_(0),
+        remaining_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  ColdServer(uint64_t _server, uint32_t _remaining_ms)
+      : server_(flatbuffers::EndianScalar(_server)),
+        remaining_ms_(flatbuffers::EndianScalar(_remaining_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t server() const {
+    return flatbuffers::EndianScalar(server_);
+  }
+  uint32_t remaining_ms() const {
+    return flatbuffers::EndianScalar(remaining_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(ColdServer, 16);
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Copy FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t offset_;
@@ -492,7 +522,9 @@
     VT_SENDER = 4,
     VT_MEMBERS = 6,
     VT_SERVERS = 8,
-    VT_LOADS = 10
+    VT_LOADS = 10,
+    VT_COLD_SERVERS = 12,
+    VT_LOAD_TIME_PERCENTS = 14
   };
   const foxtailwheel::peer::wire::Member *sender() const {
     return GetPointer<const foxtailwheel::peer::wire::Member *>(VT_SENDER);
@@ -506,6 +538,12 @@
   const flatbuffers::Vector<const foxtailwheel::peer::wire::ServerLoad *> *loads() const {
     return GetPointer<const flatbuffers::Vector<const foxtailwheel::peer::wire::ServerLoad *> *>(VT_LOADS);
   }
+  const flatbuffers::Vector<const foxtailwheel::peer::wire::ColdServer *> *cold_servers() const {
+    return GetPointer<const flatbuffers::Vector<const foxtailwheel::peer::wire::ColdServer *> *>(VT_COLD_SERVERS);
+  }
+  const flatbuffers::Vector<uint16_t> *load_time_percents() const {
+    return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_LOAD_TIME_PERCENTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -518,6 +556,10 @@
            verifier.VerifyVectorOfTables(servers()) &&
            VerifyOffset(verifier, VT_LOADS) &&
            verifier.VerifyVector(loads()) &&
+           VerifyOffset(verifier, VT_COLD_SERVERS) &&
+           verifier.VerifyVector(cold_servers()) &&
+           VerifyOffset(verifier, VT_LOAD_TIME_PERCENTS) &&
+           verifier.VerifyVector(load_time_percents()) &&
            verifier.EndTable();
   }
 };
@@ -538,6 +580,12 @@
   void add_loads(flatbuffers::Offset<flatbuffers::Vector<const foxtailwheel::peer::wire::ServerLoad *>> loads) {
     fbb_.AddOffset(Digest::VT_LOADS, loads);
   }
+  void add_cold_servers(flatbuffers::Offset<flatbuffers::Vector<const foxtailwheel::peer::wire::ColdServer *>> cold_servers) {
+    fbb_.AddOffset(Digest::VT_COLD_SERVERS, cold_servers);
+  }
+  void add_load_time_percents(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> load_time_percents) {
+    fbb_.AddOffset(Digest::VT_LOAD_TIME_PERCENTS, load_time_percents);
+  }
   explicit DigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -554,8 +602,12 @@
     flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::Member>>> members = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::ServerNotice>>> servers = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const foxtailwheel::peer::wire::ServerLoad *>> loads = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const foxtailwheel::peer::wire::ServerLoad *>> loads = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const foxtailwheel::peer::wire::ColdServer *>> cold_servers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> load_time_percents = 0) {
   DigestBuilder builder_(_fbb);
+  builder_.add_load_time_percents(load_time_percents);
+  builder_.add_cold_servers(cold_servers);
   builder_.add_loads(loads);
   builder_.add_servers(servers);
   builder_.add_members(members);
@@ -568,16 +620,22 @@
     flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender = 0,
     const std::vector<flatbuffers::Offset<foxtailwheel::peer::wire::Member>> *members = nullptr,
     const std::vector<flatbuffers::Offset<foxtailwheel::peer::wire::ServerNotice>> *servers = nullptr,
-    const std::vector<foxtailwheel::peer::wire::ServerLoad> *loads = nullptr) {
+    const std::vector<foxtailwheel::peer::wire::ServerLoad> *loads = nullptr,
+    const std::vector<foxtailwheel::peer::wire::ColdServer> *cold_servers = nullptr,
+    const std::vector<uint16_t> *load_time_percents = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<foxtailwheel::peer::wire::Member>>(*members) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<foxtailwheel::peer::wire::ServerNotice>>(*servers) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<foxtailwheel::peer::wire::ServerLoad>(*loads) : 0;
+  auto cold_servers__ = cold_servers ? _fbb.CreateVectorOfStructs<foxtailwheel::peer::wire::ColdServer>(*cold_servers) : 0;
+  auto load_time_percents__ = load_time_percents ? _fbb.CreateVector<uint16_t>(*load_time_percents) : 0;
   return foxtailwheel::peer::wire::CreateDigest(
       _fbb,
       sender,
       members__,
       servers__,
-      loads__);
+      loads__,
+      cold_servers__,
+      load_time_percents__);
 }
 
 struct Ping FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1481,7 +1539,8 @@
     VT_SENDER = 4,
     VT_GROUP = 6,
     VT_WAITS_US = 8,
-    VT_LATE_US = 10
+    VT_LATE_US = 10,
+    VT_LATE_WAITS_US = 12
   };
   const foxtailwheel::peer::wire::Member *sender() const {
     return GetPointer<const foxtailwheel::peer::wire::Member *>(VT_SENDER);
@@ -1495,6 +1554,9 @@
   int64_t late_us() const {
     return GetField<int64_t>(VT_LATE_US, 0);
   }
+  const flatbuffers::Vector<int64_t> *late_waits_us() const {
+    return GetPointer<const flatbuffers::Vector<int64_t> *>(VT_LATE_WAITS_US);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -1503,6 +1565,8 @@
            VerifyOffset(verifier, VT_WAITS_US) &&
            verifier.VerifyVector(waits_us()) &&
            VerifyField<int64_t>(verifier, VT_LATE_US, 8) &&
+           VerifyOffset(verifier, VT_LATE_WAITS_US) &&
+           verifier.VerifyVector(late_waits_us()) &&
            verifier.EndTable();
   }
 };
@@ -1523,6 +1587,9 @@
   void add_late_us(int64_t late_us) {
     fbb_.AddElement<int64_t>(PiecesTaken::VT_LATE_US, late_us, 0);
   }
+  void add_late_waits_us(flatbuffers::Offset<flatbuffers::Vector<int64_t>> late_waits_us) {
+    fbb_.AddOffset(PiecesTaken::VT_LATE_WAITS_US, late_waits_us);
+  }
   explicit PiecesTakenBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1539,10 +1606,12 @@
     flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender = 0,
     uint64_t group = 0,
     flatbuffers::Offset<flatbuffers::Vector<int64_t>> waits_us = 0,
-    int64_t late_us = 0) {
+    int64_t late_us = 0,
+    flatbuffers::Offset<flatbuffers::Vector<int64_t>> late_waits_us = 0) {
   PiecesTakenBuilder builder_(_fbb);
   builder_.add_late_us(late_us);
   builder_.add_group(group);
+  builder_.add_late_waits_us(late_waits_us);
   builder_.add_waits_us(waits_us);
   builder_.add_sender(sender);
   return builder_.Finish();
@@ -1553,14 +1622,17 @@
     flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender = 0,
     uint64_t group = 0,
     const std::vector<int64_t> *waits_us = nullptr,
-    int64_t late_us = 0) {
+    int64_t late_us = 0,
+    const std::vector<int64_t> *late_waits_us = nullptr) {
   auto waits_us__ = waits_us ? _fbb.CreateVector<int64_t>(*waits_us) : 0;
+  auto late_waits_us__ = late_waits_us ? _fbb.CreateVector<int64_t>(*late_waits_us) : 0;
   return foxtailwheel::peer::wire::CreatePiecesTaken(
       _fbb,
       sender,
       group,
       waits_us__,
-      late_us);
+      late_us,
+      late_waits_us__);
 }
 
 struct PiecesCancelled FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1752,7 +1824,8 @@
     VT_PIECES = 8,
     VT_SERVICE = 10,
     VT_WAITS_US = 12,
-    VT_LATE_US = 14
+    VT_LATE_US = 14,
+    VT_LATE_WAITS_US = 16
   };
   const foxtailwheel::peer::wire::Member *sender() const {
     return GetPointer<const foxtailwheel::peer::wire::Member *>(VT_SENDER);
@@ -1772,6 +1845,9 @@
   int64_t late_us() const {
     return GetField<int64_t>(VT_LATE_US, 0);
   }
+  const flatbuffers::Vector<int64_t> *late_waits_us() const {
+    return GetPointer<const flatbuffers::Vector<int64_t> *>(VT_LATE_WAITS_US);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -1785,6 +1861,8 @@
            VerifyOffset(verifier, VT_WAITS_US) &&
            verifier.VerifyVector(waits_us()) &&
            VerifyField<int64_t>(verifier, VT_LATE_US, 8) &&
+           VerifyOffset(verifier, VT_LATE_WAITS_US) &&
+           verifier.VerifyVector(late_waits_us()) &&
            verifier.EndTable();
   }
 };
@@ -1811,6 +1889,9 @@
   void add_late_us(int64_t late_us) {
     fbb_.AddElement<int64_t>(PiecesMade::VT_LATE_US, late_us, 0);
   }
+  void add_late_waits_us(flatbuffers::Offset<flatbuffers::Vector<int64_t>> late_waits_us) {
+    fbb_.AddOffset(PiecesMade::VT_LATE_WAITS_US, late_waits_us);
+  }
   explicit PiecesMadeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1829,10 +1910,12 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::PieceMade>>> pieces = 0,
     flatbuffers::Offset<flatbuffers::String> service = 0,
     flatbuffers::Offset<flatbuffers::Vector<int64_t>> waits_us = 0,
-    int64_t late_us = 0) {
+    int64_t late_us = 0,
+    flatbuffers::Offset<flatbuffers::Vector<int64_t>> late_waits_us = 0) {
   PiecesMadeBuilder builder_(_fbb);
   builder_.add_late_us(late_us);
   builder_.add_group(group);
+  builder_.add_late_waits_us(late_waits_us);
   builder_.add_waits_us(waits_us);
   builder_.add_service(service);
   builder_.add_pieces(pieces);
@@ -1847,10 +1930,12 @@
     const std::vector<flatbuffers::Offset<foxtailwheel::peer::wire::PieceMade>> *pieces = nullptr,
     const char *service = nullptr,
     const std::vector<int64_t> *waits_us = nullptr,
-    int64_t late_us = 0) {
+    int64_t late_us = 0,
+    const std::vector<int64_t> *late_waits_us = nullptr) {
   auto pieces__ = pieces ? _fbb.CreateVector<flatbuffers::Offset<foxtailwheel::peer::wire::PieceMade>>(*pieces) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto waits_us__ = waits_us ? _fbb.CreateVector<int64_t>(*waits_us) : 0;
+  auto late_waits_us__ = late_waits_us ? _fbb.CreateVector<int64_t>(*late_waits_us) : 0;
   return foxtailwheel::peer::wire::CreatePiecesMade(
       _fbb,
       sender,
@@ -1858,7 +1943,8 @@
       pieces__,
       service__,
       waits_us__,
-      late_us);
+      late_us,
+      late_waits_us__);
 }
 
 struct ResultsReleased FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/include/foxtailwheel/routing/ColdCallLimiter.h
+++ b/include/foxtailwheel/routing/ColdCallLimiter.h
@@ -2,6 +2,7 @@
 
 #include "foxtailwheel/base/Ids.h"
 #include "foxtailwheel/base/Units.h"
+#include "foxtailwheel/routing/ColdNotices.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -38,10 +39,20 @@
     void setLiveInstances(const std::vector<InstanceId>& live, TimePoint now);
     /// @brief Sets until when a server is cold by its entry; replaces what its earlier entry said.
     void setColdByEntry(const BackendServerId& server, TimePoint until, TimePoint now);
-    /// @brief A server is cold for `time`, whatever its entry says, as it has probably restarted.
+    /// @brief A server is cold for `time`, whatever its entry says.
     void markCold(const BackendServerId& server, Duration time, TimePoint now);
     /// @brief A server is cold for the time of the limits.
     void markCold(const BackendServerId& server, TimePoint now) { markCold(server, m_limits.time, now); }
+    /// @brief A server may have restarted, since a call to it broke off; it counts as cold for the time of the limits.
+    /// Other instances are not told: most calls break off for other reasons.
+    void suspectCold(const BackendServerId& server, TimePoint now);
+
+    /// @brief A server is cold at least until `until`, according to another instance.
+    void setColdByNotice(const BackendServerId& server, TimePoint until, TimePoint now);
+    /// @brief Another instance has said which servers are cold, so a server that it did not name can get calls.
+    void onNoticesHeard() { m_hasHeardNotices = true; }
+    /// @brief Adds the servers that are cold, except those that are only suspected or that others said to be.
+    void addNotices(std::vector<ColdNotice>& out, TimePoint now) const;
 
     bool isCold(const BackendServerId& server, TimePoint now) const;
     /// @brief Returns true if this instance may send the server a call now.
@@ -53,7 +64,7 @@
     bool onCallHeld(const BackendServerId& server);
 
     /// @brief Time after its start within which an instance sends cold servers no call: it does not yet know all
-    /// others.
+    /// others. Until another instance has said which servers are cold, it sends no server a call.
     static constexpr Duration startTime = std::chrono::seconds(2);
     /// @brief Time for which instances that are no longer alive are remembered. An instance that sees fewer than half
     /// of those that it saw within this time may be cut off, and the others have taken over.
@@ -65,13 +76,16 @@
     struct State {
         TimePoint coldByEntry {};
         TimePoint coldByEvent {};
+        TimePoint coldByNotice {};
+        TimePoint coldBySuspicion {};
         TimePoint lastCallAt {};
         TimePoint notBefore {};
         bool called = false;
         bool isHolder = false;
         bool heldBefore = false;
 
-        TimePoint coldUntil() const { return std::max(coldByEntry, coldByEvent); }
+        TimePoint knownColdUntil() const { return std::max(coldByEntry, coldByEvent); }
+        TimePoint coldUntil() const { return std::max({ knownColdUntil(), coldByNotice, coldBySuspicion }); }
     };
 
     State& stateOf(const BackendServerId& server, TimePoint now);
@@ -88,12 +102,14 @@
     Duration interval() const;
     bool isHolder(const BackendServerId& server) const;
     bool mayBeCutOff(TimePoint now) const;
+    bool awaitsNotices(TimePoint now) const;
     void noteTime(TimePoint now) { m_startedAt = std::min(m_startedAt, now); }
 
     InstanceId m_self;
     ColdLimits m_limits;
     std::map<InstanceId, std::uint64_t> m_live; ///< Hashes of the live instances and of this one.
     bool m_isLeaving = false;
+    bool m_hasHeardNotices = false;
     std::map<InstanceId, TimePoint> m_lostAt; ///< Time at which instances were last alive that are not any more.
     std::unordered_map<BackendServerId, State> m_servers;
     TimePoint m_startedAt = TimePoint::max(); ///< First time that was passed in.
--- a/include/foxtailwheel/routing/EvenLoad.h
+++ b/include/foxtailwheel/routing/EvenLoad.h
@@ -90,8 +90,12 @@
 
     void onCallSent(PlacedCallId call, const BackendServerId& server, const EngineDemand& demand, TimePoint now);
     /// @brief The first event of the response was received: the prompt has been read.
-    void onCallBegan(PlacedCallId call, TimePoint now);
-    void onCallEnded(PlacedCallId call, bool succeeded, TimePoint now);
+    /// @return The measured time relative to that on a mean server, for other instances; empty if it says too little.
+    std::optional<double> onCallBegan(PlacedCallId call, TimePoint now);
+    /// @return As for `onCallBegan`.
+    std::optional<double> onCallEnded(PlacedCallId call, bool succeeded, TimePoint now);
+    /// @brief Applies a time ratio that another instance has measured. Unknown servers are ignored.
+    void onTimeRatio(std::uint64_t server, double ratio, TimePoint measuredAt);
     /// @brief Applies a load report of a server, own or of another instance. Unknown servers are ignored.
     void onReport(const SharedLoad& report, TimePoint now);
 
--- a/include/foxtailwheel/routing/LoadExchange.h
+++ b/include/foxtailwheel/routing/LoadExchange.h
@@ -16,13 +16,16 @@
     std::uint32_t queued = 0; ///< Calls in the queue of the server.
     double slowdown = 1; ///< Time that work takes there, relative to usual.
     Duration age {}; ///< Time since the measurement.
+    /// @brief Time of a call measured by the sender, without the slowdown, relative to that on a mean server; 0 if
+    /// none.
+    double timeRatio = 0;
 
     friend bool operator==(const SharedLoad&, const SharedLoad&) = default;
 };
 
 /// @brief Limits of the load reports that instances pass on.
 struct LoadExchangeOptions {
-    std::size_t maxReports = 64; ///< In one message; 20 bytes each.
+    std::size_t maxReports = 64; ///< In one message; 22 bytes each.
     std::size_t maxServers = 4096; ///< For which the newest report is kept.
     Duration maxAge = std::chrono::seconds(5); ///< Older reports are dropped: running calls have changed by then.
 };
@@ -38,6 +41,8 @@
     /// @brief Adds a report of an own response or of another instance. Returns false if a newer one is known, or if it
     /// is too old.
     bool add(const SharedLoad& report, TimePoint now);
+    /// @brief Adds a time ratio that this instance has measured to the newest report of a server, if there is one.
+    void setTimeRatio(std::uint64_t server, double ratio);
     /// @brief Returns the newest reports, newest first.
     std::vector<SharedLoad> newest(TimePoint now);
     /// @brief Returns the mean age of the reports that are kept; 0 if there are none.
--- a/include/foxtailwheel/routing/ServerSpeed.h
+++ b/include/foxtailwheel/routing/ServerSpeed.h
@@ -7,7 +7,8 @@
 namespace foxtailwheel::routing {
 
 /// @brief How long work takes on one server relative to the mean of its service: a lasting factor, measured from
-/// response times, and a passing one, which the server reports.
+/// response times, and the slowdown that the server reports. The reported slowdown has a usual level, which differs
+/// between servers of unequal speed, and phases of some hundred milliseconds.
 class ServerSpeed {
 public:
     /// @brief Records a measured time, without the passing slowdown, divided by the time expected on a mean server.
@@ -16,7 +17,7 @@
     void onSlowdown(double slowdown, TimePoint measuredAt);
     /// @brief Returns the lasting factor; above 1 for a slow server. It ages towards 1 without new measurements.
     double lastingFactor(Duration halfLife, TimePoint now) const;
-    /// @brief Returns the passing slowdown, which ages towards 1.
+    /// @brief Returns the reported slowdown, which ages towards its usual level.
     double slowdown(Duration halfLife, TimePoint now) const;
 
 private:
@@ -24,6 +25,8 @@
     double m_samples = 0;
     TimePoint m_measuredAt {};
     double m_slowdown = 1;
+    double m_logUsualSlowdown = 0; ///< Smoothed natural logarithm of the reported slowdowns.
+    double m_slowdownSamples = 0;
     TimePoint m_slowdownAt {};
 };
 
--- a/include/foxtailwheel/serving/BatchForecast.h
+++ b/include/foxtailwheel/serving/BatchForecast.h
@@ -3,6 +3,7 @@
 #include "foxtailwheel/base/Units.h"
 #include "foxtailwheel/config/Routes.h"
 #include "foxtailwheel/limits/RateMeter.h"
+#include "foxtailwheel/serving/ResultCapacity.h"
 
 #include <cstdint>
 #include <map>
@@ -24,7 +25,10 @@
     void recordCall(std::size_t pieces, Duration time);
     /// @brief Returns the expected duration of a call with `pieces` pieces, based on recent calls.
     Duration callTime(std::size_t pieces) const;
-    /// @brief Returns the pieces per second that `servers` busy servers process with full calls.
+    /// @brief Sets how results occupy the servers, which limits the calls; empty if it does not.
+    void setResultsPerServer(std::optional<ResultCapacity::Usage> usage) { m_results = usage; }
+    /// @brief Returns the pieces per second that `servers` busy servers process, with calls that are as full as the
+    /// capacity for results allows.
     double throughput(double servers) const;
     /// @brief Returns the expected time until pieces with `ahead` pieces before them are processed.
     /// @param late They cannot meet their latency target, so that all others are sent first.
@@ -33,8 +37,11 @@
     Duration expectedWait(std::uint32_t priority, bool late, std::size_t ahead, double servers, TimePoint now) const;
 
 private:
+    double piecesPerBusyCall() const;
+
     config::BatchLimits m_limits;
     std::map<std::uint32_t, limits::RateMeter> m_arrivals; ///< By priority.
+    std::optional<ResultCapacity::Usage> m_results;
     double m_callTimeRatio = 1; ///< Ratio of measured to declared call duration, exponentially smoothed.
 };
 
--- a/include/foxtailwheel/serving/BatchQueue.h
+++ b/include/foxtailwheel/serving/BatchQueue.h
@@ -72,6 +72,7 @@
     NoCapacity, ///< The server has no capacity to store the result.
     OwnerChanged, ///< It was still queued at an instance that no longer owns the service.
     Failed, ///< The server reported an error, or the call broke.
+    ZonesDrained, ///< All servers of the service are in drained zones.
 };
 
 /// @brief Returns the name of a failure as it is written in logs.
@@ -139,6 +140,13 @@
     /// @brief Sets the share of the servers' slots that this queue may use, from 0 to 1.
     /// @param share 1 if no other instance sends calls to the service.
     void setSlotShare(double share);
+    /// @brief Sets whether forecasts consider the capacity for results, and that of pieces that cannot meet their
+    /// target only the more urgent ones are sent first. Otherwise they assume full calls, and that all others are sent
+    /// first.
+    void setOverloadForecast(bool isOn);
+    /// @brief Sets whether all servers are in drained zones. From the next dispatch on, queued pieces then fail with
+    /// `ZonesDrained` instead of waiting for their deadlines.
+    void setDrained(bool isDrained);
     /// @brief Adds the pieces of a group and sends the calls that are ready.
     void add(PieceGroup group, TimePoint now, std::vector<BatchAction>& out);
     /// @brief Cancels a group: its queued pieces are dropped, results of calls in progress are still delivered.
--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -325,6 +325,10 @@
     virtual std::vector<ServiceLoad> serviceLoads(TimePoint now) const = 0;
     /// @brief Handles load reports of another instance.
     virtual void onSharedLoads(const std::vector<routing::SharedLoad>& reports, TimePoint now) = 0;
+    /// @brief Returns the servers that this instance knows to be cold, for other instances.
+    virtual std::vector<routing::ColdNotice> coldServers(TimePoint now) = 0;
+    /// @brief Handles what another instance said of cold servers; also called if none is.
+    virtual void onColdServers(const std::vector<routing::ColdNotice>& notices, TimePoint now) = 0;
     /// @brief Runs all timers that are due.
     virtual void onTimer(TimePoint now, ForwardActions& out) = 0;
     /// @brief Returns when `onTimer` must be called next.
--- a/include/foxtailwheel/serving/PieceBroker.h
+++ b/include/foxtailwheel/serving/PieceBroker.h
@@ -40,7 +40,9 @@
 struct QueueWaits {
     std::array<Duration, reportedPriorities>
         byPriority {}; ///< By priority, for pieces that can meet their latency target.
-    Duration late {}; ///< For pieces that cannot, which are scheduled last.
+    Duration late {}; ///< For pieces that cannot, behind all others.
+    std::array<Duration, reportedPriorities>
+        lateByPriority {}; ///< The same by priority, behind those that are not sent after them.
 
     friend bool operator==(const QueueWaits&, const QueueWaits&) = default;
 };
--- a/src/foxtailwheel/apps/foxtailwheeld.cpp
+++ b/src/foxtailwheel/apps/foxtailwheeld.cpp
@@ -1,3 +1,4 @@
+#include "foxtailwheel/base/Allocator.h"
 #include "foxtailwheel/base/File.h"
 #include "foxtailwheel/config/Settings.h"
 #include "foxtailwheel/daemon/Instance.h"
@@ -44,6 +45,7 @@
 
 int main(int argc, char** argv)
 {
+    returnLargeBlocksWhenFreed();
     cxxopts::Options options("foxtailwheeld",
         "Instance of the foxtailwheel serving system.\n"
         "Exit codes: 0 graceful shutdown, 1 startup failed, 2 invalid settings, 3 requests were aborted.\n"
--- a/src/foxtailwheel/bench/LoadSimulation.cpp
+++ b/src/foxtailwheel/bench/LoadSimulation.cpp
@@ -19,6 +19,8 @@
     constexpr Duration cacheRetention = 9s;
     constexpr double readingTokensPerSecond = 36000;
     constexpr Duration slowPhase = 600ms;
+    /// About the mean age of the newest report of a server among many instances.
+    constexpr Duration timeRatioPeriod = 1s;
     constexpr double slowFactor = 2.5;
     /// Prompts have a part of 2,500 tokens that very many share and one of 3,800 that few share.
     constexpr std::uint64_t commonParts = 4;
@@ -66,11 +68,13 @@
         TimePoint readerFreeAt {};
         std::unordered_map<std::uint64_t, TimePoint> cache;
         std::vector<std::pair<TimePoint, routing::SharedLoad>> reports; ///< At each change, oldest first.
+        std::vector<std::pair<TimePoint, double>> timeRatios; ///< Measured by any instance, oldest first.
     };
 
     struct SimulatedInstance {
         std::unique_ptr<routing::ServerPool> pool;
         routing::EvenLoad evenLoad;
+        std::vector<std::size_t> nextTimeRatios = {}; ///< By server: first of its ratios that is not known here.
     };
 
     enum class EventKind { Arrival, FirstEvent, End, Sample };
@@ -104,6 +108,7 @@
         void onEnd(std::size_t call);
         void sample();
         void giveReports(SimulatedInstance& instance);
+        void giveTimeRatios(SimulatedInstance& instance);
         void report(SimulatedServer& server);
         routing::EngineDemand makeDemand();
         double slowdown(const SimulatedServer& server) const;
@@ -138,7 +143,7 @@
             ids.emplace_back("server-" + std::to_string(i));
             service.servers.push_back({ ids.back(), "10.0.0.1", static_cast<std::uint16_t>(1000 + i), {} });
             m_servers.push_back(
-                { ids.back(), scenario.timeFactors[i % scenario.timeFactors.size()], 0, {}, {}, {}, {} });
+                { ids.back(), scenario.timeFactors[i % scenario.timeFactors.size()], 0, {}, {}, {}, {}, {} });
         }
         for (std::size_t i = 0; i < scenario.instances; ++i) {
             routing::PoolOptions options;
@@ -153,6 +158,7 @@
                 routing::EvenLoad(scenario.parameters) };
             instance.evenLoad.configure(ids, scenario.slots, scenario.engines ? memoryTokens : 0);
             instance.evenLoad.setInstanceCount(scenario.instances);
+            instance.nextTimeRatios.resize(scenario.servers);
             m_instances.push_back(std::move(instance));
         }
     }
@@ -198,6 +204,25 @@
             report.age = m_scenario.reportAge;
             instance.evenLoad.onReport(report, m_now);
         }
+        if (m_scenario.sharesSpeed)
+            giveTimeRatios(instance);
+    }
+
+    /// Gives the instance at most one measured time of each server in `timeRatioPeriod`, as by the newest reports.
+    void LoadSimulation::giveTimeRatios(SimulatedInstance& instance)
+    {
+        for (std::size_t i = 0; i < m_servers.size(); ++i) {
+            const auto& ratios = m_servers[i].timeRatios;
+            auto& next = instance.nextTimeRatios[i];
+            auto givenAt = TimePoint::min();
+            for (; next < ratios.size() && ratios[next].first <= m_now - m_scenario.reportAge; ++next) {
+                const auto& [at, ratio] = ratios[next];
+                if (givenAt != TimePoint::min() && at - givenAt < timeRatioPeriod)
+                    continue;
+                instance.evenLoad.onTimeRatio(hashOf(m_servers[i].id.value()), ratio, at);
+                givenAt = at;
+            }
+        }
     }
 
     void LoadSimulation::onArrival()
@@ -262,7 +287,8 @@
     {
         const auto& call = m_calls[id];
         auto& server = m_servers[call.server];
-        m_instances[call.instance].evenLoad.onCallBegan(routing::PlacedCallId(id), m_now);
+        if (const auto ratio = m_instances[call.instance].evenLoad.onCallBegan(routing::PlacedCallId(id), m_now))
+            server.timeRatios.emplace_back(m_now, *ratio);
         if (isCounted() && call.demand.prompt.size() > 1)
             m_times.push_back(m_now - call.sentAt);
         const double seconds
--- a/src/foxtailwheel/bench/LoadSimulationTest.cpp
+++ b/src/foxtailwheel/bench/LoadSimulationTest.cpp
@@ -93,6 +93,23 @@
     checkInstances(1800);
 }
 
+// An instance that sends each server few calls cannot measure which ones are lastingly slow, and must learn it from
+// others, or prompts wait at slow servers.
+Test(LoadSimulation, sharedSpeedShortensTheTimeToTheFirstEvent)
+{
+    auto scenario = scenarioFor(1800, 1s, false);
+    scenario.choice = ChoiceKind::EvenLoad;
+    double alone = 0;
+    double shared = 0;
+    for (scenario.seed = 1; scenario.seed <= seeds; ++scenario.seed) {
+        scenario.sharesSpeed = false;
+        alone += toSeconds(bench::simulateLoad(scenario).percentile95) / seeds;
+        scenario.sharesSpeed = true;
+        shared += toSeconds(bench::simulateLoad(scenario).percentile95) / seeds;
+    }
+    cr_expect_lt(shared, 0.9 * alone, "%g s, alone %g s", shared, alone);
+}
+
 // Without any report the choice must not be worse than the hash.
 Test(LoadSimulation, serversThatReportNothing)
 {
--- a/src/foxtailwheel/config/Settings.cpp
+++ b/src/foxtailwheel/config/Settings.cpp
@@ -14,6 +14,7 @@
     using namespace std::chrono_literals;
 
     constexpr std::size_t minSecretBytes = 16;
+    constexpr std::uint64_t maxMemoryMegabytes = 1U << 24U;
 
     Endpoint readEndpoint(YamlReader& reader, std::string_view key)
     {
@@ -54,6 +55,8 @@
             = static_cast<std::uint32_t>(root.size("max_read_buffer", 16U << 10U, 4096, 16U << 20U));
         settings.maxConnections
             = static_cast<std::uint32_t>(root.unsignedInteger("max_connections", 4096, 16, 1U << 20U));
+        if (const auto megabytes = root.unsignedInteger("memory_mb", 0, 0, maxMemoryMegabytes); megabytes > 0)
+            settings.memoryBytes = megabytes << 20U;
         settings.balancerDelay = root.duration("balancer_delay", 2s, 0ms, 60s);
         settings.drainTimeout = root.duration("drain_limit", 60s, 1s, 1h);
     }
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -618,6 +618,16 @@
     m_impl->forwarder->onSharedLoads(reports, m_impl->clock.now());
 }
 
+std::vector<routing::ColdNotice> ForwardService::coldServers()
+{
+    return m_impl->forwarder->coldServers(m_impl->clock.now());
+}
+
+void ForwardService::onColdServers(const std::vector<routing::ColdNotice>& notices)
+{
+    m_impl->forwarder->onColdServers(notices, m_impl->clock.now());
+}
+
 void ForwardService::setCrashRecords(const std::vector<serving::CrashRecord>& records)
 {
     m_impl->forwarder->setCrashRecords(records, m_impl->clock.now());
--- a/src/foxtailwheel/daemon/Instance.cpp
+++ b/src/foxtailwheel/daemon/Instance.cpp
@@ -11,12 +11,14 @@
 #include "foxtailwheel/control/ClaimCleaner.h"
 #include "foxtailwheel/control/ClaimStore.h"
 #include "foxtailwheel/daemon/Lifecycle.h"
+#include "foxtailwheel/http/Descriptors.h"
 #include "foxtailwheel/store/Clients.h"
 #include "foxtailwheel/telemetry/Log.h"
 
 #include <algorithm>
 #include <array>
 #include <condition_variable>
+#include <unistd.h>
 
 namespace foxtailwheel::daemon {
 
@@ -35,6 +37,26 @@
     /// Time at the end of the drain for the responses of runs that could not be completed.
     constexpr Duration lastResponsesTime = 200ms;
 
+    /// Bounds of what is held for callers and servers. The rest is for the program itself, what the allocator keeps,
+    /// and received bytes in sockets.
+    http::MemoryBudgetOptions memoryOptions(const config::Settings& settings)
+    {
+        const auto machineBytes
+            = static_cast<std::uint64_t>(sysconf(_SC_PHYS_PAGES)) * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+        const auto bytes = settings.memoryBytes.value_or(machineBytes);
+        http::MemoryBudgetOptions options;
+        options.maxBytes = bytes / 2;
+        options.maxServerResponseBytes = bytes / 4;
+        return options;
+    }
+
+    http::ClientOptions clientOptions(std::shared_ptr<http::MemoryBudget> memory)
+    {
+        http::ClientOptions options;
+        options.memory = std::move(memory);
+        return options;
+    }
+
     serving::DispatcherOptions dispatcherOptions(const config::Settings& settings, std::uint64_t seed)
     {
         serving::DispatcherOptions options;
@@ -89,6 +111,7 @@
         std::uint64_t m_seed = systemSeed();
         std::unique_ptr<Clock> m_clock = systemClock();
         std::unique_ptr<http::IoPool> m_pool;
+        std::shared_ptr<http::MemoryBudget> m_memory;
         std::unique_ptr<http::Client> m_client;
         std::unique_ptr<telemetry::Metrics> m_metrics = telemetry::Metrics::create();
         std::unique_ptr<store::Table> m_table;
@@ -118,7 +141,8 @@
               [](std::string_view detail) {
                   telemetry::logError("work_failed", { { "detail", std::string(detail) } });
               }))
-        , m_client(http::Client::create(*m_pool, *m_clock))
+        , m_memory(http::MemoryBudget::create(memoryOptions(m_settings)))
+        , m_client(http::Client::create(*m_pool, *m_clock, clientOptions(m_memory)))
         , m_table(store::tableClient(*m_client, *m_clock, m_settings.table, m_seed))
         , m_instanceList(store::instanceListClient(*m_client, m_settings.instanceList))
         , m_dispatcher(serving::makeDispatcher(dispatcherOptions(m_settings, m_seed)))
@@ -163,7 +187,8 @@
         http::ServerOptions callers;
         callers.listen = m_settings.callers;
         callers.maxBodyBytes = m_settings.maxBodyBytes;
-        callers.maxConnections = m_settings.maxConnections;
+        callers.maxConnections = std::min(m_settings.maxConnections, http::maxClientConnections());
+        callers.memory = m_memory;
         callers.maxChunkHeaderBytes = m_settings.maxChunkHeaderBytes;
         callers.maxTrailerBytes = m_settings.maxTrailerBytes;
         callers.maxReadBufferBytes = m_settings.maxReadBufferBytes;
--- a/src/foxtailwheel/daemon/PeerLink.cpp
+++ b/src/foxtailwheel/daemon/PeerLink.cpp
@@ -59,7 +59,8 @@
     void tick();
     void execute(const membership::MembershipActions& actions);
     void onMessage(const peer::Message& message);
-    void takeLoadReports(const membership::Digest& digest);
+    void addReports(membership::Digest& digest) const;
+    void takeReports(const membership::Digest& digest);
     void updateMembers();
     void updatePoller();
     void reportServerNotices();
@@ -75,6 +76,7 @@
     std::vector<InstanceId> owners;
     std::set<InstanceId> unavailable;
     bool isPoller = true;
+    bool hasHeardPeers = false;
     std::map<BackendServerId, std::uint64_t> reportedNotices; ///< Sequence of each.
 };
 
@@ -92,13 +94,15 @@
 void PeerLink::Impl::execute(const membership::MembershipActions& actions)
 {
     bool changed = false;
-    const auto loads
-        = actions.empty() || !callbacks.loadReports ? std::vector<routing::SharedLoad>() : callbacks.loadReports();
+    membership::Digest reports;
+    if (!actions.empty())
+        addReports(reports);
     for (const auto& it : actions) {
         if (const auto* send = std::get_if<membership::SendMessage>(&it))
             std::visit(
-                [this, send, &loads](auto message) {
-                    message.digest.loads = loads;
+                [this, send, &reports](auto message) {
+                    message.digest.loads = reports.loads;
+                    message.digest.coldServers = reports.coldServers;
                     transport->send(send->to, peer::Message(std::move(message)));
                 },
                 send->message);
@@ -174,20 +178,32 @@
     }
 }
 
-void PeerLink::Impl::takeLoadReports(const membership::Digest& digest)
+void PeerLink::Impl::addReports(membership::Digest& digest) const
+{
+    if (callbacks.loadReports)
+        digest.loads = callbacks.loadReports();
+    if (callbacks.coldServers)
+        digest.coldServers = callbacks.coldServers();
+}
+
+void PeerLink::Impl::takeReports(const membership::Digest& digest)
 {
     if (callbacks.onLoadReports && !digest.loads.empty())
         callbacks.onLoadReports(digest.loads);
+    // That a peer knows of no cold server is news for an instance that has just started.
+    const bool isFirst = !std::exchange(hasHeardPeers, true);
+    if (callbacks.onColdServers && (isFirst || !digest.coldServers.empty()))
+        callbacks.onColdServers(digest.coldServers);
 }
 
 void PeerLink::Impl::onMessage(const peer::Message& message)
 {
     membership::MembershipActions actions;
     if (const auto* ping = std::get_if<membership::Ping>(&message)) {
-        takeLoadReports(ping->digest);
+        takeReports(ping->digest);
         membership.onPing(*ping, clock.now(), actions);
     } else if (const auto* ack = std::get_if<membership::Ack>(&message)) {
-        takeLoadReports(ack->digest);
+        takeReports(ack->digest);
         membership.onAck(*ack, clock.now(), actions);
     } else if (const auto* piece = std::get_if<peer::PieceUpdate>(&message))
         callbacks.onPieceMessage(piece->sender.id, piece->message);
--- a/src/foxtailwheel/peer/Message.cpp
+++ b/src/foxtailwheel/peer/Message.cpp
@@ -29,6 +29,8 @@
     constexpr unsigned maxTables = 200000;
     /// Load reports that are read from one message; instances send fewer.
     constexpr std::size_t maxLoads = 256;
+    /// Servers are cold for seconds; a longer time in a message would block a server for no reason.
+    constexpr std::uint32_t maxColdMs = 10 * 60 * 1000;
 
     auto pack(FlatBufferBuilder& fbb, const Member& member)
     {
@@ -60,7 +62,19 @@
         return packed;
     }
 
-    std::vector<routing::SharedLoad> unpack(const flatbuffers::Vector<const wire::ServerLoad*>* loads)
+    /// Returns an empty vector if no report has a time ratio, so that the message is the same as before they existed.
+    std::vector<std::uint16_t> packTimeRatios(const std::vector<routing::SharedLoad>& loads)
+    {
+        std::vector<std::uint16_t> percents;
+        for (const auto& it : loads)
+            percents.push_back(it.timeRatio > 0 ? std::max<std::uint16_t>(1, toField(it.timeRatio * 100)) : 0);
+        return std::all_of(percents.begin(), percents.end(), [](auto it) { return it == 0; })
+            ? std::vector<std::uint16_t>()
+            : percents;
+    }
+
+    std::vector<routing::SharedLoad> unpack(
+        const flatbuffers::Vector<const wire::ServerLoad*>* loads, const flatbuffers::Vector<std::uint16_t>* ratios)
     {
         std::vector<routing::SharedLoad> out;
         const auto n = loads == nullptr ? 0 : std::min<std::size_t>(loads->size(), maxLoads);
@@ -68,8 +82,32 @@
             const auto load = elementAt<wire::ServerLoad>(*loads, i);
             // A slowdown of 0 would make a server look infinitely fast.
             const double slowdown = std::max<std::uint16_t>(1, load.slowdown_percent()) / 100.0;
-            out.push_back(
-                { load.server(), load.running(), load.queued(), slowdown, std::chrono::milliseconds(load.age_ms()) });
+            const auto timePercent = ratios != nullptr && i < ratios->size()
+                ? flatbuffers::EndianScalar(elementAt<std::uint16_t>(*ratios, i))
+                : 0;
+            out.push_back({ load.server(), load.running(), load.queued(), slowdown,
+                std::chrono::milliseconds(load.age_ms()), timePercent / 100.0 });
+        }
+        return out;
+    }
+
+    std::vector<wire::ColdServer> pack(const std::vector<routing::ColdNotice>& notices)
+    {
+        std::vector<wire::ColdServer> packed;
+        for (const auto& it : notices)
+            packed.emplace_back(
+                it.server, static_cast<std::uint32_t>(std::clamp<double>(toMilliseconds(it.remaining), 0, maxColdMs)));
+        return packed;
+    }
+
+    std::vector<routing::ColdNotice> unpack(const flatbuffers::Vector<const wire::ColdServer*>* notices)
+    {
+        std::vector<routing::ColdNotice> out;
+        const auto n
+            = notices == nullptr ? 0 : std::min<std::size_t>(notices->size(), routing::ColdNotices::maxNotices);
+        for (flatbuffers::uoffset_t i = 0; i < n; ++i) {
+            const auto notice = elementAt<wire::ColdServer>(*notices, i);
+            out.push_back({ notice.server(), std::chrono::milliseconds(std::min(notice.remaining_ms(), maxColdMs)) });
         }
         return out;
     }
@@ -87,7 +125,10 @@
         const auto serverVector = fbb.CreateVector(servers);
         // Without load reports the message is the same as before they existed.
         const auto loads = digest.loads.empty() ? 0 : fbb.CreateVectorOfStructs(pack(digest.loads));
-        return wire::CreateDigest(fbb, sender, memberVector, serverVector, loads);
+        const auto coldServers = digest.coldServers.empty() ? 0 : fbb.CreateVectorOfStructs(pack(digest.coldServers));
+        const auto timeRatios = packTimeRatios(digest.loads);
+        const auto timeRatioVector = timeRatios.empty() ? 0 : fbb.CreateVector(timeRatios);
+        return wire::CreateDigest(fbb, sender, memberVector, serverVector, loads, coldServers, timeRatioVector);
     }
 
     auto pack(FlatBufferBuilder& fbb, const std::vector<AccountRate>& rates)
@@ -136,10 +177,10 @@
         return std::chrono::duration_cast<std::chrono::microseconds>(d).count();
     }
 
-    std::vector<std::int64_t> packTimelyWaits(const serving::QueueWaits& waits)
+    std::vector<std::int64_t> packWaits(const std::array<Duration, serving::reportedPriorities>& waits)
     {
         std::vector<std::int64_t> out;
-        for (const auto wait : waits.byPriority)
+        for (const auto wait : waits)
             out.push_back(microseconds(wait));
         return out;
     }
@@ -163,10 +204,11 @@
         }
         flatbuffers::Offset<wire::Envelope> operator()(const serving::PieceRequestAck& it) const
         {
-            const auto waits = packTimelyWaits(it.waits);
+            const auto waits = packWaits(it.waits.byPriority);
+            const auto lateWaits = packWaits(it.waits.lateByPriority);
             return wrap(wire::Body::PiecesTaken,
                 wire::CreatePiecesTakenDirect(
-                    fbb, pack(fbb, sender), it.group.value(), &waits, microseconds(it.waits.late)));
+                    fbb, pack(fbb, sender), it.group.value(), &waits, microseconds(it.waits.late), &lateWaits));
         }
         flatbuffers::Offset<wire::Envelope> operator()(const serving::PieceRequestCancel& it) const
         {
@@ -178,10 +220,11 @@
             std::vector<flatbuffers::Offset<wire::PieceMade>> pieces;
             for (const auto& piece : it.pieces)
                 pieces.push_back(pack(fbb, piece));
-            const auto waits = packTimelyWaits(it.waits);
+            const auto waits = packWaits(it.waits.byPriority);
+            const auto lateWaits = packWaits(it.waits.lateByPriority);
             return wrap(wire::Body::PiecesMade,
                 wire::CreatePiecesMadeDirect(fbb, pack(fbb, sender), it.group.value(), &pieces,
-                    it.service.value().c_str(), &waits, microseconds(it.waits.late)));
+                    it.service.value().c_str(), &waits, microseconds(it.waits.late), &lateWaits));
         }
         flatbuffers::Offset<wire::Envelope> operator()(const serving::ReleaseResults& it) const
         {
@@ -294,7 +337,8 @@
             for (const auto* it : *servers)
                 out.servers.push_back({ BackendServerId(stringOrEmpty(it->server())), it->leaving(), it->sequence() });
         }
-        out.loads = unpack(digest->loads());
+        out.loads = unpack(digest->loads(), digest->load_time_percents());
+        out.coldServers = unpack(digest->cold_servers());
         return out;
     }
 
@@ -359,6 +403,13 @@
             waits.byPriority.at(i)
                 = boundedMicroseconds(flatbuffers::EndianScalar(elementAt<std::int64_t>(*reported, i)));
         waits.late = boundedMicroseconds(message.late_us());
+        // Older instances report the wait behind all pieces only.
+        waits.lateByPriority.fill(waits.late);
+        const auto* late = message.late_waits_us();
+        const auto lateCount = late == nullptr ? 0 : late->size();
+        for (flatbuffers::uoffset_t i = 0; i < std::min<std::size_t>(lateCount, waits.lateByPriority.size()); ++i)
+            waits.lateByPriority.at(i)
+                = boundedMicroseconds(flatbuffers::EndianScalar(elementAt<std::int64_t>(*late, i)));
         return waits;
     }
 
@@ -379,9 +430,10 @@
                     stringOrEmpty(it->host()), it->port(), AvailabilityZoneId(stringOrEmpty(it->zone())) };
                 out.pieces.push_back({ it->index(), serving::ResultHandle { handle, producer, out.service } });
             } else {
-                const auto last = static_cast<std::uint8_t>(serving::PieceFailure::Failed);
-                out.pieces.push_back(
-                    { it->index(), static_cast<serving::PieceFailure>(std::min(it->failure(), last)) });
+                // Newer instances may have further reasons.
+                const bool isKnown = it->failure() <= static_cast<std::uint8_t>(serving::PieceFailure::ZonesDrained);
+                out.pieces.push_back({ it->index(),
+                    isKnown ? static_cast<serving::PieceFailure>(it->failure()) : serving::PieceFailure::Failed });
             }
         }
         return out;
--- a/src/foxtailwheel/peer/PeerTest.cpp
+++ b/src/foxtailwheel/peer/PeerTest.cpp
@@ -33,7 +33,9 @@
 {
     const config::BackendServer server { BackendServerId("s"), "127.0.0.1", 9, AvailabilityZoneId("a") };
     membership::Digest digest { makeMember("x"), { makeMember("y"), makeMember("z") },
-        { { BackendServerId("s"), true, 77 } }, { { 0xfedcba9876543210U, 12, 3, 2.5, 1200ms }, { 5, 0, 0, 1, 0ms } } };
+        { { BackendServerId("s"), true, 77 } },
+        { { 0xfedcba9876543210U, 12, 3, 2.5, 1200ms, 1.75 }, { 5, 0, 0, 1, 0ms } },
+        { { 0x0123456789abcdefU, 2900ms }, { 6, 1ms } } };
     return {
         membership::Ping { 3, InstanceId("t"), digest },
         membership::Ack { 4, InstanceId("u"), digest },
--- a/src/foxtailwheel/routing/ColdCallLimiter.cpp
+++ b/src/foxtailwheel/routing/ColdCallLimiter.cpp
@@ -87,6 +87,32 @@
     state.coldByEvent = std::max(state.coldByEvent, now + time);
 }
 
+void ColdCallLimiter::suspectCold(const BackendServerId& server, TimePoint now)
+{
+    if (m_limits.time <= Duration {})
+        return;
+    auto& state = stateOf(server, now);
+    state.coldBySuspicion = std::max(state.coldBySuspicion, now + m_limits.time);
+}
+
+void ColdCallLimiter::setColdByNotice(const BackendServerId& server, TimePoint until, TimePoint now)
+{
+    if (until <= now)
+        return;
+    auto& state = stateOf(server, now);
+    state.coldByNotice = std::max(state.coldByNotice, until);
+}
+
+void ColdCallLimiter::addNotices(std::vector<ColdNotice>& out, TimePoint now) const
+{
+    if (m_limits.perSecond <= 0)
+        return;
+    for (const auto& [id, state] : m_servers) {
+        if (state.knownColdUntil() > now)
+            out.push_back({ hashOf(id.value()), state.knownColdUntil() - now });
+    }
+}
+
 /// With too few instances, each holder sends several calls per second: a whole number, since calls of many holders that
 /// begin at the same time would otherwise exceed the limit in some seconds.
 ColdCallLimiter::Shares ColdCallLimiter::shares() const
@@ -130,6 +156,12 @@
     return std::find_if(m_lostAt.begin(), m_lostAt.end(), isRemembered)->first < m_live.begin()->first;
 }
 
+/// An instance that is alone has nobody to ask, and the first of several that start together would wait in vain.
+bool ColdCallLimiter::awaitsNotices(TimePoint now) const
+{
+    return m_limits.perSecond > 0 && !m_hasHeardNotices && m_live.size() > 1 && now - m_startedAt < startTime;
+}
+
 bool ColdCallLimiter::isCold(const BackendServerId& server, TimePoint now) const
 {
     if (m_limits.perSecond <= 0)
@@ -141,7 +173,7 @@
 bool ColdCallLimiter::admits(const BackendServerId& server, TimePoint now) const
 {
     if (!isCold(server, now))
-        return true;
+        return !awaitsNotices(now);
     const auto& state = m_servers.at(server);
     return !m_isLeaving && now - m_startedAt >= startTime && state.isHolder && now >= state.notBefore
         && (!state.called || now - state.lastCallAt >= interval()) && !mayBeCutOff(now);
--- a/src/foxtailwheel/routing/EvenLoad.cpp
+++ b/src/foxtailwheel/routing/EvenLoad.cpp
@@ -253,47 +253,56 @@
     m_calls.emplace(id, call);
 }
 
-void EvenLoad::onCallBegan(PlacedCallId id, TimePoint now)
+std::optional<double> EvenLoad::onCallBegan(PlacedCallId id, TimePoint now)
 {
     const auto it = m_calls.find(id);
     if (it == m_calls.end() || std::exchange(it->second.began, true))
-        return;
+        return std::nullopt;
     const auto& call = it->second;
     auto* server = find(call.server);
     if (server == nullptr)
-        return;
+        return std::nullopt;
     server->unreadTokens = std::max(0.0, server->unreadTokens - call.unreadTokens);
     const double seconds = toSeconds(now - call.sentAt);
     m_readingSeconds.add(seconds);
     if (!isEngine() || call.unreadTokens < minMeasuredTokens)
-        return;
+        return std::nullopt;
     const double usualSeconds = seconds / server->speed.slowdown(m_parameters.slowdownHalfLife, now);
     const double ratio = usualSeconds / ((call.unreadTokens + call.tokensAhead) * m_secondsPerToken);
     server->speed.onMeasured(ratio, now);
     m_secondsPerToken *= std::exp(readingSmoothing * std::log(std::clamp(ratio, 1 / maxReadingRatio, maxReadingRatio)));
+    return ratio;
+}
+
+void EvenLoad::onTimeRatio(std::uint64_t server, double ratio, TimePoint measuredAt)
+{
+    if (auto* known = find(server))
+        known->speed.onMeasured(ratio, measuredAt);
 }
 
-void EvenLoad::onCallEnded(PlacedCallId id, bool succeeded, TimePoint now)
+std::optional<double> EvenLoad::onCallEnded(PlacedCallId id, bool succeeded, TimePoint now)
 {
     const auto it = m_calls.find(id);
     if (it == m_calls.end())
-        return;
+        return std::nullopt;
     const auto call = it->second;
     m_calls.erase(it);
     auto* server = find(call.server);
     if (server == nullptr)
-        return;
+        return std::nullopt;
     server->load.onCallEnded(now);
     server->memory.onCallEnded(call.heldTokens);
     if (!call.began)
         server->unreadTokens = std::max(0.0, server->unreadTokens - call.unreadTokens);
     if (!succeeded)
-        return;
+        return std::nullopt;
     const double seconds = toSeconds(now - call.sentAt);
-    if (!isEngine())
-        server->speed.onMeasured(
-            seconds / server->speed.slowdown(m_parameters.slowdownHalfLife, now) / meanCallSeconds(), now);
+    const double ratio = seconds / server->speed.slowdown(m_parameters.slowdownHalfLife, now) / meanCallSeconds();
     m_callSeconds.add(seconds);
+    if (isEngine())
+        return std::nullopt;
+    server->speed.onMeasured(ratio, now);
+    return ratio;
 }
 
 void EvenLoad::onReport(const SharedLoad& report, TimePoint now)
@@ -308,6 +317,8 @@
     server->level = levelKept * server->level + (1 - levelKept) * server->load.otherCalls();
     m_meanOtherCalls += (server->load.otherCalls() - before) / static_cast<double>(m_servers.size());
     server->speed.onSlowdown(report.slowdown, measuredAt);
+    if (report.timeRatio > 0)
+        server->speed.onMeasured(report.timeRatio, measuredAt);
 }
 
 KnownLoad EvenLoad::knownLoad(TimePoint now) const
--- a/src/foxtailwheel/routing/EvenLoadTest.cpp
+++ b/src/foxtailwheel/routing/EvenLoadTest.cpp
@@ -114,6 +114,19 @@
     cr_assert_gt(it.pickOften(shortPrompt, start + 5s)[0], 20);
 }
 
+// Servers of unequal machines report different slowdowns all the time. Between reports, a slow one must not be taken for
+// one of the usual speed, nor a phase of a fast one for its usual speed.
+Test(EvenLoad, usualSlowdownOfAServerIsKept)
+{
+    Fixture it(4);
+    for (int second = 0; second < 8; ++second) {
+        for (std::size_t i = 0; i < 4; ++i)
+            it.report(i, 0, start + second * 1s, i == 0 ? 1.7 : (i == 1 && second == 7 ? 1.75 : 0.7));
+    }
+    auto picks = it.pickOften(shortPrompt, start + 9s);
+    cr_assert_lt(picks[0], picks[1] / 2, "%d, %d", picks[0], picks[1]);
+}
+
 // An engine whose requests exceed its memory crashes.
 Test(EvenLoad, engineWithoutRoomGetsNothing)
 {
--- a/src/foxtailwheel/routing/LoadExchange.cpp
+++ b/src/foxtailwheel/routing/LoadExchange.cpp
@@ -29,6 +29,12 @@
     return true;
 }
 
+void LoadExchange::setTimeRatio(std::uint64_t server, double ratio)
+{
+    if (const auto known = m_reports.find(server); known != m_reports.end())
+        known->second.report.timeRatio = ratio;
+}
+
 std::vector<SharedLoad> LoadExchange::newest(TimePoint now)
 {
     while (!m_byTime.empty() && now - m_byTime.begin()->first > m_options.maxAge)
--- a/src/foxtailwheel/routing/ServerPool.cpp
+++ b/src/foxtailwheel/routing/ServerPool.cpp
@@ -396,7 +396,7 @@
     }
     server->load.onCallEnded(now);
     if (report.outcome == CallOutcome::Unreachable)
-        m_impl->cold.markCold(id, now);
+        m_impl->cold.suspectCold(id, now);
     return server->health.onCallEnded(report.outcome, now);
 }
 
@@ -520,7 +520,7 @@
         return;
     server->health.onCheckEnded(passed, now);
     if (!passed)
-        m_impl->cold.markCold(checked.id, now);
+        m_impl->cold.suspectCold(checked.id, now);
 }
 
 Duration ServerPool::expectedCallTime() const
--- a/src/foxtailwheel/routing/ServerSpeed.cpp
+++ b/src/foxtailwheel/routing/ServerSpeed.cpp
@@ -7,13 +7,18 @@
 
 namespace {
 
-    /// Weight of a new sample, once there are enough of them.
-    constexpr double smoothing = 0.1;
+    /// Weight of a new sample, once there are enough of them. Single times differ by a factor of two by chance.
+    constexpr double smoothing = 0.05;
     /// A single measurement moves the factor by no more than this ratio: most outliers are other requests on the
     /// server.
     constexpr double maxRatio = 4;
     /// With this many samples the measured factor counts half.
     constexpr double samplesForHalf = 4;
+    /// The same for the reported slowdowns, which are exact but may be of a phase.
+    constexpr double slowdownsForHalf = 2;
+    /// Bounds of a reported slowdown; beyond them a server would get all calls or none.
+    constexpr double minSlowdown = 0.05;
+    constexpr double maxSlowdown = 20;
 
     double ageWeight(TimePoint at, Duration halfLife, TimePoint now)
     {
@@ -27,15 +32,17 @@
     const double logRatio = std::log(std::clamp(ratio, 1 / maxRatio, maxRatio));
     m_samples = std::min(m_samples + 1, 1 / smoothing);
     m_logRatio += (logRatio - m_logRatio) / m_samples;
-    m_measuredAt = now;
+    m_measuredAt = std::max(m_measuredAt, now);
 }
 
 void ServerSpeed::onSlowdown(double slowdown, TimePoint measuredAt)
 {
     if (measuredAt < m_slowdownAt)
         return;
-    m_slowdown = slowdown;
+    m_slowdown = std::clamp(slowdown, minSlowdown, maxSlowdown);
     m_slowdownAt = measuredAt;
+    m_slowdownSamples = std::min(m_slowdownSamples + 1, 1 / smoothing);
+    m_logUsualSlowdown += (std::log(m_slowdown) - m_logUsualSlowdown) / m_slowdownSamples;
 }
 
 double ServerSpeed::lastingFactor(Duration halfLife, TimePoint now) const
@@ -46,7 +53,9 @@
 
 double ServerSpeed::slowdown(Duration halfLife, TimePoint now) const
 {
-    return 1 + (m_slowdown - 1) * ageWeight(m_slowdownAt, halfLife, now);
+    const double usual = m_logUsualSlowdown * m_slowdownSamples / (m_slowdownSamples + slowdownsForHalf);
+    const double passing = std::log(m_slowdown) - usual;
+    return std::exp(usual + passing * ageWeight(m_slowdownAt, halfLife, now));
 }
 
 } // namespace foxtailwheel::routing
--- a/src/foxtailwheel/serving/BatchForecast.cpp
+++ b/src/foxtailwheel/serving/BatchForecast.cpp
@@ -1,6 +1,7 @@
 #include "foxtailwheel/serving/BatchForecast.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace foxtailwheel::serving {
 
@@ -37,10 +38,29 @@
     return fromSeconds(m_callTimeRatio * toSeconds(m_limits.callTime + m_limits.pieceTime * pieces));
 }
 
+/// Returns the number of pieces of a call of a busy server. A server that is busy all the time with calls of n pieces
+/// holds the results of a call for the time of the call and the retention, so n is largest where
+/// n (callTime(n) + retention) / callTime(n) results fit.
+double BatchForecast::piecesPerBusyCall() const
+{
+    const double most = m_limits.maxPieces;
+    if (!m_results)
+        return most;
+    const double piece = m_callTimeRatio * toSeconds(m_limits.pieceTime);
+    const double call = m_callTimeRatio * toSeconds(m_limits.callTime);
+    const double fit = m_results->resultsPerServer;
+    const double linear = call + toSeconds(m_results->retention) - fit * piece;
+    // Positive root of piece * n^2 + linear * n - fit * call = 0.
+    const double n = piece > 0 ? (std::sqrt(linear * linear + 4 * piece * fit * call) - linear) / (2 * piece)
+                               : fit * call / std::max(linear, 1e-6);
+    return std::clamp(n, 1.0, most);
+}
+
 double BatchForecast::throughput(double servers) const
 {
-    const auto fullCallSeconds = toSeconds(callTime(m_limits.maxPieces));
-    return fullCallSeconds <= 0 ? 1e9 : servers * m_limits.maxPieces / fullCallSeconds;
+    const auto pieces = piecesPerBusyCall();
+    const auto seconds = m_callTimeRatio * (toSeconds(m_limits.callTime) + toSeconds(m_limits.pieceTime) * pieces);
+    return seconds <= 0 ? 1e9 : servers * pieces / seconds;
 }
 
 Duration BatchForecast::expectedWait(
--- a/src/foxtailwheel/serving/BatchQueue.cpp
+++ b/src/foxtailwheel/serving/BatchQueue.cpp
@@ -87,6 +87,16 @@
     hedgeSlowCalls(now);
 }
 
+/// Drops all queued pieces. A piece that is also in a call stays: that call provides its result.
+void BatchQueue::Impl::dropAll(PieceFailure failure, std::vector<BatchAction>& out)
+{
+    for (auto it = waiting.begin(); it != waiting.end();) {
+        if (hedged.erase(it->id()) == 0)
+            out.emplace_back(PieceDone { it->group, it->piece.index, failure });
+        it = waiting.erase(it);
+    }
+}
+
 /// Drops the pieces that are not expected to finish before their deadline, so that their requesters are notified
 /// immediately.
 void BatchQueue::Impl::dropUnmeetable(TimePoint now, std::vector<BatchAction>& out)
@@ -198,6 +208,18 @@
     m_impl->slotShare = share;
 }
 
+void BatchQueue::setOverloadForecast(bool isOn)
+{
+    m_impl->overloadForecast = isOn;
+    if (!isOn)
+        m_impl->forecast.setResultsPerServer(std::nullopt);
+}
+
+void BatchQueue::setDrained(bool isDrained)
+{
+    m_impl->isDrained = isDrained;
+}
+
 void BatchQueue::add(PieceGroup group, TimePoint now, std::vector<BatchAction>& out)
 {
     if (group.targetTime >= now + m_impl->forecast.callTime(1))
@@ -216,12 +238,7 @@
 
 void BatchQueue::handOver(std::vector<BatchAction>& out)
 {
-    // A piece that is also in a call stays: that call provides its result.
-    for (auto it = m_impl->waiting.begin(); it != m_impl->waiting.end();) {
-        if (m_impl->hedged.erase(it->id()) == 0)
-            out.emplace_back(PieceDone { it->group, it->piece.index, PieceFailure::OwnerChanged });
-        it = m_impl->waiting.erase(it);
-    }
+    m_impl->dropAll(PieceFailure::OwnerChanged, out);
 }
 
 void BatchQueue::onCallEnd(CallId id, BatchOutcome outcome, const std::vector<PieceResult>& results, TimePoint now,
@@ -235,10 +252,12 @@
         outcome = BatchOutcome::Broken;
     m_impl->pool.onCallEnded(call.server.id, m_impl->callReport(call, outcome, now), now);
     if (outcome == BatchOutcome::Broken)
-        m_impl->pool.updateColdCalls([&](auto& limiter) { limiter.markCold(call.server.id, now); });
-    if (outcome == BatchOutcome::Answered)
+        m_impl->pool.updateColdCalls([&](auto& limiter) { limiter.suspectCold(call.server.id, now); });
+    if (outcome == BatchOutcome::Answered) {
         m_impl->forecast.recordCall(call.pieces.size(), now - call.startsAt);
-    else if (outcome == BatchOutcome::NotStarted)
+        if (m_impl->overloadForecast)
+            m_impl->forecast.setResultsPerServer(m_impl->capacity.usage());
+    } else if (outcome == BatchOutcome::NotStarted)
         m_impl->calls.pause(call.server.id, now);
     m_impl->updateCapacity(call, outcome, results, now);
     for (std::size_t i = 0; i < call.pieces.size(); ++i) {
@@ -270,6 +289,8 @@
 void BatchQueue::dispatch(TimePoint now, std::vector<BatchAction>& out)
 {
     m_impl->lastDispatchAt = now;
+    if (m_impl->isDrained)
+        m_impl->dropAll(PieceFailure::ZonesDrained, out);
     m_impl->runPeriodicChecks(now, out);
     while (m_impl->sendNextCall(now, out)) { }
     m_impl->capacityFreeAt = m_impl->waiting.empty() ? std::nullopt : m_impl->capacity.nextFreeAt(now);
@@ -300,8 +321,12 @@
 
 Duration BatchQueue::expectedWait(std::uint32_t priority, bool late, std::size_t pieces, TimePoint now) const
 {
-    const auto ahead = std::count_if(m_impl->waiting.begin(), m_impl->waiting.end(),
-        [&](const WaitingPiece& it) { return late || (it.priority <= priority && !m_impl->isLate(it, now)); });
+    // A piece that cannot meet its target is sent after all that can, and among the others by priority.
+    const auto ahead = std::count_if(m_impl->waiting.begin(), m_impl->waiting.end(), [&](const WaitingPiece& it) {
+        if (!late)
+            return it.priority <= priority && !m_impl->isLate(it, now);
+        return !m_impl->overloadForecast || it.priority <= priority || !m_impl->isLate(it, now);
+    });
     const auto servers = m_impl->servers(now);
     const bool busy = static_cast<double>(m_impl->calls.countNotEnding(now)) >= servers;
     // While all servers are busy, the expected time until the next one is free is a fraction of the call time.
--- a/src/foxtailwheel/serving/BatchQueueImpl.h
+++ b/src/foxtailwheel/serving/BatchQueueImpl.h
@@ -49,6 +49,7 @@
     {
         return piece.targetTime < now + forecast.callTime(1);
     }
+    void dropAll(PieceFailure failure, std::vector<BatchAction>& out);
     void dropUnmeetable(TimePoint now, std::vector<BatchAction>& out);
     void hedgeSlowCalls(TimePoint now);
     void deliver(const WaitingPiece& piece, const PieceResult& result, std::vector<BatchAction>& out);
@@ -64,6 +65,8 @@
     BatchForecast forecast;
     ResultCapacity capacity;
     double slotShare = 1;
+    bool isDrained = false;
+    bool overloadForecast = false;
     std::set<WaitingPiece> waiting;
     CallsInProgress calls;
     std::set<PieceId> hedged; ///< Pieces that are in two calls, or in one call and in the queue.
--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -137,7 +137,9 @@
         return;
     if (auto* state = m_directory.find(run.service)) {
         logHealthChange(run, it->server, state->pool->onCallEnded(it->server, { outcome, now - it->sentAt, {} }, now));
-        state->evenLoad.onCallEnded(routing::PlacedCallId(call.value()), outcome == routing::CallOutcome::Success, now);
+        shareTimeRatio(it->server,
+            state->evenLoad.onCallEnded(
+                routing::PlacedCallId(call.value()), outcome == routing::CallOutcome::Success, now));
     }
     if (stop)
         out.emplace_back(CancelUpstreamRequest { call });
@@ -359,7 +361,7 @@
     case ForwardCallOutcome::Broken:
         if (!isEmptyRest)
             recordCrash(*run, openCall, now, out);
-        m_directory.markCold(openCall.server, std::nullopt, now);
+        m_directory.suspectCold(openCall.server, now);
         [[fallthrough]];
     case ForwardCallOutcome::TimedOut:
         closeCall(*run, call, routing::CallOutcome::Failed, false, now, out);
@@ -416,7 +418,7 @@
     if (std::exchange(call.eventReceived, true))
         return;
     if (auto* state = m_directory.find(run.service))
-        state->evenLoad.onCallBegan(routing::PlacedCallId(call.id.value()), now);
+        shareTimeRatio(call.server, state->evenLoad.onCallBegan(routing::PlacedCallId(call.id.value()), now));
     auto update = m_crashingParts.onAnswerBegan(run.request.prompt, now);
     if (update.removed.empty())
         return;
--- a/src/foxtailwheel/serving/ForwardDrainTest.cpp
+++ b/src/foxtailwheel/serving/ForwardDrainTest.cpp
@@ -307,6 +307,55 @@
     cr_assert_geq(fixture.countSentTo("a"), 418);
 }
 
+// Fails if pieces that are queued when the last zone of their service is drained wait for their deadlines, or if a
+// request is told that it did not run after it was sent.
+Test(ForwardDrain, queuedPiecesOfTheLastZoneFailAtOnce)
+{
+    DrainFixture fixture;
+    for (std::uint64_t i = 0; i < 12; ++i)
+        fixture.submit(start, 10, i);
+    const auto inCalls = fixture.batches.size();
+    cr_assert_lt(inCalls, 12);
+    fixture.drain({ AvailabilityZoneId("a"), AvailabilityZoneId("b") }, start + 10ms);
+    cr_assert_eq(fixture.replies.size(), 12 - inCalls);
+    for (const auto& it : fixture.replies) {
+        cr_assert(it.outcome == ForwardOutcome::ZonesDrained);
+        cr_assert_eq(it.response.status, 503);
+        cr_assert_eq(it.retryAfter, 1s);
+    }
+    cr_assert_eq(fixture.batches.size(), inCalls);
+    fixture.drain({}, start + 20ms);
+    fixture.submit(start + 5s, 10, 1);
+    cr_assert_eq(fixture.replies.size(), 12 - inCalls, "the zones are restored");
+}
+
+// Fails if an instance that has just started sends the servers of a zone that was restored before its start as many
+// calls as warm ones, also if it hears of them before it knows their entries.
+Test(ForwardDrain, instanceThatStartsAfterARestoreHearsOfColdServers)
+{
+    DrainFixture early;
+    early.act([&](auto& out) { early.forwarder->setMembers({ InstanceId("i") }, {}, {}, start, out); });
+    early.drain(zoneB, start + 3s);
+    early.drain({}, start + 4s);
+    const auto notices = early.forwarder->coldServers(start + 4s);
+    cr_assert_eq(notices.size(), 1, "%zu", notices.size());
+
+    DrainFixture late;
+    late.setServers({});
+    late.act([&](auto& out) {
+        late.forwarder->setMembers({ InstanceId("i"), InstanceId("j") }, {}, {}, start + 4s, out);
+    });
+    late.forwarder->onColdServers(notices, start + 4s);
+    late.act([&](auto& out) {
+        late.forwarder->setServers(
+            { server("m1", "model", "a"), server("m2", "model", "b"), server("p1", "portal", "a") }, start + 4s, out);
+    });
+    for (int i = 0; i < 200; ++i)
+        late.submit(start + 6s + 2ms * i, 0, static_cast<std::uint64_t>(i));
+    cr_assert_leq(late.countSentTo("b"), 2, "%zu", late.countSentTo("b"));
+    cr_assert(late.forwarder->coldServers(start + 6s).empty(), "it does not pass on what it heard");
+}
+
 // Fails if a request, one of its pieces or a retry leaves the regions that its route and its account allow.
 Test(ForwardDrain, requestsStayInTheirRegions)
 {
--- a/src/foxtailwheel/serving/ForwardLoads.cpp
+++ b/src/foxtailwheel/serving/ForwardLoads.cpp
@@ -28,12 +28,15 @@
         state.evenLoad.onReport(report, now);
 }
 
+void RoutingForwarder::shareTimeRatio(const BackendServerId& server, std::optional<double> ratio)
+{
+    if (ratio)
+        m_loadExchange.setTimeRatio(hashOf(server.value()), *ratio);
+}
+
 std::vector<routing::SharedLoad> RoutingForwarder::loadReports(TimePoint now)
 {
-    const auto& services = m_directory.services();
-    const bool isOn
-        = std::any_of(services.begin(), services.end(), [this](const auto& it) { return isScheduled(it.first); });
-    return isOn ? m_loadExchange.newest(now) : std::vector<routing::SharedLoad>();
+    return isAnyServiceScheduled() ? m_loadExchange.newest(now) : std::vector<routing::SharedLoad>();
 }
 
 std::vector<ServiceLoad> RoutingForwarder::serviceLoads(TimePoint now) const
--- a/src/foxtailwheel/serving/ForwardStages.cpp
+++ b/src/foxtailwheel/serving/ForwardStages.cpp
@@ -230,6 +230,10 @@
         fail(run, ForwardOutcome::TimedOutWaiting, now, out);
         return;
     }
+    if (failure == PieceFailure::ZonesDrained) {
+        endWithoutServer(run, ForwardOutcome::ZonesDrained, now, out);
+        return;
+    }
     if (failure == PieceFailure::InputMissing) {
         restartStages(run, now, out);
         return;
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -145,9 +145,11 @@
 void RoutingForwarder::updateQueueShares(TimePoint now)
 {
     for (auto& it : m_directory.services()) {
-        if (it.second.batchQueue)
-            it.second.batchQueue->setSlotShare(
-                m_broker.actsAsOwner(it.first, now) ? 1 : 1.0 / static_cast<double>(m_instanceCount));
+        if (!it.second.batchQueue)
+            continue;
+        it.second.batchQueue->setSlotShare(
+            m_broker.actsAsOwner(it.first, now) ? 1 : 1.0 / static_cast<double>(m_instanceCount));
+        it.second.batchQueue->setOverloadForecast(isAnyServiceScheduled());
     }
 }
 
@@ -229,13 +231,21 @@
     auto* state = m_directory.find(run->service);
     if (state == nullptr)
         return;
-    state->reportsSlowdown = state->reportsSlowdown || load.slowdown;
+    if (load.slowdown && !std::exchange(state->reportsSlowdown, true))
+        updateQueueShares(now);
     state->pool->onLoadReport(openCall->server, { load.running, load.queued, now });
     if (isScheduled(run->service))
         shareLoad(openCall->server, load, *state, now);
 }
 
 /// Returns true if scheduling under overload applies to requests for a service.
+/// Stage services have no setting of their own: they serve the requests of all services.
+bool RoutingForwarder::isAnyServiceScheduled() const
+{
+    const auto& services = m_directory.services();
+    return std::any_of(services.begin(), services.end(), [this](const auto& it) { return isScheduled(it.first); });
+}
+
 bool RoutingForwarder::isScheduled(const ServiceId& service) const
 {
     if (m_options.scheduling != SchedulingMode::WhereReported)
--- a/src/foxtailwheel/serving/PieceBroker.cpp
+++ b/src/foxtailwheel/serving/PieceBroker.cpp
@@ -94,9 +94,12 @@
     QueueWaits queueWaits(const BatchQueue& queue, std::size_t pieces, TimePoint now)
     {
         QueueWaits waits;
-        for (std::size_t i = 0; i < reportedPriorities; ++i)
-            waits.byPriority.at(i) = queue.expectedWait(static_cast<std::uint32_t>(i), false, pieces, now);
-        waits.late = queue.expectedWait(0, true, pieces, now);
+        for (std::size_t i = 0; i < reportedPriorities; ++i) {
+            const auto priority = static_cast<std::uint32_t>(i);
+            waits.byPriority.at(i) = queue.expectedWait(priority, false, pieces, now);
+            waits.lateByPriority.at(i) = queue.expectedWait(priority, true, pieces, now);
+        }
+        waits.late = waits.lateByPriority.back();
         return waits;
     }
 
@@ -598,7 +601,8 @@
     const auto reported = m_impl->reportedWaits.find(service);
     if (reported == m_impl->reportedWaits.end() || now - reported->second.receivedAt > reportedWaitsLifetime)
         return {};
-    return late ? reported->second.waits.late : reported->second.waits.byPriority.at(priorityIndex(priority));
+    const auto& waits = reported->second.waits;
+    return (late ? waits.lateByPriority : waits.byPriority).at(priorityIndex(priority));
 }
 
 } // namespace foxtailwheel::serving
--- a/src/foxtailwheel/serving/ResultCapacity.cpp
+++ b/src/foxtailwheel/serving/ResultCapacity.cpp
@@ -14,6 +14,8 @@
     /// Time until a release reaches its server: releases are delayed briefly to be sent together, and cross zones on a
     /// connection that may have to be opened.
     constexpr Duration releaseDelay = std::chrono::milliseconds(30);
+    /// Weight of a released result in the means. Some hundred are released per second under load.
+    constexpr double smoothingFactor = 0.005;
 
 } // namespace
 
@@ -69,7 +71,7 @@
 void ResultCapacity::addResult(const BackendServerId& id, const std::string& handle, std::uint64_t bytes, TimePoint now)
 {
     auto& server = m_servers[id];
-    if (server.results.try_emplace(handle, Result { bytes, now + m_resultLifetime }).second)
+    if (server.results.try_emplace(handle, Result { bytes, now + m_resultLifetime, false, now }).second)
         server.usedBytes += bytes;
 }
 
@@ -81,11 +83,28 @@
     const auto it = server->second.results.find(handle);
     if (it == server->second.results.end() || std::exchange(it->second.released, true))
         return false;
+    recordRelease(it->second, now);
     it->second.expiresAt = std::min(it->second.expiresAt, now + releaseDelay);
     m_releaseTimes.push_back(now + releaseDelay);
     return true;
 }
 
+void ResultCapacity::recordRelease(const Result& result, TimePoint now)
+{
+    const auto bytes = static_cast<double>(result.bytes);
+    const auto seconds = toSeconds(now + releaseDelay - result.addedAt);
+    const double weight = m_meanBytes > 0 ? smoothingFactor : 1;
+    m_meanBytes += weight * (bytes - m_meanBytes);
+    m_meanRetentionSeconds += weight * (seconds - m_meanRetentionSeconds);
+}
+
+std::optional<ResultCapacity::Usage> ResultCapacity::usage() const
+{
+    if (m_bytesPerServer == 0 || m_meanBytes <= 0)
+        return std::nullopt;
+    return Usage { static_cast<double>(m_bytesPerServer) / m_meanBytes, fromSeconds(m_meanRetentionSeconds) };
+}
+
 std::optional<TimePoint> ResultCapacity::nextFreeAt(TimePoint now)
 {
     while (!m_releaseTimes.empty() && m_releaseTimes.front() <= now)
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -114,6 +114,11 @@
     std::vector<routing::SharedLoad> loadReports(TimePoint now) override;
     std::vector<ServiceLoad> serviceLoads(TimePoint now) const override;
     void onSharedLoads(const std::vector<routing::SharedLoad>& reports, TimePoint now) override;
+    std::vector<routing::ColdNotice> coldServers(TimePoint now) override { return m_directory.coldServers(now); }
+    void onColdServers(const std::vector<routing::ColdNotice>& notices, TimePoint now) override
+    {
+        m_directory.onColdServers(notices, now);
+    }
     void onTimer(TimePoint now, ForwardActions& out) override;
     TimePoint nextTimerAt() const override
     {
@@ -131,7 +136,9 @@
     void dispatchAll(TimePoint now, ForwardActions& out);
     void updateQueueShares(TimePoint now);
     bool isScheduled(const ServiceId& service) const;
+    bool isAnyServiceScheduled() const;
     void shareLoad(const BackendServerId& server, const ReportedLoad& load, ServiceState& state, TimePoint now);
+    void shareTimeRatio(const BackendServerId& server, std::optional<double> ratio);
     ForwardRun* findRun(ForwardId id);
     ForwardRun* findRunOfCall(CallId call);
     void setTimer(TimePoint at, Timer timer) { m_timers.emplace(at, std::move(timer)); }
@@ -149,6 +156,7 @@
     std::vector<ServiceId> neededServices(const ForwardRun& run) const;
     bool refuseIfWithoutServer(
         ForwardRun& run, const std::vector<ServiceId>& services, TimePoint now, ForwardActions& out);
+    void endWithoutServer(ForwardRun& run, ForwardOutcome reason, TimePoint now, ForwardActions& out);
     bool refuseIfWithoutServer(ForwardRun& run, TimePoint now, ForwardActions& out)
     {
         return refuseIfWithoutServer(run, neededServices(run), now, out);
--- a/src/foxtailwheel/serving/ServerDirectory.cpp
+++ b/src/foxtailwheel/serving/ServerDirectory.cpp
@@ -98,6 +98,7 @@
         BatchQueueCallbacks { m_allocateCallId, [this, id = service.id](std::size_t n, TimePoint now) {
                                  return find(id)->retryBudget.tryAcquire(n, now);
                              } });
+    state.batchQueue->setDrained(isDrained(service.id, std::nullopt));
 }
 
 void ServerDirectory::updateLeaving(const ServiceId& id)
@@ -107,7 +108,10 @@
         if (isLeaving(it) || m_drainedZones.contains(it.server.zone))
             leaving.insert(it.server.id);
     }
-    m_services.at(id).pool->setLeaving(leaving);
+    auto& state = m_services.at(id);
+    state.pool->setLeaving(leaving);
+    if (state.batchQueue)
+        state.batchQueue->setDrained(isDrained(id, std::nullopt));
 }
 
 void ServerDirectory::updateColdStarts(const ServiceId& id)
@@ -119,16 +123,53 @@
             limiter.setColdByEntry(
                 it.server.id, m_coldStarts.coldUntil(it.server.id, service.coldTime), m_lastUpdateAt);
     });
+    applyColdNotices(id, m_lastUpdateAt);
 }
 
-void ServerDirectory::markCold(const BackendServerId& server, std::optional<Duration> time, TimePoint now)
+/// A notice may arrive before the entry of its server, so it is applied again when servers are announced.
+void ServerDirectory::applyColdNotices(const ServiceId& id, TimePoint now)
+{
+    if (!m_coldNotices.hasHeard() || m_routedServices.at(id).coldCallsPerSecond <= 0)
+        return;
+    m_services.at(id).pool->updateColdCalls([&](routing::ColdCallLimiter& limiter) {
+        limiter.onNoticesHeard();
+        for (const auto& it : m_announced[id])
+            limiter.setColdByNotice(it.server.id, m_coldNotices.coldUntil(it.server.id), now);
+    });
+}
+
+std::vector<routing::ColdNotice> ServerDirectory::coldServers(TimePoint now)
+{
+    std::vector<routing::ColdNotice> notices;
+    for (const auto& it : m_services)
+        it.second.pool->updateColdCalls([&](const auto& limiter) { limiter.addNotices(notices, now); });
+    return routing::selectForMessage(std::move(notices));
+}
+
+void ServerDirectory::onColdServers(const std::vector<routing::ColdNotice>& notices, TimePoint now)
+{
+    m_coldNotices.add(notices, now);
+    for (const auto& it : m_services)
+        applyColdNotices(it.first, now);
+}
+
+void ServerDirectory::updateColdCalls(
+    const BackendServerId& server, const std::function<void(routing::ColdCallLimiter&)>& update)
 {
     const auto* announced = findServer(server);
     auto* state = announced == nullptr ? nullptr : find(announced->service);
-    if (state == nullptr)
-        return;
-    state->pool->updateColdCalls(
-        [&](auto& limiter) { limiter.markCold(server, time.value_or(limiter.limits().time), now); });
+    if (state != nullptr)
+        state->pool->updateColdCalls(update);
+}
+
+void ServerDirectory::markCold(const BackendServerId& server, Duration time, TimePoint now)
+{
+    updateColdCalls(server, [&](auto& limiter) { limiter.markCold(server, time, now); });
+}
+
+void ServerDirectory::suspectCold(const BackendServerId& server, TimePoint now)
+{
+    updateColdCalls(server, [&](auto& limiter) { limiter.suspectCold(server, now); });
 }
 
 bool ServerDirectory::isLeaving(const AnnouncedServer& server) const
--- a/src/foxtailwheel/serving/ServerDirectory.h
+++ b/src/foxtailwheel/serving/ServerDirectory.h
@@ -56,8 +56,14 @@
     const routing::ZoneRamp& ramp() const { return m_ramp; }
     /// @brief Sets the live instances, which share the retry budgets and the calls to cold servers.
     void setInstances(const std::vector<InstanceId>& live, TimePoint now);
-    /// @brief A server counts as cold for `time`, or for the time of its service if that is empty.
-    void markCold(const BackendServerId& server, std::optional<Duration> time, TimePoint now);
+    /// @brief A server is cold for `time`.
+    void markCold(const BackendServerId& server, Duration time, TimePoint now);
+    /// @brief A call to a server broke off, so the server may have restarted.
+    void suspectCold(const BackendServerId& server, TimePoint now);
+    /// @brief Returns the servers that are cold, for other instances.
+    std::vector<routing::ColdNotice> coldServers(TimePoint now);
+    /// @brief Handles what another instance said of cold servers.
+    void onColdServers(const std::vector<routing::ColdNotice>& notices, TimePoint now);
 
     /// @brief Returns the service, or null if it is unknown.
     ServiceState* find(const ServiceId& id);
@@ -80,6 +86,8 @@
     void updateService(const config::RoutedService& service, ServiceState& state);
     void updateLeaving(const ServiceId& id);
     void updateColdStarts(const ServiceId& id);
+    void updateColdCalls(const BackendServerId& server, const std::function<void(routing::ColdCallLimiter&)>& update);
+    void applyColdNotices(const ServiceId& id, TimePoint now);
     bool isLeaving(const AnnouncedServer& server) const;
 
     const ForwarderOptions& m_options;
@@ -97,6 +105,7 @@
     std::map<AvailabilityZoneId, TimePoint> m_restoredAt;
     routing::ZoneRamp m_ramp;
     ColdStarts m_coldStarts;
+    routing::ColdNotices m_coldNotices;
     std::vector<InstanceId> m_instances;
     std::size_t m_instanceCount = 1;
     TimePoint m_lastUpdateAt {}; ///< Latest time that was passed in with servers or instances.
