Forecasts expect bursts to end, and late requests wait for the longest queue only

Change: arrivals above the mean of 20 s fall with a time constant of 2 s in forecasts; the expected time of a late request is that of the longest queue of its stages. Both only where scheduling is on. Tests of instances that are cut off from load reports.

--- a/include/foxtailwheel/bench/LoadSimulation.h
+++ b/include/foxtailwheel/bench/LoadSimulation.h
@@ -28,6 +28,8 @@
     double requestsPerSecond = 112; ///< Of all instances.
     Duration reportAge {}; ///< Of all load reports, when they are used.
     bool reportsArrive = true; ///< False if servers report nothing.
+    Duration cutOffAt = Duration::max(); ///< From then on no new reports arrive, until `cutOffEnd`.
+    Duration cutOffEnd = Duration::max();
     std::vector<double> timeFactors = { 1 }; ///< Time that work takes on the servers, in turn.
     double slowShare = 0; ///< Fraction of the servers that is in a slow phase of 600 ms, 2.5 times slower.
     bool reportsSlowdown = false; ///< Servers report their slow phases.
--- a/include/foxtailwheel/serving/BatchForecast.h
+++ b/include/foxtailwheel/serving/BatchForecast.h
@@ -19,6 +19,9 @@
     explicit BatchForecast(const config::BatchLimits& limits);
 
     void setLimits(const config::BatchLimits& limits) { m_limits = limits; }
+    /// @brief Sets whether arrivals above the usual rate are expected to end within seconds, as those of a burst do.
+    /// Otherwise the rate of the last second is expected to last.
+    void setExpectsBurstsToEnd(bool expects) { m_expectsBurstsToEnd = expects; }
     /// @brief Records the arrival of pieces of one priority that can meet their latency target.
     void recordArrival(std::uint32_t priority, std::size_t pieces, TimePoint now);
     /// @brief Records the duration of a call that was answered.
@@ -37,10 +40,21 @@
     Duration expectedWait(std::uint32_t priority, bool late, std::size_t ahead, double servers, TimePoint now) const;
 
 private:
+    /// Arrivals of one priority.
+    struct Arrivals {
+        limits::RateMeter recent;
+        limits::RateMeter usual;
+        TimePoint firstAt;
+
+        double usualPerSecond(TimePoint now) const;
+    };
+
     double piecesPerBusyCall() const;
+    Duration timeUntilProcessed(double pieces, double throughput, double urgentRate, double usualRate) const;
 
     config::BatchLimits m_limits;
-    std::map<std::uint32_t, limits::RateMeter> m_arrivals; ///< By priority.
+    std::map<std::uint32_t, Arrivals> m_arrivals; ///< By priority.
+    bool m_expectsBurstsToEnd = false;
     std::optional<ResultCapacity::Usage> m_results;
     double m_callTimeRatio = 1; ///< Ratio of measured to declared call duration, exponentially smoothed.
 };
--- a/include/foxtailwheel/serving/BatchQueue.h
+++ b/include/foxtailwheel/serving/BatchQueue.h
@@ -140,9 +140,9 @@
     /// @brief Sets the share of the servers' slots that this queue may use, from 0 to 1.
     /// @param share 1 if no other instance sends calls to the service.
     void setSlotShare(double share);
-    /// @brief Sets whether forecasts consider the capacity for results, and that of pieces that cannot meet their
-    /// target only the more urgent ones are sent first. Otherwise they assume full calls, and that all others are sent
-    /// first.
+    /// @brief Sets whether forecasts consider the capacity for results, that bursts end, and that of pieces that cannot
+    /// meet their target only the more urgent ones are sent first. Otherwise they assume full calls, that arrivals go
+    /// on as in the last second, and that all others are sent first.
     void setOverloadForecast(bool isOn);
     /// @brief Sets whether all servers are in drained zones. From the next dispatch on, queued pieces then fail with
     /// `ZonesDrained` instead of waiting for their deadlines.
--- a/src/foxtailwheel/bench/LoadExchangeTest.cpp
+++ b/src/foxtailwheel/bench/LoadExchangeTest.cpp
@@ -56,3 +56,27 @@
         cr_expect_gt(shared.reports, alone.reports);
     }
 }
+
+// An instance that is cut off from the others must not go on with their last reports, and must learn the new ones soon
+// after it is back.
+Test(LoadExchange, cutOffInstanceDropsOldReportsAndRecovers)
+{
+    bench::GossipGroup group(20, 0.01, 1);
+    group.run(30s);
+    group.shareLoads();
+    const auto reportFor = [&](Duration time) {
+        for (const auto end = group.now() + time; group.now() < end; group.run(100ms)) {
+            for (std::uint64_t i = 1; i < 20; ++i)
+                group.loadsOf(i).add({ i, 1, 0, 1, {} }, group.now());
+        }
+    };
+    const auto known = [&] { return group.loadsOf(0).newest(group.now()).size(); };
+    reportFor(5s);
+    cr_expect_geq(known(), 17);
+    group.partition({ 0 });
+    reportFor(6s);
+    cr_expect_eq(known(), 0, "reports are dropped after 5 s");
+    group.partition({});
+    reportFor(6s);
+    cr_expect_geq(known(), 17);
+}
--- a/src/foxtailwheel/bench/LoadSimulation.cpp
+++ b/src/foxtailwheel/bench/LoadSimulation.cpp
@@ -191,7 +191,8 @@
     /// Gives the instance the newest report of each server that is as old as the scenario says.
     void LoadSimulation::giveReports(SimulatedInstance& instance)
     {
-        if (!m_scenario.reportsArrive)
+        const auto elapsed = m_now - start;
+        if (!m_scenario.reportsArrive || (elapsed >= m_scenario.cutOffAt && elapsed < m_scenario.cutOffEnd))
             return;
         for (const auto& server : m_servers) {
             auto it = std::upper_bound(server.reports.begin(), server.reports.end(), m_now - m_scenario.reportAge,
--- a/src/foxtailwheel/bench/LoadSimulationTest.cpp
+++ b/src/foxtailwheel/bench/LoadSimulationTest.cpp
@@ -117,3 +117,16 @@
     scenario.reportsArrive = false;
     cr_expect_lt(run(scenario, ChoiceKind::EvenLoad).unevenShare, run(scenario, ChoiceKind::Rendezvous).unevenShare);
 }
+
+// While no reports arrive, old ones must not draw the calls of all instances to the same servers; afterwards the choice
+// must be as even as before.
+Test(LoadSimulation, instancesThatAreCutOffFromReports)
+{
+    auto scenario = scenarioFor(59, 100ms, true);
+    scenario.cutOffAt = 4s;
+    const auto cutOff = run(scenario, ChoiceKind::EvenLoad);
+    cr_expect_lt(cutOff.unevenShare, run(scenario, ChoiceKind::Rendezvous).unevenShare);
+    scenario.cutOffAt = 0s;
+    scenario.cutOffEnd = 2s;
+    cr_expect_lt(run(scenario, ChoiceKind::EvenLoad).unevenShare, overloadedInTurns, "the reports are back");
+}
--- a/src/foxtailwheel/routing/EvenLoadTest.cpp
+++ b/src/foxtailwheel/routing/EvenLoadTest.cpp
@@ -114,8 +114,8 @@
     cr_assert_gt(it.pickOften(shortPrompt, start + 5s)[0], 20);
 }
 
-// Servers of unequal machines report different slowdowns all the time. Between reports, a slow one must not be taken for
-// one of the usual speed, nor a phase of a fast one for its usual speed.
+// Servers of unequal machines report different slowdowns all the time. Between reports, a slow one must not be taken
+// for one of the usual speed, nor a phase of a fast one for its usual speed.
 Test(EvenLoad, usualSlowdownOfAServerIsKept)
 {
     Fixture it(4);
--- a/src/foxtailwheel/serving/BatchForecast.cpp
+++ b/src/foxtailwheel/serving/BatchForecast.cpp
@@ -11,6 +11,12 @@
     constexpr double smoothingFactor = 0.1;
     /// Minimum share of the throughput that is assumed for a piece, whatever the arrival rate of more urgent pieces.
     constexpr double minThroughputShare = 0.03;
+    /// Time constant within which a burst is expected to end: bursts last for three to five seconds.
+    constexpr double burstSeconds = 2;
+    /// Time constant of the usual arrival rate.
+    constexpr Duration usualRateWindow = std::chrono::seconds(20);
+    /// Longest wait that is told apart, in seconds.
+    constexpr double maxWaitSeconds = 60;
 
 } // namespace
 
@@ -21,7 +27,11 @@
 
 void BatchForecast::recordArrival(std::uint32_t priority, std::size_t pieces, TimePoint now)
 {
-    m_arrivals[priority].add(static_cast<double>(pieces), now);
+    const auto it
+        = m_arrivals.try_emplace(priority, Arrivals { limits::RateMeter(), limits::RateMeter(usualRateWindow), now })
+              .first;
+    it->second.recent.add(static_cast<double>(pieces), now);
+    it->second.usual.add(static_cast<double>(pieces), now);
 }
 
 void BatchForecast::recordCall(std::size_t pieces, Duration time)
@@ -63,19 +73,51 @@
     return seconds <= 0 ? 1e9 : servers * pieces / seconds;
 }
 
+/// The mean since the first arrival, as long as that is shorter than the window.
+double BatchForecast::Arrivals::usualPerSecond(TimePoint now) const
+{
+    const double known = 1 - std::exp(-toSeconds(now - firstAt) / toSeconds(usualRateWindow));
+    const double rate = recent.perSecond(now);
+    return known <= 0 ? rate : std::min(rate, usual.perSecond(now) / known);
+}
+
+/// Returns the time until queued pieces are processed beside more urgent ones, whose rate falls from `urgentRate` to
+/// `usualRate` with the time constant of a burst.
+Duration BatchForecast::timeUntilProcessed(double pieces, double throughput, double urgentRate, double usualRate) const
+{
+    if (!m_expectsBurstsToEnd)
+        return fromSeconds(pieces / std::max(throughput - urgentRate, throughput * minThroughputShare));
+    const double available = std::max(throughput - usualRate, throughput * minThroughputShare);
+    const double excess = urgentRate - usualRate;
+    const auto isProcessedAfter = [&](double seconds) {
+        return available * seconds - excess * burstSeconds * (1 - std::exp(-seconds / burstSeconds)) >= pieces;
+    };
+    double low = 0;
+    double high = maxWaitSeconds;
+    if (!isProcessedAfter(high))
+        return fromSeconds(pieces / available + high);
+    constexpr int bisections = 12; // To 15 ms.
+    for (int i = 0; i < bisections; ++i) {
+        const double middle = (low + high) / 2;
+        (isProcessedAfter(middle) ? high : low) = middle;
+    }
+    return pieces <= 0 ? Duration {} : fromSeconds(high);
+}
+
 Duration BatchForecast::expectedWait(
     std::uint32_t priority, bool late, std::size_t ahead, double servers, TimePoint now) const
 {
     double urgentRate = 0;
+    double usualRate = 0;
     for (const auto& it : m_arrivals) {
-        if (late || it.first < priority)
-            urgentRate += it.second.perSecond(now);
+        if (!late && it.first >= priority)
+            continue;
+        urgentRate += it.second.recent.perSecond(now);
+        usualRate += it.second.usualPerSecond(now);
     }
-    const double total = throughput(servers);
-    const double available = std::max(total - urgentRate, total * minThroughputShare);
     const auto inCall = std::min<std::size_t>(ahead, m_limits.maxPieces);
     const double queued = static_cast<double>(ahead - inCall);
-    return fromSeconds(queued / std::max(available, 1e-3)) + callTime(inCall);
+    return timeUntilProcessed(queued, std::max(throughput(servers), 1e-3), urgentRate, usualRate) + callTime(inCall);
 }
 
 } // namespace foxtailwheel::serving
--- a/src/foxtailwheel/serving/BatchQueue.cpp
+++ b/src/foxtailwheel/serving/BatchQueue.cpp
@@ -211,6 +211,7 @@
 void BatchQueue::setOverloadForecast(bool isOn)
 {
     m_impl->overloadForecast = isOn;
+    m_impl->forecast.setExpectsBurstsToEnd(isOn);
     if (!isOn)
         m_impl->forecast.setResultsPerServer(std::nullopt);
 }
--- a/src/foxtailwheel/serving/ForwardRequests.cpp
+++ b/src/foxtailwheel/serving/ForwardRequests.cpp
@@ -26,6 +26,12 @@
     /// Retention of the longest caller timeout of a route.
     constexpr Duration callerTimeoutRetention = 10s;
 
+    /// Returns the duration of a call with these pieces alone, or of a full call if they are more.
+    Duration callTimeOf(const config::BatchLimits& batch, std::size_t pieces)
+    {
+        return batch.callTime + batch.pieceTime * std::min<std::size_t>(pieces, batch.maxPieces);
+    }
+
     /// Weighted rendezvous hashing: each zone is picked for a share of all affinity keys in proportion to its weight.
     std::optional<AvailabilityZoneId> pickZone(
         const std::map<AvailabilityZoneId, double>& weights, std::uint64_t affinity)
@@ -193,7 +199,9 @@
         logDecision(run, "overload_foreseen",
             { { "goal_left_ms", formatInteger(toMilliseconds(run.firstAttemptAt + route.latencyTarget - now)) },
                 { "timely_ms", formatInteger(toMilliseconds(expectedTime(run, false, now))) },
-                { "late_ms", formatInteger(toMilliseconds(expectedTime(run, true, now))) },
+                { "late_ms",
+                    formatInteger(toMilliseconds(
+                        isScheduled(run.service) ? expectedLateTime(run, now) : expectedTime(run, true, now))) },
                 { "time_left_ms", formatInteger(toMilliseconds(run.remainingTime(now))) } });
         refuse(run, ForwardOutcome::Overloaded, *retryAfter, now, out);
         return;
@@ -256,6 +264,28 @@
     return longest;
 }
 
+/// Returns the expected time until all stages of a late request are done. The queues of later stages become shorter
+/// while it waits for earlier ones, so the longest queue counts, not the sum of all.
+Duration RoutingForwarder::expectedLateTime(const ForwardRun& run, TimePoint now) const
+{
+    std::vector<Duration> done(run.stages.size());
+    Duration longest {};
+    for (StageIndex i = 0; i < run.stages.size(); ++i) {
+        const auto& stage = run.route->stages[i];
+        for (const auto needed : stage.dependsOn)
+            done[i] = std::max(done[i], done[needed]);
+        const auto n = run.stages[i].missing;
+        const auto* service = run.table->findService(stage.service);
+        if (n > 0 && service != nullptr && service->batch) {
+            const auto call = callTimeOf(*service->batch, n);
+            const auto wait = m_broker.expectedWait(stage.service, run.priority, true, n, now);
+            done[i] = std::max<Duration>(done[i], wait - call) + call;
+        }
+        longest = std::max(longest, done[i]);
+    }
+    return longest;
+}
+
 /// Predicts whether a request would time out: it is expected to miss its latency target, and pieces of late requests
 /// are not expected to complete before its deadline. Such a request is rejected before any work is done for it.
 /// @return The Retry-After hint, or nothing if the request should be accepted.
@@ -287,7 +317,7 @@
         run.remainingTime(now), run.firstAttemptAt < now, m_accountShares.isOverShare(run.account, now) };
     // On an owner, each forecast walks through the queues of its stages.
     if (!scheduling::isTimely(forecast, situation))
-        forecast.lateWait = expectedTime(run, true, now);
+        forecast.lateWait = expectedLateTime(run, now);
     const auto cost = serverSeconds(run);
     const auto window = scheduling::decideAdmission(forecast, situation);
     if (window)
--- a/src/foxtailwheel/serving/OverloadForecastTest.cpp
+++ b/src/foxtailwheel/serving/OverloadForecastTest.cpp
@@ -28,7 +28,8 @@
         options.self = InstanceId("i");
         pool = routing::ServerPool::create(service, {}, options);
         queue = std::make_unique<BatchQueue>(service.id, smallStore, *pool,
-            BatchQueueCallbacks { [this] { return CallId(++lastCall); }, [](std::size_t, TimePoint) { return false; } });
+            BatchQueueCallbacks {
+                [this] { return CallId(++lastCall); }, [](std::size_t, TimePoint) { return false; } });
     }
 
     void add(std::uint32_t priority, std::size_t pieces, Duration target)
@@ -65,6 +66,39 @@
     cr_assert_gt(forecast.throughput(1), 0);
 }
 
+// A burst of four seconds: requests that could be answered after it must not be refused because its rate is expected to
+// last for ever.
+Test(OverloadForecast, burstIsExpectedToEnd)
+{
+    const auto expectedAfter = [](bool expects, double burstRate) {
+        BatchForecast forecast(smallStore);
+        forecast.setExpectsBurstsToEnd(expects);
+        const auto throughput = forecast.throughput(15);
+        for (int i = 0; i < 3000; ++i) {
+            const double rate = i < 2600 ? 0.4 * throughput : burstRate * throughput;
+            forecast.recordArrival(0, static_cast<std::size_t>(rate / 100), start + i * 10ms);
+        }
+        return forecast.expectedWait(0, true, 1500, 15, start + 30s);
+    };
+    cr_assert_gt(expectedAfter(false, 1), 10s);
+    const auto wait = expectedAfter(true, 1);
+    cr_assert(wait > 1s && wait < 4s, "%g ms", toMilliseconds(wait));
+    cr_assert_lt(expectedAfter(true, 0.4), 1500ms, "usual load");
+    // More urgent pieces than can be processed wait themselves, and are sent before.
+    cr_assert_gt(expectedAfter(true, 1.5), wait);
+}
+
+// The usual rate must not be taken for zero within the first seconds of an instance.
+Test(OverloadForecast, usualRateIsKnownSoonAfterTheStart)
+{
+    BatchForecast forecast(smallStore);
+    forecast.setExpectsBurstsToEnd(true);
+    const auto throughput = forecast.throughput(15);
+    for (int i = 0; i < 200; ++i)
+        forecast.recordArrival(0, static_cast<std::size_t>(0.9 * throughput / 100), start + i * 10ms);
+    cr_assert_gt(forecast.expectedWait(0, true, 1500, 15, start + 2s), 2s);
+}
+
 // The retention that is measured must be that of the results, and none must be reported before the first release.
 Test(OverloadForecast, usageIsMeasuredFromReleases)
 {
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -167,6 +167,7 @@
     void start(ForwardRun& run, TimePoint now, ForwardActions& out);
     Duration timeSpentOnEarlierAttempts(const ForwardRun& run, TimePoint now);
     void chooseZone(ForwardRun& run, TimePoint now);
+    Duration expectedLateTime(const ForwardRun& run, TimePoint now) const;
     Duration expectedTime(const ForwardRun& run, bool late, TimePoint now) const;
     std::optional<Duration> retryAfterOverload(const ForwardRun& run, TimePoint now);
     std::optional<Duration> retryAfterForecast(const ForwardRun& run, TimePoint now) const;
