Servers that are slow all the time are preferred for fewer shared parts

Cause: a third of the parts had a server as their first one that is 1.7 times slower than usual; their requests went partly to faster servers, which read the parts again. Change: the rendezvous order of a part is weighted by the usual slowdown of the servers, where it is over 1.5 times the median. Ruled out: continuous weights; instances know slightly different levels and would differ in the order.

--- a/include/foxtailwheel/routing/EvenLoad.h
+++ b/include/foxtailwheel/routing/EvenLoad.h
@@ -120,6 +120,11 @@
     };
     bool isEngine() const { return m_memoryTokens > 0; }
     Server* find(std::uint64_t server);
+    const Server* find(std::uint64_t server) const;
+    void updateUsualSlowdown(TimePoint now);
+    double preferenceWeight(const BackendServerId& server) const;
+    std::vector<std::optional<std::size_t>> preferredRanks(
+        std::span<const Candidate> candidates, std::uint64_t key) const;
     double otherCalls(const Server& server, TimePoint now) const;
     double cachedProbability(
         const Server& server, std::uint64_t part, std::optional<std::size_t> rank, TimePoint now) const;
@@ -149,6 +154,8 @@
     SampleMean m_readingSeconds; ///< From sending a call to its first event.
     SampleMean m_callSeconds;
     double m_secondsPerToken;
+    double m_usualSlowdown = 1; ///< Median over the servers of their usual slowdown.
+    TimePoint m_usualSlowdownAt {};
 };
 
 /// @brief Adapter of `EvenLoad` for one request.
--- a/include/foxtailwheel/routing/ServerSpeed.h
+++ b/include/foxtailwheel/routing/ServerSpeed.h
@@ -17,6 +17,8 @@
     void onSlowdown(double slowdown, TimePoint measuredAt);
     /// @brief Returns the lasting factor; above 1 for a slow server. It ages towards 1 without new measurements.
     double lastingFactor(Duration halfLife, TimePoint now) const;
+    /// @brief Returns the usual level of the reported slowdown; 1 without reports.
+    double usualSlowdown() const;
     /// @brief Returns the reported slowdown, which ages towards its usual level.
     double slowdown(Duration halfLife, TimePoint now) const;
 
--- a/src/foxtailwheel/routing/EvenLoad.cpp
+++ b/src/foxtailwheel/routing/EvenLoad.cpp
@@ -19,6 +19,10 @@
     constexpr double minMeasuredTokens = 1000;
     /// Shortest half-life of a load report, which is otherwise the mean call time.
     constexpr double minReportHalfLifeSeconds = 0.05;
+    /// Interval at which the usual slowdown of the service is computed.
+    constexpr Duration usualSlowdownPeriod = std::chrono::seconds(1);
+    /// Servers that are slower than the usual one by this ratio are preferred for fewer parts.
+    constexpr double slowServerRatio = 1.5;
     /// Shared parts whose uses are counted; more are forgotten all at once.
     constexpr std::size_t maxCountedParts = 4096;
 
@@ -27,23 +31,6 @@
         return std::exp(-std::max(0.0, toSeconds(age)) / toSeconds(time));
     }
 
-    /// Returns the rank of each candidate among the first `n` of the rendezvous order of `key`; empty for the others.
-    std::vector<std::optional<std::size_t>> preferredRanks(
-        std::span<const Candidate> candidates, std::uint64_t key, std::size_t n)
-    {
-        std::vector<std::pair<std::uint64_t, std::size_t>> order;
-        order.reserve(candidates.size());
-        for (std::size_t i = 0; i < candidates.size(); ++i)
-            order.emplace_back(hashOf(candidates[i].id->value(), key), i);
-        n = std::min(n, order.size());
-        std::partial_sort(
-            order.begin(), order.begin() + static_cast<std::ptrdiff_t>(n), order.end(), std::greater<> {});
-        std::vector<std::optional<std::size_t>> ranks(candidates.size());
-        for (std::size_t i = 0; i < n; ++i)
-            ranks[order[i].second] = i;
-        return ranks;
-    }
-
 } // namespace
 
 void SampleMean::add(double sample)
@@ -160,6 +147,56 @@
     return server.unreadTokens + otherCalls(server, now) * readingShare * m_unreadTokens.valueOr(0);
 }
 
+const EvenLoad::Server* EvenLoad::find(std::uint64_t server) const
+{
+    const auto it = m_servers.find(server);
+    return it == m_servers.end() ? nullptr : &it->second;
+}
+
+void EvenLoad::updateUsualSlowdown(TimePoint now)
+{
+    if (now - m_usualSlowdownAt < usualSlowdownPeriod || m_servers.empty())
+        return;
+    m_usualSlowdownAt = now;
+    std::vector<double> slowdowns;
+    slowdowns.reserve(m_servers.size());
+    for (const auto& it : m_servers)
+        slowdowns.push_back(it.second.speed.usualSlowdown());
+    const auto middle = slowdowns.begin() + static_cast<std::ptrdiff_t>(slowdowns.size() / 2);
+    std::nth_element(slowdowns.begin(), middle, slowdowns.end());
+    m_usualSlowdown = *middle;
+}
+
+/// Weight of a server in the rendezvous order. A slow one is preferred for fewer parts: requests would leave it for
+/// faster servers, which then read these parts again. Small differences do not count, or instances would differ in the
+/// order.
+double EvenLoad::preferenceWeight(const BackendServerId& id) const
+{
+    const auto* server = find(hashOf(id.value()));
+    const double ratio = server == nullptr ? 1 : server->speed.usualSlowdown() / m_usualSlowdown;
+    return ratio > slowServerRatio ? 1 / (ratio * ratio) : 1;
+}
+
+/// Returns the rank of each candidate among the preferred servers of `key`, in weighted rendezvous order; empty for the
+/// others.
+std::vector<std::optional<std::size_t>> EvenLoad::preferredRanks(
+    std::span<const Candidate> candidates, std::uint64_t key) const
+{
+    std::vector<std::pair<double, std::size_t>> order;
+    order.reserve(candidates.size());
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const auto& id = *candidates[i].id;
+        const double uniform = (static_cast<double>(hashOf(id.value(), key) >> 11U) + 0.5) * 0x1.0p-53;
+        order.emplace_back(preferenceWeight(id) / -std::log(uniform), i);
+    }
+    const auto n = std::min(m_parameters.preferredServers, order.size());
+    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(n), order.end(), std::greater<> {});
+    std::vector<std::optional<std::size_t>> ranks(candidates.size());
+    for (std::size_t i = 0; i < n; ++i)
+        ranks[order[i].second] = i;
+    return ranks;
+}
+
 double EvenLoad::expectedSeconds(
     const Server& server, const EngineDemand& demand, std::optional<std::size_t> rank, TimePoint now) const
 {
@@ -198,7 +235,7 @@
     if (candidates.empty())
         return {};
     const auto ranks = affinity && demand.prompt.size() > 1
-        ? preferredRanks(candidates, *affinity, m_parameters.preferredServers)
+        ? preferredRanks(candidates, *affinity)
         : std::vector<std::optional<std::size_t>>(candidates.size());
     std::vector<double> seconds;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
@@ -317,6 +354,7 @@
     server->level = levelKept * server->level + (1 - levelKept) * server->load.otherCalls();
     m_meanOtherCalls += (server->load.otherCalls() - before) / static_cast<double>(m_servers.size());
     server->speed.onSlowdown(report.slowdown, measuredAt);
+    updateUsualSlowdown(now);
     if (report.timeRatio > 0)
         server->speed.onMeasured(report.timeRatio, measuredAt);
 }
--- a/src/foxtailwheel/routing/ServerSpeed.cpp
+++ b/src/foxtailwheel/routing/ServerSpeed.cpp
@@ -51,11 +51,15 @@
     return std::exp(m_logRatio * confidence * ageWeight(m_measuredAt, halfLife, now));
 }
 
+double ServerSpeed::usualSlowdown() const
+{
+    return std::exp(m_logUsualSlowdown * m_slowdownSamples / (m_slowdownSamples + slowdownsForHalf));
+}
+
 double ServerSpeed::slowdown(Duration halfLife, TimePoint now) const
 {
-    const double usual = m_logUsualSlowdown * m_slowdownSamples / (m_slowdownSamples + slowdownsForHalf);
-    const double passing = std::log(m_slowdown) - usual;
-    return std::exp(usual + passing * ageWeight(m_slowdownAt, halfLife, now));
+    const double usual = usualSlowdown();
+    return usual * std::pow(m_slowdown / usual, ageWeight(m_slowdownAt, halfLife, now));
 }
 
 } // namespace foxtailwheel::routing
