--- a/src/foxtailwheel/http/ResponseEndTest.cpp
+++ b/src/foxtailwheel/http/ResponseEndTest.cpp
@@ -219,8 +219,8 @@
             for (const auto end : { ConnectionEnd::Close, ConnectionEnd::Reset }) {
                 FixedServer server(response.substr(0, n), end, 0ms);
                 const auto result = call(server.port());
-                cr_assert_eq(
-                    result.outcome, http::TransportOutcome::ConnectionLost, "%zu bytes of %s", n, response.c_str());
+                cr_assert_eq(result.outcome, http::TransportOutcome::ConnectionLost, "outcome %d, %s, %zu bytes of %s",
+                    static_cast<int>(result.outcome), result.detail.c_str(), n, response.c_str());
             }
         }
     }
