Mend what a review of the diff found in forecasts, speeds and drained stages

Cause (reading of the diff by a second developer): a forecast for an empty queue was 60 s while arrivals exceeded the throughput, so pieces that fit into the next call were refused; a stream that had begun was broken when the zones of its stage were drained, though it could wait; copies of a report that took a longer way counted as further measurements; the usual slowdown of a server never aged and was averaged by reports instead of time; the capacity for results counted once for each slot; a client of foxtailwheeld could hold more responses than before. Change: each mended, with a test for the first four; comments that were wrong. Ruled out: sending whether an instance has itself heard of cold servers; the bound of 2 s is kept instead.

--- a/include/foxtailwheel/routing/ColdNotices.h
+++ b/include/foxtailwheel/routing/ColdNotices.h
@@ -19,8 +19,8 @@
 
 /// @brief Cold servers as other instances know them.
 ///
-/// Answers an instance that starts while servers are cold: it can't know of restored zones, failed calls or health
-/// responses from before its start. An instance sends only what it found out itself, so a notice is not passed on and
+/// Answers an instance that starts while servers are cold: it can't know of restored zones or health responses
+/// from before its start. An instance sends only what it found out itself, so a notice is not passed on and
 /// the delay of messages does not add up. Not thread-safe.
 class ColdNotices {
 public:
--- a/include/foxtailwheel/routing/EvenLoad.h
+++ b/include/foxtailwheel/routing/EvenLoad.h
@@ -94,7 +94,7 @@
     std::optional<double> onCallBegan(PlacedCallId call, TimePoint now);
     /// @return As for `onCallBegan`.
     std::optional<double> onCallEnded(PlacedCallId call, bool succeeded, TimePoint now);
-    /// @brief Applies a time ratio that another instance has measured. Unknown servers are ignored.
+    /// @brief Applies a time ratio of a report alone, for simulations. Unknown servers are ignored.
     void onTimeRatio(std::uint64_t server, double ratio, TimePoint measuredAt);
     /// @brief Applies a load report of a server, own or of another instance. Unknown servers are ignored.
     void onReport(const SharedLoad& report, TimePoint now);
@@ -122,9 +122,9 @@
     Server* find(std::uint64_t server);
     const Server* find(std::uint64_t server) const;
     void updateUsualSlowdown(TimePoint now);
-    double preferenceWeight(const BackendServerId& server) const;
+    double preferenceWeight(const BackendServerId& server, TimePoint now) const;
     std::vector<std::optional<std::size_t>> preferredRanks(
-        std::span<const Candidate> candidates, std::uint64_t key) const;
+        std::span<const Candidate> candidates, std::uint64_t key, TimePoint now) const;
     double otherCalls(const Server& server, TimePoint now) const;
     double cachedProbability(
         const Server& server, std::uint64_t part, std::optional<std::size_t> rank, TimePoint now) const;
--- a/include/foxtailwheel/routing/LoadExchange.h
+++ b/include/foxtailwheel/routing/LoadExchange.h
@@ -25,7 +25,7 @@
 
 /// @brief Limits of the load reports that instances pass on.
 struct LoadExchangeOptions {
-    std::size_t maxReports = 64; ///< In one message; 22 bytes each.
+    std::size_t maxReports = 64; ///< In one message; 18 bytes each.
     std::size_t maxServers = 4096; ///< For which the newest report is kept.
     Duration maxAge = std::chrono::seconds(5); ///< Older reports are dropped: running calls have changed by then.
 };
@@ -38,8 +38,8 @@
 public:
     explicit LoadExchange(LoadExchangeOptions options = {});
 
-    /// @brief Adds a report of an own response or of another instance. Returns false if a newer one is known, or if it
-    /// is too old.
+    /// @brief Adds a report of an own response or of another instance. Returns false if it is known, or a
+    /// newer one, or if it is too old.
     bool add(const SharedLoad& report, TimePoint now);
     /// @brief Adds a time ratio that this instance has measured to the newest report of a server, if there is one.
     void setTimeRatio(std::uint64_t server, double ratio);
--- a/include/foxtailwheel/routing/ServerSpeed.h
+++ b/include/foxtailwheel/routing/ServerSpeed.h
@@ -17,8 +17,8 @@
     void onSlowdown(double slowdown, TimePoint measuredAt);
     /// @brief Returns the lasting factor; above 1 for a slow server. It ages towards 1 without new measurements.
     double lastingFactor(Duration halfLife, TimePoint now) const;
-    /// @brief Returns the usual level of the reported slowdown; 1 without reports.
-    double usualSlowdown() const;
+    /// @brief Returns the usual level of the reported slowdown over some seconds; it ages towards 1 without reports.
+    double usualSlowdown(TimePoint now) const;
     /// @brief Returns the reported slowdown, which ages towards its usual level.
     double slowdown(Duration halfLife, TimePoint now) const;
 
@@ -27,8 +27,8 @@
     double m_samples = 0;
     TimePoint m_measuredAt {};
     double m_slowdown = 1;
-    double m_logUsualSlowdown = 0; ///< Smoothed natural logarithm of the reported slowdowns.
-    double m_slowdownSamples = 0;
+    double m_slowdownSum = 0; ///< Sum of the natural logarithms of the reported slowdowns, weighted by time.
+    double m_slowdownWeight = 0; ///< Sum of these weights.
     TimePoint m_slowdownAt {};
 };
 
--- a/include/foxtailwheel/serving/PieceBroker.h
+++ b/include/foxtailwheel/serving/PieceBroker.h
@@ -40,9 +40,9 @@
 struct QueueWaits {
     std::array<Duration, reportedPriorities>
         byPriority {}; ///< By priority, for pieces that can meet their latency target.
-    Duration late {}; ///< For pieces that cannot, behind all others.
+    Duration late {}; ///< For the least urgent pieces that cannot.
     std::array<Duration, reportedPriorities>
-        lateByPriority {}; ///< The same by priority, behind those that are not sent after them.
+        lateByPriority {}; ///< For pieces that cannot, behind all that can and late ones of no lower priority.
 
     friend bool operator==(const QueueWaits&, const QueueWaits&) = default;
 };
--- a/src/foxtailwheel/bench/LoadExchangeTest.cpp
+++ b/src/foxtailwheel/bench/LoadExchangeTest.cpp
@@ -80,3 +80,19 @@
     reportFor(6s);
     cr_expect_geq(known(), 17);
 }
+
+// A report that returns by another way seems newer by the time on the network; it must not count as another
+// measurement.
+Test(LoadExchange, copyOfAReportIsNotNew)
+{
+    routing::LoadExchange exchange;
+    const auto now = TimePoint(1h);
+    cr_assert(exchange.add({ 7, 3, 0, 1.7, 20ms }, now));
+    cr_assert(!exchange.add({ 7, 3, 0, 1.7, 20ms }, now + 5ms));
+    cr_assert(exchange.add({ 7, 3, 0, 1.7, 20ms, 1.2 }, now + 10ms), "the measured time is new");
+    cr_assert(!exchange.add({ 7, 3, 0, 1.7, 20ms, 1.2 }, now + 20ms));
+    cr_assert(!exchange.add({ 7, 3, 0, 1.7, 20ms }, now + 30ms));
+    cr_assert_float_eq(exchange.newest(now + 30ms).at(0).timeRatio, 1.2, 1e-9);
+    cr_assert(exchange.add({ 7, 3, 0, 1.7, 20ms }, now + 500ms));
+    cr_assert(exchange.add({ 7, 4, 0, 1.7, 20ms }, now + 520ms));
+}
--- a/src/foxtailwheel/daemon/Instance.cpp
+++ b/src/foxtailwheel/daemon/Instance.cpp
@@ -46,7 +46,8 @@
         const auto bytes = settings.memoryBytes.value_or(machineBytes);
         http::MemoryBudgetOptions options;
         options.maxBytes = bytes / 2;
-        options.maxServerResponseBytes = bytes / 4;
+        // Not more than a client without a budget holds.
+        options.maxServerResponseBytes = std::min<std::uint64_t>(http::ClientOptions().maxBufferedBytes, bytes / 4);
         return options;
     }
 
--- a/src/foxtailwheel/routing/EvenLoad.cpp
+++ b/src/foxtailwheel/routing/EvenLoad.cpp
@@ -161,7 +161,7 @@
     std::vector<double> slowdowns;
     slowdowns.reserve(m_servers.size());
     for (const auto& it : m_servers)
-        slowdowns.push_back(it.second.speed.usualSlowdown());
+        slowdowns.push_back(it.second.speed.usualSlowdown(now));
     const auto middle = slowdowns.begin() + static_cast<std::ptrdiff_t>(slowdowns.size() / 2);
     std::nth_element(slowdowns.begin(), middle, slowdowns.end());
     m_usualSlowdown = *middle;
@@ -170,24 +170,24 @@
 /// Weight of a server in the rendezvous order. A slow one is preferred for fewer parts: requests would leave it for
 /// faster servers, which then read these parts again. Small differences do not count, or instances would differ in the
 /// order.
-double EvenLoad::preferenceWeight(const BackendServerId& id) const
+double EvenLoad::preferenceWeight(const BackendServerId& id, TimePoint now) const
 {
     const auto* server = find(hashOf(id.value()));
-    const double ratio = server == nullptr ? 1 : server->speed.usualSlowdown() / m_usualSlowdown;
+    const double ratio = server == nullptr ? 1 : server->speed.usualSlowdown(now) / m_usualSlowdown;
     return ratio > slowServerRatio ? 1 / (ratio * ratio) : 1;
 }
 
 /// Returns the rank of each candidate among the preferred servers of `key`, in weighted rendezvous order; empty for the
 /// others.
 std::vector<std::optional<std::size_t>> EvenLoad::preferredRanks(
-    std::span<const Candidate> candidates, std::uint64_t key) const
+    std::span<const Candidate> candidates, std::uint64_t key, TimePoint now) const
 {
     std::vector<std::pair<double, std::size_t>> order;
     order.reserve(candidates.size());
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const auto& id = *candidates[i].id;
         const double uniform = (static_cast<double>(hashOf(id.value(), key) >> 11U) + 0.5) * 0x1.0p-53;
-        order.emplace_back(preferenceWeight(id) / -std::log(uniform), i);
+        order.emplace_back(preferenceWeight(id, now) / -std::log(uniform), i);
     }
     const auto n = std::min(m_parameters.preferredServers, order.size());
     std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(n), order.end(), std::greater<> {});
@@ -235,7 +235,7 @@
     if (candidates.empty())
         return {};
     const auto ranks = affinity && demand.prompt.size() > 1
-        ? preferredRanks(candidates, *affinity)
+        ? preferredRanks(candidates, *affinity, now)
         : std::vector<std::optional<std::size_t>>(candidates.size());
     std::vector<double> seconds;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
--- a/src/foxtailwheel/routing/EvenLoadTest.cpp
+++ b/src/foxtailwheel/routing/EvenLoadTest.cpp
@@ -127,6 +127,18 @@
     cr_assert_lt(picks[0], picks[1] / 2, "%d, %d", picks[0], picks[1]);
 }
 
+// A machine that was slow for some seconds and gets no calls reports nothing; it must be tried again.
+Test(EvenLoad, usualSlowdownIsForgottenWithoutReports)
+{
+    Fixture it(4);
+    for (int second = 0; second < 8; ++second) {
+        for (std::size_t i = 0; i < 4; ++i)
+            it.report(i, 0, start + second * 1s, i == 0 ? 4 : 1);
+    }
+    cr_assert_lt(it.pickOften(shortPrompt, start + 8s)[0], 10);
+    cr_assert_gt(it.pickOften(shortPrompt, start + 150s)[0], 25);
+}
+
 // An engine whose requests exceed its memory crashes.
 Test(EvenLoad, engineWithoutRoomGetsNothing)
 {
--- a/src/foxtailwheel/routing/LoadExchange.cpp
+++ b/src/foxtailwheel/routing/LoadExchange.cpp
@@ -1,7 +1,24 @@
 #include "foxtailwheel/routing/LoadExchange.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace foxtailwheel::routing {
 
+namespace {
+
+    /// Time on the network does not count in the age of a report, so a copy that took a longer way seems to be newer.
+    /// It must not count as another measurement.
+    constexpr Duration sameReportTolerance = std::chrono::milliseconds(100);
+
+    bool isSameMeasurement(const SharedLoad& known, const SharedLoad& report)
+    {
+        return known.running == report.running && known.queued == report.queued
+            && std::abs(known.slowdown - report.slowdown) < 0.01;
+    }
+
+} // namespace
+
 LoadExchange::LoadExchange(LoadExchangeOptions options)
     : m_options(options)
 {
@@ -22,6 +39,13 @@
     if (known != m_reports.end()) {
         if (known->second.position->first >= measuredAt)
             return false;
+        if (isSameMeasurement(known->second.report, report)
+            && measuredAt - known->second.position->first < sameReportTolerance) {
+            // The ratio is measured after the report, and may arrive later.
+            const bool isNew = known->second.report.timeRatio <= 0 && report.timeRatio > 0;
+            known->second.report.timeRatio = std::max(known->second.report.timeRatio, report.timeRatio);
+            return isNew;
+        }
         m_byTime.erase(known->second.position);
     } else if (m_reports.size() >= m_options.maxServers)
         dropOldest();
--- a/src/foxtailwheel/serving/BatchForecast.cpp
+++ b/src/foxtailwheel/serving/BatchForecast.cpp
@@ -58,7 +58,7 @@
         return most;
     const double piece = m_callTimeRatio * toSeconds(m_limits.pieceTime);
     const double call = m_callTimeRatio * toSeconds(m_limits.callTime);
-    const double fit = m_results->resultsPerServer;
+    const double fit = m_results->resultsPerServer / std::max(1U, m_limits.slots);
     const double linear = call + toSeconds(m_results->retention) - fit * piece;
     // Positive root of piece * n^2 + linear * n - fit * call = 0.
     const double n = piece > 0 ? (std::sqrt(linear * linear + 4 * piece * fit * call) - linear) / (2 * piece)
@@ -85,6 +85,8 @@
 /// `usualRate` with the time constant of a burst.
 Duration BatchForecast::timeUntilProcessed(double pieces, double throughput, double urgentRate, double usualRate) const
 {
+    if (pieces <= 0)
+        return {};
     if (!m_expectsBurstsToEnd)
         return fromSeconds(pieces / std::max(throughput - urgentRate, throughput * minThroughputShare));
     const double available = std::max(throughput - usualRate, throughput * minThroughputShare);
@@ -101,7 +103,7 @@
         const double middle = (low + high) / 2;
         (isProcessedAfter(middle) ? high : low) = middle;
     }
-    return pieces <= 0 ? Duration {} : fromSeconds(high);
+    return fromSeconds(high);
 }
 
 Duration BatchForecast::expectedWait(
--- a/src/foxtailwheel/serving/ForwardDrain.cpp
+++ b/src/foxtailwheel/serving/ForwardDrain.cpp
@@ -66,17 +66,12 @@
             [&](const ServiceId& it) { return !m_directory.hasServerIn(it, *run.allowedZones); });
     if ((!isDrained && !isForbidden) || now < resumableUntil(run))
         return false;
-    endWithoutServer(run, isForbidden ? ForwardOutcome::NoServerInRegion : ForwardOutcome::ZonesDrained, now, out);
-    return true;
-}
-
-/// Ends a request that has no server: it is refused, unless it may have run.
-void RoutingForwarder::endWithoutServer(ForwardRun& run, ForwardOutcome reason, TimePoint now, ForwardActions& out)
-{
     if (run.mayHaveRun || run.headSent)
         fail(run, ForwardOutcome::BackendFailed, now, out);
     else
-        refuse(run, reason, withoutServerRetryAfter, now, out);
+        refuse(run, isForbidden ? ForwardOutcome::NoServerInRegion : ForwardOutcome::ZonesDrained,
+            withoutServerRetryAfter, now, out);
+    return true;
 }
 
 } // namespace foxtailwheel::serving
--- a/src/foxtailwheel/serving/ForwardDrainTest.cpp
+++ b/src/foxtailwheel/serving/ForwardDrainTest.cpp
@@ -329,6 +329,32 @@
     cr_assert_eq(fixture.replies.size(), 12 - inCalls, "the zones are restored");
 }
 
+// Fails if a stream that has begun is broken when the servers of its stage are drained while it is resumed, although
+// the zone is restored in time.
+Test(ForwardDrain, begunStreamWaitsForTheStageOfARestoredZone)
+{
+    DrainFixture fixture;
+    const std::set<AvailabilityZoneId> all { AvailabilityZoneId("a"), AvailabilityZoneId("b") };
+    fixture.setServers({ server("m1", "model", "a"), server("m2", "model", "c"), server("p1", "portal", "a") });
+    fixture.submit(start, 1);
+    const auto batch = fixture.batches.at(0);
+    fixture.act([&](auto& out) {
+        fixture.forwarder->onBatchEnd(
+            batch.call, BatchOutcome::Answered, { ResultHandle { "h", batch.server } }, start + 250ms, out);
+    });
+    const auto call = fixture.sent.at(0).call;
+    fixture.act([&](auto& out) { fixture.forwarder->onResponseHead(call, { 200, {}, {} }, start + 300ms, out); });
+    fixture.drain(all, start + 310ms);
+    fixture.act(
+        [&](auto& out) { fixture.forwarder->onCallEnd(call, ForwardCallOutcome::Broken, {}, start + 320ms, out); });
+    fixture.runTimers(start + 600ms);
+    cr_assert_eq(fixture.batches.size(), 1);
+    fixture.drain({}, start + 700ms);
+    fixture.runTimers(start + 1200ms);
+    cr_assert_eq(fixture.batches.size(), 2, "%zu", fixture.batches.size());
+    cr_assert(fixture.replies.empty());
+}
+
 // Fails if an instance that has just started sends the servers of a zone that was restored before its start as many
 // calls as warm ones, also if it hears of them before it knows their entries.
 Test(ForwardDrain, instanceThatStartsAfterARestoreHearsOfColdServers)
--- a/src/foxtailwheel/serving/ForwardStages.cpp
+++ b/src/foxtailwheel/serving/ForwardStages.cpp
@@ -231,7 +231,12 @@
         return;
     }
     if (failure == PieceFailure::ZonesDrained) {
-        endWithoutServer(run, ForwardOutcome::ZonesDrained, now, out);
+        // A stream that has begun waits, since a zone may be restored. The owner may also know less than this instance.
+        const auto service = run.route->stages[stage].service;
+        if (refuseIfWithoutServer(run, { service }, now, out))
+            return;
+        cancelGroups(progress, out);
+        setTimer(now + failoverRetryInterval, { TimerKind::RequestPieces, run.id, {}, service });
         return;
     }
     if (failure == PieceFailure::InputMissing) {
@@ -248,6 +253,17 @@
     submitGroup(run, stage, std::move(group), now, out);
 }
 
+/// Requests the pieces of the stages of a service that were dropped while its zones were drained.
+void RoutingForwarder::requestPiecesAgain(ForwardRun& run, const ServiceId& service, TimePoint now, ForwardActions& out)
+{
+    const auto id = run.id;
+    for (StageIndex i = 0; findRun(id) != nullptr && i < run.stages.size(); ++i) {
+        const auto& stage = run.stages[i];
+        if (run.route->stages[i].service == service && stage.started && stage.missing > 0 && stage.groups.empty())
+            requestPieces(run, i, now, out);
+    }
+}
+
 /// Runs the stages again because a result no longer exists.
 void RoutingForwarder::restartStages(ForwardRun& run, TimePoint now, ForwardActions& out)
 {
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -144,12 +144,13 @@
 /// an equal share.
 void RoutingForwarder::updateQueueShares(TimePoint now)
 {
+    const bool overloadForecast = isAnyServiceScheduled();
     for (auto& it : m_directory.services()) {
         if (!it.second.batchQueue)
             continue;
         it.second.batchQueue->setSlotShare(
             m_broker.actsAsOwner(it.first, now) ? 1 : 1.0 / static_cast<double>(m_instanceCount));
-        it.second.batchQueue->setOverloadForecast(isAnyServiceScheduled());
+        it.second.batchQueue->setOverloadForecast(overloadForecast);
     }
 }
 
@@ -238,7 +239,6 @@
         shareLoad(openCall->server, load, *state, now);
 }
 
-/// Returns true if scheduling under overload applies to requests for a service.
 /// Stage services have no setting of their own: they serve the requests of all services.
 bool RoutingForwarder::isAnyServiceScheduled() const
 {
@@ -246,6 +246,7 @@
     return std::any_of(services.begin(), services.end(), [this](const auto& it) { return isScheduled(it.first); });
 }
 
+/// Returns true if scheduling under overload applies to requests for a service.
 bool RoutingForwarder::isScheduled(const ServiceId& service) const
 {
     if (m_options.scheduling != SchedulingMode::WhereReported)
@@ -308,6 +309,9 @@
         if (call != nullptr && run->possibleExecutions < run->route->maxCallsPerRequest)
             checkStreamSilence(*run, timer, now, out);
         return;
+    case TimerKind::RequestPieces:
+        requestPiecesAgain(*run, timer.service, now, out);
+        return;
     case TimerKind::Dispatch:
     case TimerKind::ServeWaiting:
         return;
--- a/src/foxtailwheel/serving/OverloadForecastTest.cpp
+++ b/src/foxtailwheel/serving/OverloadForecastTest.cpp
@@ -88,6 +88,17 @@
     cr_assert_gt(expectedAfter(true, 1.5), wait);
 }
 
+// Pieces that fit into the next call must not be refused because arrivals exceed the throughput.
+Test(OverloadForecast, emptyQueueIsNotWaitedFor)
+{
+    BatchForecast forecast(smallStore);
+    forecast.setExpectsBurstsToEnd(true);
+    const auto throughput = forecast.throughput(15);
+    for (int i = 0; i < 3000; ++i)
+        forecast.recordArrival(0, static_cast<std::size_t>((i < 2600 ? 1 : 3) * throughput / 100), start + i * 10ms);
+    cr_assert_lt(forecast.expectedWait(0, true, 6, 15, start + 30s), 500ms);
+}
+
 // The usual rate must not be taken for zero within the first seconds of an instance.
 Test(OverloadForecast, usualRateIsKnownSoonAfterTheStart)
 {
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -28,7 +28,7 @@
 unsigned httpStatus(ForwardOutcome outcome);
 
 /// @brief Purpose of a timer.
-enum class TimerKind { Deadline, FindServer, Hedge, StreamSilence, Dispatch, ServeWaiting };
+enum class TimerKind { Deadline, FindServer, Hedge, StreamSilence, RequestPieces, Dispatch, ServeWaiting };
 
 /// @brief A scheduled timer; ignored if its run or call has ended.
 struct Timer {
@@ -156,7 +156,7 @@
     std::vector<ServiceId> neededServices(const ForwardRun& run) const;
     bool refuseIfWithoutServer(
         ForwardRun& run, const std::vector<ServiceId>& services, TimePoint now, ForwardActions& out);
-    void endWithoutServer(ForwardRun& run, ForwardOutcome reason, TimePoint now, ForwardActions& out);
+    void requestPiecesAgain(ForwardRun& run, const ServiceId& service, TimePoint now, ForwardActions& out);
     bool refuseIfWithoutServer(ForwardRun& run, TimePoint now, ForwardActions& out)
     {
         return refuseIfWithoutServer(run, neededServices(run), now, out);
