--- a/src/foxtailwheel/peer/Message.cpp
+++ b/src/foxtailwheel/peer/Message.cpp
@@ -393,23 +393,24 @@
         return out;
     }
 
+    /// Reads the waits that a message contains; the others remain as they are.
+    void unpackWaits(
+        const flatbuffers::Vector<std::int64_t>* reported, std::array<Duration, serving::reportedPriorities>& waits)
+    {
+        const auto n = reported == nullptr ? 0 : std::min<std::size_t>(reported->size(), waits.size());
+        for (flatbuffers::uoffset_t i = 0; i < n; ++i)
+            waits.at(i) = boundedMicroseconds(flatbuffers::EndianScalar(elementAt<std::int64_t>(*reported, i)));
+    }
+
     /// Reads the queue waits from a message that contains them.
     template <class T> serving::QueueWaits unpackWaits(const T& message)
     {
         serving::QueueWaits waits;
-        const auto* reported = message.waits_us();
-        const auto n = reported == nullptr ? 0 : reported->size();
-        for (flatbuffers::uoffset_t i = 0; i < std::min<std::size_t>(n, waits.byPriority.size()); ++i)
-            waits.byPriority.at(i)
-                = boundedMicroseconds(flatbuffers::EndianScalar(elementAt<std::int64_t>(*reported, i)));
+        unpackWaits(message.waits_us(), waits.byPriority);
         waits.late = boundedMicroseconds(message.late_us());
         // Older instances report the wait behind all pieces only.
         waits.lateByPriority.fill(waits.late);
-        const auto* late = message.late_waits_us();
-        const auto lateCount = late == nullptr ? 0 : late->size();
-        for (flatbuffers::uoffset_t i = 0; i < std::min<std::size_t>(lateCount, waits.lateByPriority.size()); ++i)
-            waits.lateByPriority.at(i)
-                = boundedMicroseconds(flatbuffers::EndianScalar(elementAt<std::int64_t>(*late, i)));
+        unpackWaits(message.late_waits_us(), waits.lateByPriority);
         return waits;
     }
 
--- a/src/foxtailwheel/routing/EvenLoad.cpp
+++ b/src/foxtailwheel/routing/EvenLoad.cpp
@@ -1,6 +1,7 @@
 #include "foxtailwheel/routing/EvenLoad.h"
 
 #include "foxtailwheel/base/Hash.h"
+#include "foxtailwheel/base/RendezvousScore.h"
 
 #include <algorithm>
 #include <cmath>
@@ -186,8 +187,7 @@
     order.reserve(candidates.size());
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const auto& id = *candidates[i].id;
-        const double uniform = (static_cast<double>(hashOf(id.value(), key) >> 11U) + 0.5) * 0x1.0p-53;
-        order.emplace_back(preferenceWeight(id, now) / -std::log(uniform), i);
+        order.emplace_back(rendezvousScore(hashOf(id.value(), key), preferenceWeight(id, now)), i);
     }
     const auto n = std::min(m_parameters.preferredServers, order.size());
     std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(n), order.end(), std::greater<> {});
--- a/src/foxtailwheel/serving/ForwardRequests.cpp
+++ b/src/foxtailwheel/serving/ForwardRequests.cpp
@@ -1,5 +1,6 @@
 #include "RoutingForwarder.h"
 #include "foxtailwheel/base/Hash.h"
+#include "foxtailwheel/base/RendezvousScore.h"
 #include "foxtailwheel/scheduling/OverloadPolicy.h"
 
 #include <algorithm>
@@ -26,10 +27,20 @@
     /// Retention of the longest caller timeout of a route.
     constexpr Duration callerTimeoutRetention = 10s;
 
-    /// Returns the duration of a call with these pieces alone, or of a full call if they are more.
-    Duration callTimeOf(const config::BatchLimits& batch, std::size_t pieces)
+    /// Returns the longest path through the stages of a request.
+    /// @param endOf Returns the time at which a stage with missing pieces ends, given its index and start.
+    template <class EndOf> Duration longestPath(const ForwardRun& run, EndOf endOf)
     {
-        return batch.callTime + batch.pieceTime * std::min<std::size_t>(pieces, batch.maxPieces);
+        std::vector<Duration> done(run.stages.size());
+        Duration longest {};
+        for (StageIndex i = 0; i < run.stages.size(); ++i) {
+            for (const auto needed : run.route->stages[i].dependsOn)
+                done[i] = std::max(done[i], done[needed]);
+            if (run.stages[i].missing > 0)
+                done[i] = endOf(i, done[i]);
+            longest = std::max(longest, done[i]);
+        }
+        return longest;
     }
 
     /// Weighted rendezvous hashing: each zone is picked for a share of all affinity keys in proportion to its weight.
@@ -39,8 +50,7 @@
         std::optional<AvailabilityZoneId> best;
         double highest = 0;
         for (const auto& [zone, weight] : weights) {
-            const double uniform = (static_cast<double>(hashOf(zone.value(), affinity) >> 11U) + 0.5) * 0x1.0p-53;
-            const double score = weight / -std::log(uniform);
+            const double score = rendezvousScore(hashOf(zone.value(), affinity), weight);
             if (score > highest) {
                 best = zone;
                 highest = score;
@@ -252,38 +262,25 @@
 /// @param late The request cannot meet its latency target, so its pieces are queued last.
 Duration RoutingForwarder::expectedTime(const ForwardRun& run, bool late, TimePoint now) const
 {
-    std::vector<Duration> done(run.stages.size());
-    Duration longest {};
-    for (StageIndex i = 0; i < run.stages.size(); ++i) {
-        for (const auto needed : run.route->stages[i].dependsOn)
-            done[i] = std::max(done[i], done[needed]);
-        if (const auto n = run.stages[i].missing; n > 0)
-            done[i] += m_broker.expectedWait(run.route->stages[i].service, run.priority, late, n, now);
-        longest = std::max(longest, done[i]);
-    }
-    return longest;
+    return longestPath(run, [&](StageIndex i, Duration begin) {
+        const auto& service = run.route->stages[i].service;
+        return begin + m_broker.expectedWait(service, run.priority, late, run.stages[i].missing, now);
+    });
 }
 
 /// Returns the expected time until all stages of a late request are done. The queues of later stages become shorter
 /// while it waits for earlier ones, so the longest queue counts, not the sum of all.
 Duration RoutingForwarder::expectedLateTime(const ForwardRun& run, TimePoint now) const
 {
-    std::vector<Duration> done(run.stages.size());
-    Duration longest {};
-    for (StageIndex i = 0; i < run.stages.size(); ++i) {
-        const auto& stage = run.route->stages[i];
-        for (const auto needed : stage.dependsOn)
-            done[i] = std::max(done[i], done[needed]);
+    return longestPath(run, [&](StageIndex i, Duration begin) {
+        const auto& id = run.route->stages[i].service;
+        const auto* service = run.table->findService(id);
+        if (service == nullptr || !service->batch)
+            return begin;
         const auto n = run.stages[i].missing;
-        const auto* service = run.table->findService(stage.service);
-        if (n > 0 && service != nullptr && service->batch) {
-            const auto call = callTimeOf(*service->batch, n);
-            const auto wait = m_broker.expectedWait(stage.service, run.priority, true, n, now);
-            done[i] = std::max<Duration>(done[i], wait - call) + call;
-        }
-        longest = std::max(longest, done[i]);
-    }
-    return longest;
+        const auto call = callTimeOf(*service->batch, n);
+        return std::max(begin, m_broker.expectedWait(id, run.priority, true, n, now) - call) + call;
+    });
 }
 
 /// Predicts whether a request would time out: it is expected to miss its latency target, and pieces of late requests
--- a/src/foxtailwheel/serving/ForwardStages.cpp
+++ b/src/foxtailwheel/serving/ForwardStages.cpp
@@ -19,12 +19,6 @@
     /// Average wait of a piece at a busy stage, as a fraction of a full call: calls in progress end at arbitrary times.
     constexpr double meanWaitShare = 0.5;
 
-    /// Returns the duration of a batch call with the maximum number of pieces.
-    Duration fullCallTime(const config::BatchLimits& limits)
-    {
-        return limits.callTime + limits.pieceTime * limits.maxPieces;
-    }
-
 } // namespace
 
 Piece RoutingForwarder::makePiece(const ForwardRun& run, StageIndex stage, std::uint32_t index) const
@@ -75,7 +69,8 @@
         follows[i] = std::any_of(needs.begin(), needs.end(), [&](StageIndex it) { return it == stage || follows[it]; });
         const auto* service = run.table->findService(run.route->stages[i].service);
         if (follows[i] && service != nullptr && service->batch)
-            after += fromSeconds(toSeconds(fullCallTime(*service->batch)) * (1 + meanWaitShare));
+            after
+                += fromSeconds(toSeconds(callTimeOf(*service->batch, service->batch->maxPieces)) * (1 + meanWaitShare));
     }
     return run.firstAttemptAt + run.route->latencyTarget - after;
 }
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -8,6 +8,7 @@
 #include "foxtailwheel/scheduling/ReturnSchedule.h"
 #include "foxtailwheel/serving/Forwarder.h"
 
+#include <algorithm>
 #include <map>
 #include <unordered_map>
 
@@ -30,6 +31,12 @@
 /// @brief Purpose of a timer.
 enum class TimerKind { Deadline, FindServer, Hedge, StreamSilence, RequestPieces, Dispatch, ServeWaiting };
 
+/// @brief Returns the declared duration of a call with these pieces alone, or of a full call if they are more.
+inline Duration callTimeOf(const config::BatchLimits& batch, std::size_t pieces)
+{
+    return batch.callTime + batch.pieceTime * std::min<std::size_t>(pieces, batch.maxPieces);
+}
+
 /// @brief A scheduled timer; ignored if its run or call has ended.
 struct Timer {
     TimerKind kind = TimerKind::Deadline;
