--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -16,11 +16,13 @@
 import tempfile
 import time
 import tomllib
+import traceback
 import urllib.parse
 
 REPOSITORY = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+# The program's own exit codes; `run.sh` turns BROKEN into 1. Python ends with 1 by itself after an error.
+HELD, BROKEN, NOT_RUN = 0, 10, 2
 
 
 class CannotRun(Exception):
@@ -515,6 +517,10 @@
         print(f"trouble={int(TROUBLE)}: {len(broken)} times broken" + "".join("\n  " + it for it in broken[:5]))
         return BROKEN if broken else HELD
 
-    code = asyncio.new_event_loop().run_until_complete(run())
-    sys.stdout.flush()
+    code = NOT_RUN
+    try:
+        code = asyncio.new_event_loop().run_until_complete(run())
+        sys.stdout.flush()
+    except BaseException:  # Whatever it was, the case has shown nothing.
+        traceback.print_exc()
     os._exit(code)
