--- a/review/8/case.py
+++ b/review/8/case.py
@@ -161,6 +161,8 @@
         await deployment.announce(engine)
         await asyncio.sleep(2.5)
     clients.cancel()
+    if left == 0:
+        raise CannotRun("the poller was never answered first")
     return broken
 
 
