A server's 408, 429 or 503 is a refusal only if it says that the request was not run

What callers saw: a booking that had run was answered with its server's 503 or 429, which callers take for the promise that nothing ran; they booked again, and the booking was made twice. Cause: onResponseComplete passed each failure with the request's id on, whatever its status, so a server's status became a promise of the system. Change: for a request that may run once, 408, 421, 429 and 503 without Not-Executed become 502 without the server's signature; other requests keep the server's response.

--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -464,6 +464,12 @@
         resendRequest(run, now, out);
         return;
     }
+    // The server has not said that it did not run the request, and the caller would send it again.
+    if (!run.idempotent() && meansNotRun(response.status)) {
+        logDecision(run, "answer_not_used", { { "status", std::to_string(response.status) } });
+        fail(run, ForwardOutcome::BackendFailed, now, out);
+        return;
+    }
     if (run.headSent) {
         finishStream(run, ForwardOutcome::StreamBroken, now, out);
         return;
--- a/src/foxtailwheel/serving/ForwardNames.cpp
+++ b/src/foxtailwheel/serving/ForwardNames.cpp
@@ -25,6 +25,11 @@
     }
 }
 
+bool meansNotRun(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 std::string_view toString(ForwardOutcome outcome)
 {
     switch (outcome) {
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -28,6 +28,9 @@
 /// @brief HTTP status of a response that the forwarder itself creates.
 unsigned httpStatus(ForwardOutcome outcome);
 
+/// @brief Returns true for a status by which callers learn that their request did not run and never will.
+bool meansNotRun(unsigned status);
+
 /// @brief Purpose of a timer.
 enum class TimerKind { Deadline, FindServer, Hedge, StreamSilence, RequestPieces, Dispatch, ServeWaiting };
 
