What instances act on follows from their copy of a table, not from the call that brought it

What callers saw: requests sent to a server up to 5.5 s after the store had acknowledged that it leaves (bound 2 s), until the servers' table changed again. Cause: onServerTable returned while the last own call to the store had failed, and a change was reported only once, as an argument of the call that brought it. An update that a peer forwarded in between was in the copy and never acted on. A peer's update is a sign that the store has recovered, so entries that lapsed in an outage are still retained when a peer forwards their end, which is what the flag had been good for.

--- a/include/foxtailwheel/control/ServerTable.h
+++ b/include/foxtailwheel/control/ServerTable.h
@@ -23,17 +23,18 @@
     {
     }
 
-    /// @brief Applies what the replica has.
-    /// @return True if the servers were read from it again.
-    bool apply(const TableReplica& table, bool rowsChanged, TimePoint now);
+    /// @brief Applies the replica if it has changed since the last call, whichever call or peer it heard from and
+    /// whether or not the store can be reached.
+    /// @return True if it was applied.
+    bool apply(const TableReplica& table, TimePoint now);
     /// @brief Returns false until the table has been read.
-    bool isKnown() const { return m_known; }
+    bool isKnown() const { return m_revision > 0; }
     ServerRegistry& registry() { return m_registry; }
 
 private:
     ServerRegistry m_registry;
     Decode m_decode;
-    bool m_known = false;
+    std::uint64_t m_revision = 0; ///< Revision that was applied last.
     store::StoreEpoch m_epoch; ///< Epoch of the known servers.
 };
 
--- a/include/foxtailwheel/control/TableFollower.h
+++ b/include/foxtailwheel/control/TableFollower.h
@@ -29,10 +29,13 @@
     std::map<std::string, std::string> rows;
     TimePoint asOf; ///< Lower bound of the time at which the rows were current.
     TimePoint lastUnavailableAt; ///< Time at which the store was last found unavailable; unset for never.
-    TimePoint recoveredAt; ///< Time at which the store recovered after that.
+    TimePoint recoveredAt; ///< Time of the first sign after that that the store serves again, own or of a peer.
     store::StoreEpoch epoch; ///< Epoch of the rows.
     std::uint64_t version = 0; ///< Version of the rows within the epoch.
-    bool available = false;
+    /// @brief Counts the changes of rows and epoch. 0 until the table has been read. Whoever acts on the rows compares
+    /// it with the revision that was last acted on.
+    std::uint64_t revision = 0;
+    bool available = false; ///< The last own call to the store succeeded.
     bool forwarded = false; ///< The last change came from another instance, not from the store.
     bool confirmedByPeer = false; ///< The last response came from another instance, not from the store.
 };
@@ -58,7 +61,8 @@
 /// thread.
 class TableFollower {
 public:
-    using OnChange = std::function<void(const TableReplica&, bool rowsChanged)>;
+    /// @brief Called after each response and update that says something of the table, also if nothing has changed.
+    using OnChange = std::function<void(const TableReplica&)>;
     /// @brief Runs a function after a delay.
     using RunAfter = std::function<void(Duration, std::function<void()>)>;
 
--- a/src/foxtailwheel/control/ServerTable.cpp
+++ b/src/foxtailwheel/control/ServerTable.cpp
@@ -5,17 +5,13 @@
 
 namespace foxtailwheel::control {
 
-bool ServerTable::apply(const TableReplica& table, bool rowsChanged, TimePoint now)
+bool ServerTable::apply(const TableReplica& table, TimePoint now)
 {
-    if (!table.available)
+    const auto before = std::exchange(m_revision, table.revision);
+    if (before == table.revision)
         return false;
-    const bool isFirstRead = !std::exchange(m_known, true);
-    const bool isRestored = !isFirstRead && table.epoch != m_epoch;
-    m_epoch = table.epoch;
-    if (isRestored)
+    if (std::exchange(m_epoch, table.epoch) != table.epoch && before > 0)
         m_registry.onStoreRestored();
-    if (!rowsChanged && !isFirstRead && !isRestored)
-        return false;
     std::map<BackendServerId, serving::AnnouncedServer> entries;
     for (const auto& [id, text] : table.rows) {
         if (auto server = m_decode(id, text))
--- a/src/foxtailwheel/control/TableFollower.cpp
+++ b/src/foxtailwheel/control/TableFollower.cpp
@@ -113,6 +113,7 @@
     void enterEpoch(store::StoreEpoch newEpoch);
     void onResponse(store::FeedResult result, const CallStart& start);
     bool applyRows(std::vector<store::FeedRow> rows);
+    bool replaceRows(std::vector<store::FeedRow> rows);
     void onUnavailable();
 
     store::ChangeFeed& feed;
@@ -227,7 +228,9 @@
             pollAfter(fromSeconds(toSeconds(options.retryDelay) * random.uniform()));
         return;
     }
-    if (!synced || update.changes.epoch < epoch || update.changes.version < table.version)
+    if (update.changes.epoch < epoch || update.changes.version < table.version)
+        return;
+    if (!synced)
         return;
     // The same version contains no new changes, but confirms that the table was current at the store's time.
     const bool isConfirmation = update.changes.version == table.version;
@@ -239,17 +242,31 @@
         return;
     }
     const auto asOf = bound.observeForwarded(update.changes.storeTime);
-    if (!asOf)
+    if (!asOf) {
+        if (!isConfirmation)
+            onMissedChanges(update.changes.version);
         return;
+    }
+    if (!table.available && table.recoveredAt <= table.lastUnavailableAt)
+        table.recoveredAt = clock.now();
     table.confirmedByPeer = true;
     table.asOf = std::max(table.asOf, *asOf);
-    const bool rowsChanged = applyRows(std::move(*rows));
-    table.forwarded = rowsChanged || table.forwarded;
+    table.forwarded = applyRows(std::move(*rows)) || table.forwarded;
     table.version = update.changes.version;
-    onChange(table, rowsChanged);
+    onChange(table);
 }
 
+/// @return True if the rows have changed.
 bool TableFollower::Impl::applyRows(std::vector<store::FeedRow> rows)
+{
+    const bool changed = replaceRows(std::move(rows));
+    if (changed || table.revision == 0 || table.epoch != epoch)
+        ++table.revision;
+    table.epoch = epoch;
+    return changed;
+}
+
+bool TableFollower::Impl::replaceRows(std::vector<store::FeedRow> rows)
 {
     if (!synced) {
         std::map<std::string, std::string> read;
@@ -275,7 +292,7 @@
     const auto now = clock.now();
     table.lastUnavailableAt = now;
     if (std::exchange(table.available, false))
-        onChange(table, false);
+        onChange(table);
     // A follower that does not poll leaves probing to the polling instance, and calls only as often as without updates.
     const auto retryDelay = polling || !synced ? options.retryDelay : options.silenceTimeout / 2;
     pollAfter(retryDelay + fromSeconds(toSeconds(retryDelay) * random.uniform()));
@@ -320,8 +337,7 @@
     const bool wasSynced = std::exchange(synced, true);
     // Versions may be lower than before after a complete read.
     table.version = wasSynced ? std::max(table.version, result.version) : result.version;
-    table.epoch = epoch;
-    onChange(table, rowsChanged);
+    onChange(table);
     scheduleNext(wasSynced && rowsChanged);
 }
 
--- a/src/foxtailwheel/control/TableFollowerTest.cpp
+++ b/src/foxtailwheel/control/TableFollowerTest.cpp
@@ -53,7 +53,7 @@
         follower = std::make_unique<TableFollower>(
             feed, clock, options,
             [this](Duration d, std::function<void()> work) { scheduled.emplace_back(d, std::move(work)); },
-            [this](const control::TableReplica&, bool rowsChanged) { changes += rowsChanged ? 1 : 0; },
+            [this](const control::TableReplica& it) { changes = it.revision; },
             [this](const TableUpdate& it) { forwarded.push_back(it); });
         follower->start();
     }
@@ -81,7 +81,7 @@
     FakeFeed feed;
     std::vector<std::pair<Duration, std::function<void()>>> scheduled;
     std::vector<TableUpdate> forwarded;
-    int changes = 0;
+    std::uint64_t changes = 0;
     std::unique_ptr<TableFollower> follower;
 };
 
