Followers: a change beside a complete read is neither dropped nor kept to oneself

Cause: an update that arrived while the table was read completely was dropped though the response may be older than it, and what a poller found in a complete read, after the store had dropped its history, was not forwarded: others heard of it with the end of the poller's next call, up to 1.2 s later. Evidence: changeThatIsAnnouncedDuringACompleteReadIsReadAfterIt and changeThatIsFoundInACompleteReadIsAnnounced failed before. Change: the version of such an update is read next; a poller announces the version of a complete read that changed its copy.

--- a/src/foxtailwheel/control/TableFollower.cpp
+++ b/src/foxtailwheel/control/TableFollower.cpp
@@ -230,8 +230,11 @@
     }
     if (update.changes.epoch < epoch || update.changes.version < table.version)
         return;
-    if (!synced)
+    if (!synced) {
+        // The table is being read completely, and the response may be older than the update.
+        announcedVersion = std::max(announcedVersion, update.changes.version);
         return;
+    }
     // The same version contains no new changes, but confirms that the table was current at the store's time.
     const bool isConfirmation = update.changes.version == table.version;
     const bool hasGap = !isConfirmation && update.baseVersion > table.version;
@@ -335,6 +338,10 @@
     const bool rowsChanged = !outdated && applyRows(std::move(result.rows));
     table.forwarded = !rowsChanged && table.forwarded;
     const bool wasSynced = std::exchange(synced, true);
+    // What changed since the table was last known is not in a complete read, so the others read it themselves.
+    if (publish && polling && !wasSynced && rowsChanged && table.revision > 1)
+        publish({ options.table, result.version,
+            { store::FeedOutcome::Success, {}, result.version, result.storeTime, epoch } });
     // Versions may be lower than before after a complete read.
     table.version = wasSynced ? std::max(table.version, result.version) : result.version;
     onChange(table);
--- a/src/foxtailwheel/control/TableFollowerTest.cpp
+++ b/src/foxtailwheel/control/TableFollowerTest.cpp
@@ -296,6 +296,35 @@
 
 // A store returned from an older copy and gave out versions again. Changes with versions that had been read before its
 // return were never read: routes that had been added were not served.
+// An update that arrived while the table was read completely was dropped, and the response was older than it.
+Test(TableFollower, changeThatIsAnnouncedDuringACompleteReadIsReadAfterIt)
+{
+    Fixture fixture;
+    fixture.follower->setPolling(false);
+    fixture.follower->onUpdate({ "op", 5, Fixture::rows(7, { { "a", "2" } }, 11s) });
+    fixture.feed.respond(Fixture::rows(6, { { "a", "1" } }, 10s));
+    fixture.runScheduled(100ms);
+    cr_assert_eq(fixture.feed.calls.size(), 1);
+    cr_assert_eq(fixture.feed.calls.front().after, 6);
+}
+
+// What a poller found in a complete read, after the store had dropped its history, reached the others 1.2 s later.
+Test(TableFollower, changeThatIsFoundInACompleteReadIsAnnounced)
+{
+    Fixture fixture;
+    fixture.feed.respond(Fixture::rows(5, { { "a", "1" } }));
+    fixture.feed.respond({ FeedOutcome::HistoryLost, {}, 0, {} });
+    fixture.feed.respond(Fixture::rows(9, { { "a", "2" } }));
+    cr_assert_eq(fixture.forwarded.size(), 1);
+    Fixture other;
+    other.feed.respond(Fixture::rows(5, { { "a", "1" } }));
+    other.follower->setPolling(false);
+    other.feed.respond(Fixture::rows(5, {}));
+    other.follower->onUpdate(fixture.forwarded[0]);
+    cr_assert_eq(other.feed.calls.size(), 1);
+    cr_assert_eq(other.feed.calls.front().after, 5);
+}
+
 Test(TableFollower, restoredStoreIsReadCompletelyThoughItsVersionsPassedTheOldOne)
 {
     Fixture fixture;
