Instances whose copy of a table grows old ask others, and repeat a failed call at once

Cause: one path at a time. While the store turns the poller of a zone away, its members call the store themselves when their copy is 0.8 of the bound old; one failed call cost a pause of 1.2 to 2.4 s, and members that are turned away as well heard nothing. Ruled out: late or stale answers of the store beside dropped history (trial with each response logged: none), a full processor (the request took 6 ms through the instance). A failed call is repeated after 60 to 120 ms, then at doubling pauses up to those of before.

--- a/include/foxtailwheel/control/TableFollower.h
+++ b/include/foxtailwheel/control/TableFollower.h
@@ -18,9 +18,13 @@
     Duration maxWait {}; ///< Long-poll timeout: maximum time that the store waits for a change.
     Duration responseTimeout = std::chrono::milliseconds(1200); ///< A call fails this long after its wait has ended.
     Duration probeTimeout = std::chrono::milliseconds(500); ///< Response timeout while the store is unavailable.
-    Duration retryDelay = std::chrono::milliseconds(250); ///< Minimum delay after a failure; jitter can double it.
+    /// @brief Delay after the first of several failures; jitter can double it.
+    Duration firstRetryDelay = std::chrono::milliseconds(60);
+    Duration retryDelay = std::chrono::milliseconds(250); ///< The same for a follower that polls after more failures.
     Duration coalesceDelay = std::chrono::milliseconds(100); ///< Delay after a change, to return several in one call.
     Duration silenceTimeout {}; ///< Age of the copy at which a follower that does not poll calls the store itself.
+    Duration askTimeout {}; ///< Age of the copy at which a follower asks other instances for theirs.
+    Duration askDelay = std::chrono::milliseconds(250); ///< Delay until it asks again; doubles, as does jitter.
     std::uint64_t seed = 1;
 };
 
@@ -45,10 +49,24 @@
     std::string table;
     std::uint64_t baseVersion = 0; ///< The version that the changes apply to.
     store::FeedResult changes;
+    std::uint64_t answered = 0; ///< Sequence of the request that this answers, from 1; 0 for none.
+    Duration age {}; ///< Of an answer: upper bound of the age of the copy that it was made from.
+    bool complete = false; ///< Of an answer: the rows are the whole table.
 
     friend bool operator==(const TableUpdate&, const TableUpdate&) = default;
 };
 
+/// @brief Asks another instance for what it knows of a table beyond the sender's copy.
+struct TableRequest {
+    std::string table;
+    std::uint64_t version = 0; ///< Of the sender's copy; 0 if it has none.
+    store::StoreEpoch epoch;
+    std::uint64_t sequence = 0; ///< From 1, repeated by the answer.
+    Duration age {}; ///< Upper bound of the age of the sender's copy.
+
+    friend bool operator==(const TableRequest&, const TableRequest&) = default;
+};
+
 /// @brief Returns the update as it is sent to `receivers` instances. If it is larger than `maxBytes` in all, it only
 /// announces its version, and each receiver reads the changes from the store.
 TableUpdate limitUpdate(const TableUpdate& update, std::size_t receivers, std::size_t maxBytes);
@@ -56,9 +74,10 @@
 /// @brief Replicates a table of the store: reads it completely, then long-polls for changes.
 ///
 /// If several instances follow the same table, one of them polls and forwards the changes to the others, which call the
-/// store only if updates stop or one was missed. Versions are compared only within an epoch of the store: at the first
-/// sign of a new one, the table is read completely again. Not thread-safe: calls and the feed's callbacks run on one
-/// thread.
+/// store only if updates stop or one was missed. An instance whose copy grows old, or whose calls to the store fail,
+/// also asks some other instances, which may reach the store or a poller that does; if it polls, it forwards what it is
+/// told. Versions are compared only within an epoch of the store: at the first sign of a new one, the table is read
+/// completely again. Not thread-safe: calls and the feed's callbacks run on one thread.
 class TableFollower {
 public:
     /// @brief Called after each response and update that says something of the table, also if nothing has changed.
@@ -68,10 +87,13 @@
 
     /// @brief Forwards an update to the other instances.
     using Publish = std::function<void(const TableUpdate&)>;
+    /// @brief Sends a request to some other instances.
+    using Ask = std::function<void(const TableRequest&)>;
 
     /// @param publish May be empty.
+    /// @param ask May be empty.
     TableFollower(store::ChangeFeed& feed, const Clock& clock, TableFollowerOptions options, RunAfter runAfter,
-        OnChange onChange, Publish publish = {});
+        OnChange onChange, Publish publish = {}, Ask ask = {});
     ~TableFollower();
     TableFollower(const TableFollower&) = delete;
     TableFollower& operator=(const TableFollower&) = delete;
@@ -81,9 +103,12 @@
     void setPolling(bool polling);
     /// @brief Reads the changes up to now from the store, unless a call is in progress.
     void catchUp();
-    /// @brief Handles an update from another instance.
+    /// @brief Handles an update from another instance, or its answer.
     void onUpdate(const TableUpdate& update);
+    /// @brief Answers the request of another instance; empty if its copy is as good as this one.
+    std::optional<TableUpdate> answer(const TableRequest& request) const;
     const TableReplica& table() const;
+    const std::string& tableName() const;
 
 private:
     struct Impl;
--- a/include/foxtailwheel/daemon/PeerLink.h
+++ b/include/foxtailwheel/daemon/PeerLink.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -26,6 +27,8 @@
     std::function<void(const InstanceId& instance)> onConnectionLost; ///< Requests sent to it may be lost.
     std::function<void(const InstanceId& instance)> onUnreachable; ///< It refuses connections: its process has ended.
     std::function<void(const control::TableUpdate& update)> onTableUpdate;
+    /// @brief Returns the answer to another instance, if there is one.
+    std::function<std::optional<control::TableUpdate>(const control::TableRequest& request)> onTableRequest;
     std::function<void(const membership::ServerNotice& notice)> onServerNotice; ///< Of a server that is leaving.
     std::function<void(bool)> onPollerChanged; ///< Whether this instance polls the store for its zone.
     std::function<std::vector<routing::SharedLoad>()> loadReports; ///< Returns reports for others; may be empty.
@@ -59,6 +62,8 @@
     void send(const InstanceId& to, const serving::PieceMessage& message);
     /// @brief Forwards a store response to the other live instances of this zone, or only announces it if it is large.
     void sendToZone(const control::TableUpdate& update);
+    /// @brief Asks some live instances, of other zones if there are any: theirs follow other pollers.
+    void askForTable(const control::TableRequest& request);
     /// @brief Tells the other instances that a server is leaving or has returned.
     void publishServerNotice(const membership::ServerNotice& notice);
     /// @brief Announces to the other instances that this one is leaving.
--- a/include/foxtailwheel/peer/Message.h
+++ b/include/foxtailwheel/peer/Message.h
@@ -71,13 +71,28 @@
     std::string table;
     std::uint64_t baseVersion = 0; ///< Version of the table that the changes apply to.
     store::FeedResult changes;
+    std::uint64_t answered = 0; ///< Sequence of the request that this answers, from 1; 0 for none.
+    Duration age {}; ///< Of an answer: upper bound of the age of the copy that it was made from.
+    bool complete = false; ///< Of an answer: the rows are the whole table.
 
     friend bool operator==(const TableUpdate&, const TableUpdate&) = default;
 };
 
+/// @brief Asks for what the receiver knows of a table beyond the sender's copy.
+struct TableRequest {
+    membership::Member sender;
+    std::string table;
+    std::uint64_t version = 0; ///< Of the sender's copy; 0 if it has none.
+    store::StoreEpoch epoch;
+    std::uint64_t sequence = 0; ///< From 1, repeated by the answer.
+    Duration age {}; ///< Upper bound of the age of the sender's copy.
+
+    friend bool operator==(const TableRequest&, const TableRequest&) = default;
+};
+
 /// @brief Any message between instances.
 using Message = std::variant<membership::Ping, membership::Ack, ConfigRequest, ConfigReply, Demand, Allowance,
-    PieceUpdate, TableUpdate>;
+    PieceUpdate, TableUpdate, TableRequest>;
 
 /// @brief Maximum size of an encoded message in bytes.
 constexpr std::size_t maxMessageBytes = 20U << 20U;
--- a/include/foxtailwheel/peer/Messages_generated.h
+++ b/include/foxtailwheel/peer/Messages_generated.h
@@ -83,6 +83,9 @@
 struct TableNews;
 struct TableNewsBuilder;
 
+struct TableAsked;
+struct TableAskedBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -100,11 +103,12 @@
   PiecesMade = 10,
   ResultsReleased = 11,
   TableNews = 12,
+  TableAsked = 13,
   MIN = NONE,
-  MAX = TableNews
+  MAX = TableAsked
 };
 
-inline const Body (&EnumValuesBody())[13] {
+inline const Body (&EnumValuesBody())[14] {
   static const Body values[] = {
     Body::NONE,
     Body::Ping,
@@ -118,13 +122,14 @@
     Body::PiecesCancelled,
     Body::PiecesMade,
     Body::ResultsReleased,
-    Body::TableNews
+    Body::TableNews,
+    Body::TableAsked
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[14] = {
+  static const char * const names[15] = {
     "NONE",
     "Ping",
     "Ack",
@@ -138,13 +143,14 @@
     "PiecesMade",
     "ResultsReleased",
     "TableNews",
+    "TableAsked",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::TableNews)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::TableAsked)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -201,6 +207,10 @@
   static const Body enum_value = Body::TableNews;
 };
 
+template<> struct BodyTraits<foxtailwheel::peer::wire::TableAsked> {
+  static const Body enum_value = Body::TableAsked;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -2192,7 +2202,10 @@
     VT_VERSION = 10,
     VT_STORE_US = 12,
     VT_ROWS = 14,
-    VT_EPOCH = 16
+    VT_EPOCH = 16,
+    VT_ANSWERED = 18,
+    VT_AGE_US = 20,
+    VT_COMPLETE = 22
   };
   const foxtailwheel::peer::wire::Member *sender() const {
     return GetPointer<const foxtailwheel::peer::wire::Member *>(VT_SENDER);
@@ -2215,6 +2228,15 @@
   uint64_t epoch() const {
     return GetField<uint64_t>(VT_EPOCH, 0);
   }
+  uint64_t answered() const {
+    return GetField<uint64_t>(VT_ANSWERED, 0);
+  }
+  int64_t age_us() const {
+    return GetField<int64_t>(VT_AGE_US, 0);
+  }
+  bool complete() const {
+    return GetField<uint8_t>(VT_COMPLETE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -2228,6 +2250,9 @@
            verifier.VerifyVector(rows()) &&
            verifier.VerifyVectorOfTables(rows()) &&
            VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ANSWERED, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
+           VerifyField<uint8_t>(verifier, VT_COMPLETE, 1) &&
            verifier.EndTable();
   }
 };
@@ -2257,6 +2282,15 @@
   void add_epoch(uint64_t epoch) {
     fbb_.AddElement<uint64_t>(TableNews::VT_EPOCH, epoch, 0);
   }
+  void add_answered(uint64_t answered) {
+    fbb_.AddElement<uint64_t>(TableNews::VT_ANSWERED, answered, 0);
+  }
+  void add_age_us(int64_t age_us) {
+    fbb_.AddElement<int64_t>(TableNews::VT_AGE_US, age_us, 0);
+  }
+  void add_complete(bool complete) {
+    fbb_.AddElement<uint8_t>(TableNews::VT_COMPLETE, static_cast<uint8_t>(complete), 0);
+  }
   explicit TableNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2276,8 +2310,13 @@
     uint64_t version = 0,
     int64_t store_us = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::Row>>> rows = 0,
-    uint64_t epoch = 0) {
+    uint64_t epoch = 0,
+    uint64_t answered = 0,
+    int64_t age_us = 0,
+    bool complete = false) {
   TableNewsBuilder builder_(_fbb);
+  builder_.add_age_us(age_us);
+  builder_.add_answered(answered);
   builder_.add_epoch(epoch);
   builder_.add_store_us(store_us);
   builder_.add_version(version);
@@ -2285,6 +2324,7 @@
   builder_.add_rows(rows);
   builder_.add_table(table);
   builder_.add_sender(sender);
+  builder_.add_complete(complete);
   return builder_.Finish();
 }
 
@@ -2296,7 +2336,10 @@
     uint64_t version = 0,
     int64_t store_us = 0,
     const std::vector<flatbuffers::Offset<foxtailwheel::peer::wire::Row>> *rows = nullptr,
-    uint64_t epoch = 0) {
+    uint64_t epoch = 0,
+    uint64_t answered = 0,
+    int64_t age_us = 0,
+    bool complete = false) {
   auto table__ = table ? _fbb.CreateString(table) : 0;
   auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<foxtailwheel::peer::wire::Row>>(*rows) : 0;
   return foxtailwheel::peer::wire::CreateTableNews(
@@ -2307,7 +2350,122 @@
       version,
       store_us,
       rows__,
-      epoch);
+      epoch,
+      answered,
+      age_us,
+      complete);
+}
+
+struct TableAsked FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TableAskedBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SENDER = 4,
+    VT_TABLE = 6,
+    VT_VERSION = 8,
+    VT_EPOCH = 10,
+    VT_SEQUENCE = 12,
+    VT_AGE_US = 14
+  };
+  const foxtailwheel::peer::wire::Member *sender() const {
+    return GetPointer<const foxtailwheel::peer::wire::Member *>(VT_SENDER);
+  }
+  const flatbuffers::String *table() const {
+    return GetPointer<const flatbuffers::String *>(VT_TABLE);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  int64_t age_us() const {
+    return GetField<int64_t>(VT_AGE_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SENDER) &&
+           verifier.VerifyTable(sender()) &&
+           VerifyOffset(verifier, VT_TABLE) &&
+           verifier.VerifyString(table()) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct TableAskedBuilder {
+  typedef TableAsked Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sender(flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender) {
+    fbb_.AddOffset(TableAsked::VT_SENDER, sender);
+  }
+  void add_table(flatbuffers::Offset<flatbuffers::String> table) {
+    fbb_.AddOffset(TableAsked::VT_TABLE, table);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(TableAsked::VT_VERSION, version, 0);
+  }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(TableAsked::VT_EPOCH, epoch, 0);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(TableAsked::VT_SEQUENCE, sequence, 0);
+  }
+  void add_age_us(int64_t age_us) {
+    fbb_.AddElement<int64_t>(TableAsked::VT_AGE_US, age_us, 0);
+  }
+  explicit TableAskedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TableAsked> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TableAsked>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TableAsked> CreateTableAsked(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender = 0,
+    flatbuffers::Offset<flatbuffers::String> table = 0,
+    uint64_t version = 0,
+    uint64_t epoch = 0,
+    uint64_t sequence = 0,
+    int64_t age_us = 0) {
+  TableAskedBuilder builder_(_fbb);
+  builder_.add_age_us(age_us);
+  builder_.add_sequence(sequence);
+  builder_.add_epoch(epoch);
+  builder_.add_version(version);
+  builder_.add_table(table);
+  builder_.add_sender(sender);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<TableAsked> CreateTableAskedDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<foxtailwheel::peer::wire::Member> sender = 0,
+    const char *table = nullptr,
+    uint64_t version = 0,
+    uint64_t epoch = 0,
+    uint64_t sequence = 0,
+    int64_t age_us = 0) {
+  auto table__ = table ? _fbb.CreateString(table) : 0;
+  return foxtailwheel::peer::wire::CreateTableAsked(
+      _fbb,
+      sender,
+      table__,
+      version,
+      epoch,
+      sequence,
+      age_us);
 }
 
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2359,6 +2517,9 @@
   const foxtailwheel::peer::wire::TableNews *body_as_TableNews() const {
     return body_type() == foxtailwheel::peer::wire::Body::TableNews ? static_cast<const foxtailwheel::peer::wire::TableNews *>(body()) : nullptr;
   }
+  const foxtailwheel::peer::wire::TableAsked *body_as_TableAsked() const {
+    return body_type() == foxtailwheel::peer::wire::Body::TableAsked ? static_cast<const foxtailwheel::peer::wire::TableAsked *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -2416,6 +2577,10 @@
   return body_as_TableNews();
 }
 
+template<> inline const foxtailwheel::peer::wire::TableAsked *Envelope::body_as<foxtailwheel::peer::wire::TableAsked>() const {
+  return body_as_TableAsked();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2500,6 +2665,10 @@
       auto ptr = reinterpret_cast<const foxtailwheel::peer::wire::TableNews *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::TableAsked: {
+      auto ptr = reinterpret_cast<const foxtailwheel::peer::wire::TableAsked *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/foxtailwheel/control/TableFollower.cpp
+++ b/src/foxtailwheel/control/TableFollower.cpp
@@ -1,5 +1,8 @@
 #include "foxtailwheel/control/TableFollower.h"
 
+#include "foxtailwheel/control/RowHistory.h"
+
+#include <algorithm>
 #include <utility>
 
 namespace foxtailwheel::control {
@@ -8,6 +11,10 @@
 
     /// Smaller rows are forwarded as a whole.
     constexpr std::size_t minDeltaRowBytes = 1024;
+    /// An answer is worth sending if it makes a copy younger by this much.
+    constexpr Duration minAgeGain = std::chrono::milliseconds(100);
+    /// Number of times that a delay doubles at most.
+    constexpr int maxDoublings = 6;
 
     std::size_t encodedSize(const store::FeedRow& row)
     {
@@ -58,7 +65,7 @@
     if (n * receivers <= maxBytes)
         return update;
     // A receiver of an older version misses the changes up to the base version.
-    TableUpdate announcement { update.table, update.changes.version, update.changes };
+    TableUpdate announcement { update.table, update.changes.version, update.changes, 0, {}, false };
     announcement.changes.rows.clear();
     return announcement;
 }
@@ -85,13 +92,14 @@
 }
 
 struct TableFollower::Impl : std::enable_shared_from_this<TableFollower::Impl> {
-    Impl(store::ChangeFeed& f, const Clock& c, TableFollowerOptions o, RunAfter a, OnChange ch, Publish p)
+    Impl(store::ChangeFeed& f, const Clock& c, TableFollowerOptions o, RunAfter a, OnChange ch, Publish p, Ask q)
         : feed(f)
         , clock(c)
         , options(std::move(o))
         , runAfter(std::move(a))
         , onChange(std::move(ch))
         , publish(std::move(p))
+        , ask(std::move(q))
         , random(options.seed)
     {
     }
@@ -108,12 +116,19 @@
     void pollAfter(Duration delay);
     void scheduleNext(bool hasChanges);
     void watchForSilence();
+    void watchAge();
+    void askOthers();
+    Duration jittered(Duration delay) { return delay + fromSeconds(toSeconds(delay) * random.uniform()); }
     void onUpdate(const TableUpdate& update);
+    void onAnswer(const TableUpdate& update);
+    std::optional<TableUpdate> answer(const TableRequest& request) const;
+    void confirmByPeer(TimePoint asOf);
     void onMissedChanges(std::uint64_t newerVersion);
     void enterEpoch(store::StoreEpoch newEpoch);
     void onResponse(store::FeedResult result, const CallStart& start);
-    bool applyRows(std::vector<store::FeedRow> rows);
-    bool replaceRows(std::vector<store::FeedRow> rows);
+    bool applyRows(std::vector<store::FeedRow> rows, std::uint64_t version, bool isComplete);
+    bool replaceRows(std::vector<store::FeedRow> rows, bool isComplete);
+    void publishChanges(std::uint64_t baseVersion, store::FeedResult changes) const;
     void onUnavailable();
 
     store::ChangeFeed& feed;
@@ -122,8 +137,16 @@
     RunAfter runAfter;
     OnChange onChange;
     Publish publish;
+    Ask ask;
     Random random;
     TableReplica table;
+    RowHistory history;
+    Duration storeTime {}; ///< The store's stamp of the last confirmation of the rows.
+    int failures = 0; ///< Own calls in a row that failed.
+    std::uint64_t askSequence = 0; ///< Of the last request to other instances.
+    TimePoint askedAt;
+    int asksInARow = 0; ///< Since the copy was last young.
+    bool watchingAge = false;
     StoreClockBound bound;
     store::StoreEpoch epoch; ///< Newest epoch known; that of the rows may be older until the table is read again.
     std::uint64_t announcedVersion = 0; ///< Newest version of this epoch of which another instance knows.
@@ -195,12 +218,109 @@
         });
 }
 
+/// Asks other instances while the copy is old, whatever becomes of the own calls to the store.
+void TableFollower::Impl::watchAge()
+{
+    if (!ask || options.askTimeout == Duration {} || std::exchange(watchingAge, true))
+        return;
+    const auto delay = asksInARow > 0 ? jittered(options.askDelay * (1 << std::min(asksInARow - 1, 2)))
+                                      : table.asOf + options.askTimeout - clock.now();
+    runAfter(std::max<Duration>(delay, Duration {}), [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        self->watchingAge = false;
+        if (self->clock.now() - self->table.asOf < self->options.askTimeout) {
+            self->asksInARow = 0;
+        } else {
+            ++self->asksInARow;
+            self->askOthers();
+        }
+        self->watchAge();
+    });
+}
+
+void TableFollower::Impl::askOthers()
+{
+    if (!ask)
+        return;
+    askedAt = clock.now();
+    ask({ options.table, synced ? table.version : 0, epoch, ++askSequence, askedAt - table.asOf });
+}
+
+std::optional<TableUpdate> TableFollower::Impl::answer(const TableRequest& request) const
+{
+    const auto age = clock.now() - table.asOf;
+    const bool isBehind = request.epoch < epoch || (request.epoch == epoch && request.version < table.version);
+    const bool isOlder = request.epoch == epoch && request.version == table.version && age + minAgeGain < request.age;
+    if (!synced || (!isBehind && !isOlder))
+        return std::nullopt;
+    TableUpdate update { options.table, request.version,
+        { store::FeedOutcome::Success, {}, table.version, storeTime, epoch }, request.sequence, age, false };
+    auto rows = request.epoch == epoch ? history.since(request.version, table.rows) : std::nullopt;
+    if (rows) {
+        update.changes.rows = std::move(*rows);
+        return update;
+    }
+    update.complete = true;
+    for (const auto& it : table.rows)
+        update.changes.rows.push_back({ it.first, it.second });
+    return update;
+}
+
+/// The answer was made after the request was sent, so the age of the other copy bounds that of this one without any
+/// common clock. Answers to earlier requests don't count: they would seem younger than they are.
+void TableFollower::Impl::onAnswer(const TableUpdate& update)
+{
+    const auto& changes = update.changes;
+    const bool isOtherEpoch = changes.epoch != epoch;
+    if (update.answered != askSequence || changes.epoch < epoch || (isOtherEpoch && !update.complete))
+        return;
+    if (isOtherEpoch)
+        enterEpoch(changes.epoch);
+    if (synced && changes.version < table.version)
+        return;
+    if (!update.complete && (!synced || update.baseVersion > table.version))
+        return;
+    confirmByPeer(askedAt - std::max<Duration>(update.age, Duration {}));
+    if (polling && update.complete)
+        publishChanges(
+            changes.version, { store::FeedOutcome::Success, {}, changes.version, changes.storeTime, changes.epoch });
+    else if (polling)
+        publishChanges(table.version, withDeltas(changes, table.rows));
+    table.forwarded = applyRows(changes.rows, changes.version, update.complete) || table.forwarded;
+    synced = true;
+    table.version = changes.version;
+    storeTime = changes.storeTime;
+    onChange(table);
+    watchAge();
+}
+
+/// A gap in the confirmations that is long enough for entries to lapse shows that the store was away; otherwise only
+/// this instance could not reach it.
+void TableFollower::Impl::confirmByPeer(TimePoint asOf)
+{
+    const bool wasAway = asOf - table.asOf >= options.silenceTimeout;
+    if (!table.available && wasAway && table.recoveredAt <= table.lastUnavailableAt)
+        table.recoveredAt = clock.now();
+    table.confirmedByPeer = true;
+    table.asOf = std::max(table.asOf, asOf);
+}
+
+void TableFollower::Impl::publishChanges(std::uint64_t baseVersion, store::FeedResult changes) const
+{
+    if (publish)
+        publish({ options.table, baseVersion, std::move(changes), 0, {}, false });
+}
+
 /// Changes were missed or not forwarded: they are read from the store, after a call that is already in progress.
 void TableFollower::Impl::onMissedChanges(std::uint64_t newerVersion)
 {
     announcedVersion = std::max(announcedVersion, newerVersion);
     if (!callPending)
         poll();
+    else if (!table.available)
+        askOthers();
 }
 
 /// The store has returned from an older copy. It gives out versions again, its clock may differ, and rows may be gone,
@@ -211,16 +331,21 @@
     synced = false;
     announcedVersion = 0;
     bound = {};
+    storeTime = {};
     if (table.asOf == TimePoint {})
         return;
     table.lastUnavailableAt = clock.now();
     table.recoveredAt = clock.now();
-    if (publish && polling)
-        publish({ options.table, 0, { store::FeedOutcome::Success, {}, 0, {}, epoch } });
+    if (polling)
+        publishChanges(0, { store::FeedOutcome::Success, {}, 0, {}, epoch });
 }
 
 void TableFollower::Impl::onUpdate(const TableUpdate& update)
 {
+    if (update.answered > 0) {
+        onAnswer(update);
+        return;
+    }
     if (update.changes.epoch > epoch) {
         enterEpoch(update.changes.epoch);
         // All members of a zone receive the update at the same time.
@@ -250,28 +375,30 @@
             onMissedChanges(update.changes.version);
         return;
     }
-    if (!table.available && table.recoveredAt <= table.lastUnavailableAt)
-        table.recoveredAt = clock.now();
-    table.confirmedByPeer = true;
-    table.asOf = std::max(table.asOf, *asOf);
-    table.forwarded = applyRows(std::move(*rows)) || table.forwarded;
+    confirmByPeer(*asOf);
+    storeTime = update.changes.storeTime;
+    table.forwarded = applyRows(std::move(*rows), update.changes.version, false) || table.forwarded;
     table.version = update.changes.version;
     onChange(table);
 }
 
 /// @return True if the rows have changed.
-bool TableFollower::Impl::applyRows(std::vector<store::FeedRow> rows)
+bool TableFollower::Impl::applyRows(std::vector<store::FeedRow> rows, std::uint64_t version, bool isComplete)
 {
-    const bool changed = replaceRows(std::move(rows));
+    if (isComplete)
+        history.restart(version);
+    else
+        history.add(rows, version);
+    const bool changed = replaceRows(std::move(rows), isComplete);
     if (changed || table.revision == 0 || table.epoch != epoch)
         ++table.revision;
     table.epoch = epoch;
     return changed;
 }
 
-bool TableFollower::Impl::replaceRows(std::vector<store::FeedRow> rows)
+bool TableFollower::Impl::replaceRows(std::vector<store::FeedRow> rows, bool isComplete)
 {
-    if (!synced) {
+    if (isComplete) {
         std::map<std::string, std::string> read;
         for (auto& it : rows) {
             if (it.value)
@@ -296,9 +423,12 @@
     table.lastUnavailableAt = now;
     if (std::exchange(table.available, false))
         onChange(table);
-    // A follower that does not poll leaves probing to the polling instance, and calls only as often as without updates.
-    const auto retryDelay = polling || !synced ? options.retryDelay : options.silenceTimeout / 2;
-    pollAfter(retryDelay + fromSeconds(toSeconds(retryDelay) * random.uniform()));
+    askOthers();
+    // One lost packet should not cost the time that a store that is away is spared. A follower that does not poll
+    // leaves probing to the polling instance, and calls in the end only as often as without updates.
+    const auto longest = polling || !synced ? options.retryDelay : options.silenceTimeout / 2;
+    const auto delay = options.firstRetryDelay * (1 << std::min(failures++, maxDoublings));
+    pollAfter(jittered(std::min<Duration>(delay, longest)));
 }
 
 void TableFollower::Impl::onResponse(store::FeedResult result, const CallStart& start)
@@ -327,31 +457,33 @@
         poll();
         return;
     }
+    failures = 0;
     if (!std::exchange(table.available, true))
         table.recoveredAt = clock.now();
     table.confirmedByPeer = false;
     table.asOf = std::max(table.asOf, bound.observe(start.sentAt, result.storeTime));
-    if (publish && polling && synced)
-        publish({ options.table, start.version, withDeltas(result, table.rows) });
+    storeTime = std::max(storeTime, result.storeTime);
+    if (polling && !start.isCompleteRead)
+        publishChanges(start.version, withDeltas(result, table.rows));
     // An update from another instance may have arrived before this response although the store sent it later.
     const bool outdated = synced && result.version < table.version;
-    const bool rowsChanged = !outdated && applyRows(std::move(result.rows));
+    const bool rowsChanged = !outdated && applyRows(std::move(result.rows), result.version, start.isCompleteRead);
     table.forwarded = !rowsChanged && table.forwarded;
     const bool wasSynced = std::exchange(synced, true);
     // What changed since the table was last known is not in a complete read, so the others read it themselves.
-    if (publish && polling && !wasSynced && rowsChanged && table.revision > 1)
-        publish({ options.table, result.version,
-            { store::FeedOutcome::Success, {}, result.version, result.storeTime, epoch } });
+    if (polling && start.isCompleteRead && rowsChanged && table.revision > 1)
+        publishChanges(result.version, { store::FeedOutcome::Success, {}, result.version, result.storeTime, epoch });
     // Versions may be lower than before after a complete read.
     table.version = wasSynced ? std::max(table.version, result.version) : result.version;
     onChange(table);
+    watchAge();
     scheduleNext(wasSynced && rowsChanged);
 }
 
 TableFollower::TableFollower(store::ChangeFeed& feed, const Clock& clock, TableFollowerOptions options,
-    RunAfter runAfter, OnChange onChange, Publish publish)
+    RunAfter runAfter, OnChange onChange, Publish publish, Ask ask)
     : m_impl(std::make_shared<Impl>(
-        feed, clock, std::move(options), std::move(runAfter), std::move(onChange), std::move(publish)))
+        feed, clock, std::move(options), std::move(runAfter), std::move(onChange), std::move(publish), std::move(ask)))
 {
 }
 
@@ -381,9 +513,19 @@
     m_impl->onUpdate(update);
 }
 
+std::optional<TableUpdate> TableFollower::answer(const TableRequest& request) const
+{
+    return m_impl->answer(request);
+}
+
 const TableReplica& TableFollower::table() const
 {
     return m_impl->table;
 }
 
+const std::string& TableFollower::tableName() const
+{
+    return m_impl->options.table;
+}
+
 } // namespace foxtailwheel::control
--- a/src/foxtailwheel/control/TableFollowerTest.cpp
+++ b/src/foxtailwheel/control/TableFollowerTest.cpp
@@ -1,5 +1,6 @@
 #include "foxtailwheel/control/TableFollower.h"
 
+#include "foxtailwheel/control/RowHistory.h"
 #include "foxtailwheel/control/ServerRegistry.h"
 
 #include <criterion/criterion.h>
@@ -48,13 +49,15 @@
         control::TableFollowerOptions options;
         options.table = "op";
         options.maxWait = 1500ms;
+        options.askTimeout = 1700ms;
         options.silenceTimeout = 2s;
         clock.set(TimePoint(1h));
         follower = std::make_unique<TableFollower>(
             feed, clock, options,
             [this](Duration d, std::function<void()> work) { scheduled.emplace_back(d, std::move(work)); },
             [this](const control::TableReplica& it) { changes = it.revision; },
-            [this](const TableUpdate& it) { forwarded.push_back(it); });
+            [this](const TableUpdate& it) { forwarded.push_back(it); },
+            [this](const control::TableRequest& it) { asked.push_back(it); });
         follower->start();
     }
 
@@ -77,10 +80,35 @@
             it.second();
     }
 
+    /// Runs what is due as time passes.
+    void run(Duration time)
+    {
+        constexpr Duration step = 10ms;
+        for (Duration passed {}; passed < time; passed += step) {
+            clock.advance(step);
+            for (auto& it : std::exchange(scheduled, {})) {
+                it.first -= step;
+                if (it.first > Duration {})
+                    scheduled.push_back(std::move(it));
+                else
+                    it.second();
+            }
+        }
+    }
+
+    /// Stops polling, with the copy confirmed at the store's time `stamp`.
+    void stopPolling(std::uint64_t version, Duration stamp)
+    {
+        follower->setPolling(false);
+        feed.respond(rows(version, {}, stamp));
+        scheduled.clear();
+    }
+
     ManualClock clock;
     FakeFeed feed;
     std::vector<std::pair<Duration, std::function<void()>>> scheduled;
     std::vector<TableUpdate> forwarded;
+    std::vector<control::TableRequest> asked;
     std::uint64_t changes = 0;
     std::unique_ptr<TableFollower> follower;
 };
@@ -476,6 +504,134 @@
     cr_assert(fixture.follower->table().asOf <= fixture.clock.now());
 }
 
+// A revoked key was accepted 3.1 s after the acknowledgement: the poller of the zone was silent, the own call to the
+// store failed once, and the next one was 1.2 to 2.4 s away.
+Test(TableFollower, oneFailedCallWhileThePollerIsSilentIsRepeatedAtOnce)
+{
+    Fixture fixture;
+    fixture.feed.respond(Fixture::rows(5, { { "config", "one" } }, 10s));
+    fixture.stopPolling(5, 10s);
+    fixture.follower->onUpdate({ "op", 5, Fixture::rows(5, {}, 10s) });
+    fixture.feed.calls.clear();
+    fixture.follower->catchUp();
+    fixture.feed.respond({ FeedOutcome::Unavailable, {}, 0, {} });
+    fixture.run(150ms);
+    cr_assert_eq(fixture.feed.calls.size(), 1);
+    for (int i = 0; i < 8; ++i) {
+        fixture.feed.respond({ FeedOutcome::Unavailable, {}, 0, {} });
+        fixture.run(2s);
+        cr_assert_eq(fixture.feed.calls.size(), 1);
+    }
+    fixture.feed.respond({ FeedOutcome::Unavailable, {}, 0, {} });
+    fixture.run(950ms);
+    cr_assert(fixture.feed.calls.empty(), "a store that is away is called only now and then");
+}
+
+// Instances that the store turned away, in a zone whose poller it turned away as well, heard nothing at all.
+Test(TableFollower, instancesThatTheStoreTurnsAwayHearFromOthers)
+{
+    Fixture other;
+    other.feed.respond(Fixture::rows(5, { { "config", "one" }, { "old", "x" } }, 10s));
+    Fixture poller;
+    poller.feed.respond(Fixture::rows(5, { { "config", "one" }, { "old", "x" } }, 10s));
+    Fixture member;
+    member.feed.respond(Fixture::rows(5, { { "config", "one" }, { "old", "x" } }, 10s));
+    member.stopPolling(5, 10s);
+    other.clock.advance(300ms);
+    other.feed.respond(Fixture::rows(9, { { "config", "two" }, { "old", std::nullopt } }, 10300ms));
+    poller.clock.advance(500ms);
+    member.clock.advance(500ms);
+    other.clock.advance(200ms);
+    poller.feed.respond({ FeedOutcome::Unavailable, {}, 0, {} });
+    cr_assert_eq(poller.asked.size(), 1);
+    const auto answer = other.follower->answer(poller.asked[0]);
+    cr_assert(answer.has_value());
+    cr_assert(!answer->complete, "the change is enough");
+    poller.clock.advance(100ms);
+    poller.follower->onUpdate(*answer);
+    cr_assert_eq(poller.follower->table().rows.at("config"), "two");
+    cr_assert_eq(poller.follower->table().rows.count("old"), 0);
+    cr_assert_leq(poller.follower->table().asOf, TimePoint(1h) + 300ms, "no younger than the copy that it comes from");
+    cr_assert_geq(poller.follower->table().asOf, TimePoint(1h) + 200ms);
+    cr_assert_eq(poller.forwarded.size(), 1);
+    member.follower->onUpdate(poller.forwarded[0]);
+    cr_assert_eq(member.follower->table().rows.at("config"), "two");
+    cr_assert_eq(member.forwarded.size(), 0);
+}
+
+Test(TableFollower, instanceAsksOthersBeforeItsCopyIsTooOldAndGoesOnWhileItIs)
+{
+    Fixture fixture;
+    fixture.feed.respond(Fixture::rows(5, { { "config", "one" } }, 10s));
+    fixture.follower->setPolling(false);
+    fixture.feed.respond(Fixture::rows(5, {}, 10s));
+    fixture.run(1650ms);
+    cr_assert(fixture.asked.empty());
+    fixture.run(100ms);
+    cr_assert_eq(fixture.asked.size(), 1);
+    cr_assert(fixture.feed.calls.empty());
+    fixture.run(250ms);
+    cr_assert_eq(fixture.feed.calls.size(), 1, "the store is called as before");
+    fixture.run(3s);
+    cr_assert_geq(fixture.asked.size(), 4);
+    cr_assert_leq(fixture.asked.size(), 7);
+}
+
+// An answer that was on its way for long must not make the copy seem younger than it is.
+Test(TableFollower, onlyTheAnswerToTheLastRequestCounts)
+{
+    Fixture other;
+    other.feed.respond(Fixture::rows(9, { { "config", "two" } }, 10s));
+    Fixture fixture;
+    fixture.feed.respond(Fixture::rows(5, { { "config", "one" } }, 10s));
+    fixture.feed.respond({ FeedOutcome::Unavailable, {}, 0, {} });
+    const auto answer = other.follower->answer(fixture.asked.at(0));
+    cr_assert(answer && answer->complete, "changes before the own first read are not known one by one");
+    fixture.run(200ms);
+    fixture.feed.respond({ FeedOutcome::Unavailable, {}, 0, {} });
+    fixture.follower->onUpdate(*answer);
+    cr_assert_eq(fixture.follower->table().rows.at("config"), "one");
+    cr_assert(!other.follower->answer({ "op", 9, {}, 3, 50ms }), "it knows as much");
+    cr_assert(!other.follower->answer({ "op", 3, store::StoreEpoch(1), 3, 50ms }), "it knows of a newer epoch");
+}
+
+// An instance that starts while the store turns it away gets the whole table, also of a newer epoch.
+Test(TableFollower, answerBringsTheWholeTableToAnInstanceWithoutACopy)
+{
+    Fixture other;
+    other.feed.respond(Fixture::inEpoch(2, 9, { { "config", "two" } }));
+    for (const bool hasRead : { false, true }) {
+        Fixture fixture;
+        if (hasRead)
+            fixture.feed.respond(Fixture::inEpoch(1, 20, { { "config", "one" }, { "old", "x" } }));
+        fixture.feed.respond({ FeedOutcome::Unavailable, {}, 0, {} });
+        fixture.follower->onUpdate(other.follower->answer(fixture.asked.at(0)).value());
+        cr_assert_eq(fixture.follower->table().rows.size(), 1);
+        cr_assert_eq(fixture.follower->table().rows.at("config"), "two");
+        cr_assert_eq(fixture.follower->table().epoch.value(), 2);
+        fixture.run(200ms);
+        cr_assert_eq(fixture.feed.calls.front().after, 9);
+    }
+}
+
+Test(RowHistory, bringsCopiesUpToDateThatAreNotTooOld)
+{
+    control::RowHistory history;
+    const std::map<std::string, std::string> table { { "a", "1" }, { "b", "2" } };
+    history.restart(5);
+    history.add({ { "a", "1" } }, 6);
+    history.add({ { "c", std::nullopt } }, 8);
+    cr_assert(!history.since(4, table));
+    cr_assert(history.since(5, table) == std::vector<store::FeedRow>({ { "a", "1" }, { "c", std::nullopt } }));
+    cr_assert(history.since(6, table) == std::vector<store::FeedRow>({ { "c", std::nullopt } }));
+    cr_assert(history.since(8, table)->empty());
+    std::vector<store::FeedRow> many;
+    for (std::size_t i = 0; i <= control::RowHistory::maxRows; ++i)
+        many.push_back({ std::to_string(i), "x" });
+    history.add(many, 9);
+    cr_assert(!history.since(8, table), "memory is bounded");
+}
+
 Test(StoreClockBound, neverExceedsTheTimeOfTheResponse)
 {
     StoreClockBound bound;
--- a/src/foxtailwheel/daemon/PeerLink.cpp
+++ b/src/foxtailwheel/daemon/PeerLink.cpp
@@ -1,5 +1,6 @@
 #include "foxtailwheel/daemon/PeerLink.h"
 
+#include "foxtailwheel/base/Random.h"
 #include "foxtailwheel/membership/Membership.h"
 #include "foxtailwheel/peer/Transport.h"
 #include "foxtailwheel/telemetry/Log.h"
@@ -20,6 +21,9 @@
     /// Instances with at least this share of the cores of the largest one may own services.
     constexpr float minOwnerCoresRatio = 0.75F;
 
+    /// Instances that are asked for their copy of a table at a time.
+    constexpr std::size_t askedInstances = 2;
+
     /// Servers that leave are gone after this time, or announced anew.
     constexpr Duration serverNoticeRetention = 10min;
 
@@ -52,6 +56,7 @@
         , clock(c)
         , membership(std::move(self), membershipOptions(), options.seed)
         , maxForwardedBytes(options.maxForwardedBytes)
+        , random(options.seed)
         , callbacks(std::move(cb))
     {
     }
@@ -59,6 +64,7 @@
     void tick();
     void execute(const membership::MembershipActions& actions);
     void onMessage(const peer::Message& message);
+    void onTableRequest(const peer::TableRequest& request);
     void addReports(membership::Digest& digest) const;
     void takeReports(const membership::Digest& digest);
     void updateMembers();
@@ -70,6 +76,7 @@
     const Clock& clock;
     membership::Membership membership;
     std::size_t maxForwardedBytes;
+    Random random;
     PeerLinkCallbacks callbacks;
     std::unique_ptr<peer::Transport> transport;
     std::vector<InstanceId> live;
@@ -208,10 +215,23 @@
     } else if (const auto* piece = std::get_if<peer::PieceUpdate>(&message))
         callbacks.onPieceMessage(piece->sender.id, piece->message);
     else if (const auto* table = std::get_if<peer::TableUpdate>(&message))
-        callbacks.onTableUpdate({ table->table, table->baseVersion, table->changes });
+        callbacks.onTableUpdate(
+            { table->table, table->baseVersion, table->changes, table->answered, table->age, table->complete });
+    else if (const auto* request = std::get_if<peer::TableRequest>(&message))
+        onTableRequest(*request);
     execute(actions);
 }
 
+void PeerLink::Impl::onTableRequest(const peer::TableRequest& request)
+{
+    const auto answer
+        = callbacks.onTableRequest({ request.table, request.version, request.epoch, request.sequence, request.age });
+    if (answer)
+        transport->send(request.sender.endpoint,
+            peer::TableUpdate { membership.self(), answer->table, answer->baseVersion, answer->changes,
+                answer->answered, answer->age, answer->complete });
+}
+
 PeerLink::PeerLink(std::shared_ptr<Impl> impl)
     : m_impl(std::move(impl))
 {
@@ -266,11 +286,27 @@
             receivers.push_back(it.endpoint);
     }
     const auto limited = control::limitUpdate(update, receivers.size(), m_impl->maxForwardedBytes);
-    const peer::TableUpdate message { self, limited.table, limited.baseVersion, limited.changes };
+    const peer::TableUpdate message { self, limited.table, limited.baseVersion, limited.changes, 0, {}, false };
     for (const auto& it : receivers)
         m_impl->transport->send(it, message);
 }
 
+void PeerLink::askForTable(const control::TableRequest& request)
+{
+    const auto& self = m_impl->membership.self();
+    std::vector<std::pair<double, config::Endpoint>> others;
+    for (const auto& it : m_impl->membership.members()) {
+        if (it.state == membership::MemberState::Alive && it.id != self.id)
+            others.emplace_back(m_impl->random.uniform() + (it.zone == self.zone ? 1 : 0), it.endpoint);
+    }
+    const auto n = std::min(askedInstances, others.size());
+    std::partial_sort(others.begin(), others.begin() + static_cast<std::ptrdiff_t>(n), others.end());
+    const peer::TableRequest message { self, request.table, request.version, request.epoch, request.sequence,
+        request.age };
+    for (std::size_t i = 0; i < n; ++i)
+        m_impl->transport->send(others[i].second, message);
+}
+
 void PeerLink::publishServerNotice(const membership::ServerNotice& notice)
 {
     membership::MembershipActions actions;
--- a/src/foxtailwheel/peer/Message.cpp
+++ b/src/foxtailwheel/peer/Message.cpp
@@ -260,7 +260,14 @@
             }
             return wrap(wire::Body::TableNews,
                 wire::CreateTableNewsDirect(fbb, pack(fbb, it.sender), it.table.c_str(), it.baseVersion,
-                    it.changes.version, microseconds(it.changes.storeTime), &rows, it.changes.epoch.value()));
+                    it.changes.version, microseconds(it.changes.storeTime), &rows, it.changes.epoch.value(),
+                    it.answered, microseconds(it.age), it.complete));
+        }
+        auto operator()(const TableRequest& it) const
+        {
+            return wrap(wire::Body::TableAsked,
+                wire::CreateTableAskedDirect(fbb, pack(fbb, it.sender), it.table.c_str(), it.version, it.epoch.value(),
+                    it.sequence, microseconds(it.age)));
         }
         auto operator()(const PieceUpdate& it) const
         {
@@ -470,6 +477,9 @@
         out.changes.version = update.version();
         out.changes.epoch = store::StoreEpoch(update.epoch());
         out.changes.storeTime = boundedMicroseconds(update.store_us());
+        out.answered = update.answered();
+        out.age = boundedMicroseconds(update.age_us());
+        out.complete = update.complete();
         if (update.rows() == nullptr)
             return out;
         for (const auto* it : *update.rows()) {
@@ -484,6 +494,12 @@
         return out;
     }
 
+    TableRequest unpack(const wire::TableAsked& request)
+    {
+        return { unpack(request.sender()), stringOrEmpty(request.table()), request.version(),
+            store::StoreEpoch(request.epoch()), request.sequence(), boundedMicroseconds(request.age_us()) };
+    }
+
     std::optional<Message> unpackPieceUpdate(const wire::Envelope& envelope)
     {
         if (const auto* it = envelope.body_as_PiecesAsked())
@@ -549,6 +565,10 @@
         auto out = unpack(*table);
         if (hasSender(out.sender))
             return Message(std::move(out));
+    } else if (const auto* asked = envelope->body_as_TableAsked()) {
+        auto out = unpack(*asked);
+        if (hasSender(out.sender))
+            return Message(std::move(out));
     } else if (auto pieceUpdate = unpackPieceUpdate(*envelope)) {
         if (hasSender(std::get<PieceUpdate>(*pieceUpdate).sender))
             return std::move(*pieceUpdate);
--- a/src/foxtailwheel/peer/PeerTest.cpp
+++ b/src/foxtailwheel/peer/PeerTest.cpp
@@ -48,7 +48,9 @@
             { store::FeedOutcome::Success,
                 { { "a", "value" }, { "b", std::nullopt },
                     { "c", std::nullopt, TextDelta { { { 1, 2, 3 }, { 4, 5, 0 } }, "new", 6 } } },
-                7, 11s, store::StoreEpoch(3) } },
+                7, 11s, store::StoreEpoch(3) },
+            9, 1500ms, true },
+        peer::TableRequest { makeMember("x"), "op", 5, store::StoreEpoch(3), 9, 1600ms },
         peer::PieceUpdate { makeMember("x"),
             serving::PieceRequest { serving::PieceGroupId(3), ServiceId("portal"), { { "r", 1, 2, "k", { "h" } } }, 1,
                 -2ms, 3s, AvailabilityZoneId("a"), 4ms, 99, true,
@@ -148,6 +150,8 @@
     cr_assert(!peer::decodeMessage(bytesOf(peer::encodeMessage(piece))).has_value());
     peer::TableUpdate table { makeMember(""), "op", 5, { store::FeedOutcome::Success, {}, 7, 11s } };
     cr_assert(!peer::decodeMessage(bytesOf(peer::encodeMessage(table))).has_value());
+    peer::TableRequest asked { makeMember(""), "op", 5, store::StoreEpoch(3), 9, 1600ms };
+    cr_assert(!peer::decodeMessage(bytesOf(peer::encodeMessage(asked))).has_value());
     peer::Demand demand { makeMember(""), {} };
     cr_assert(!peer::decodeMessage(bytesOf(peer::encodeMessage(demand))).has_value());
     peer::ConfigRequest request { makeMember(""), ConfigVersion(8), ConfigVersion(7) };
