A response with a status outside 100 to 599 is none

What callers saw: a status of 600 to 999 reached them, with the server's signature; one of 000 was a complete response for the client, and with Not-Executed a refusal, so the request went to another server. Cause: the parser takes any three digits, and no user of a response asked for the range. Change: the client, which carries every call but those between instances, ends the call as lost.

--- a/src/foxtailwheel/http/Client.cpp
+++ b/src/foxtailwheel/http/Client.cpp
@@ -59,6 +59,12 @@
         return status / 100 == 1 && status != static_cast<unsigned>(bhttp::status::switching_protocols);
     }
 
+    /// Returns true for the three-digit codes that a response may have (RFC 9110, section 15). The parser takes others.
+    bool isStatusCode(unsigned status)
+    {
+        return status >= 100 && status <= 599;
+    }
+
     /// Idle connections by server, for reuse by later calls.
     class IdleConnectionPool {
     public:
@@ -418,6 +424,8 @@
             headBytes += n;
             if (headBytes > Client::maxHeadBytes)
                 co_return bhttp::error::header_limit;
+            if (!isStatusCode(parser->get().result_int()))
+                co_return bhttp::error::bad_status;
         } while (isInterim(parser->get().result_int()));
         co_return boost::system::error_code();
     }
--- a/src/foxtailwheel/http/ResponseEndTest.cpp
+++ b/src/foxtailwheel/http/ResponseEndTest.cpp
@@ -189,6 +189,29 @@
     }
 }
 
+Test(HttpClient, resetWhileTheRequestIsWrittenIsNoEndOfAResponseAtAnyMoment)
+{
+    for (const Duration delay : { 0ms, 1ms, 3ms, 10ms, 40ms }) {
+        for (const std::size_t bytes : { 9U << 10U, 200U << 10U, 3U << 20U, 16U << 20U }) {
+            for (const std::string head :
+                { "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 200 OK\r\nConnection: close\r\n\r\n" }) {
+                http::RawServer server([&](http::RawServer::Socket& socket) {
+                    boost::system::error_code ec;
+                    std::string request;
+                    net::read_until(socket, net::dynamic_buffer(request), "\r\n\r\n", ec);
+                    net::write(socket, net::buffer(head + std::string(2000, 'h')), ec);
+                    std::this_thread::sleep_for(delay);
+                    socket.set_option(net::socket_base::linger(true, 0), ec);
+                });
+                for (int i = 0; i < 5; ++i) {
+                    const auto result = call(server.port(), "POST", std::string(bytes, 'b'), i % 2 == 0 ? 1 : 4);
+                    cr_assert_eq(result.outcome, http::TransportOutcome::ConnectionLost, "%zu bytes", bytes);
+                }
+            }
+        }
+    }
+}
+
 Test(HttpClient, responseThatEndsInOrderIsCompleteAlthoughItsRequestWasNotRead)
 {
     for (const std::string head : { "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n" }) {
@@ -204,6 +227,23 @@
     }
 }
 
+// A server in trouble sent a status of 000, and clients of another system got it as a response.
+Test(HttpClient, statusOutsideItsRangeIsNoResponse)
+{
+    for (const std::string status : { "000", "001", "099", "600", "700", "999", "20", "2000", "-20", "2x0", "" }) {
+        for (const std::string end : { "Content-Length: 4\r\n\r\nbody", "\r\nbody" }) {
+            FixedServer server("HTTP/1.1 " + status + " Odd\r\n" + end, ConnectionEnd::Close);
+            const auto result = call(server.port());
+            cr_assert_eq(result.outcome, http::TransportOutcome::ConnectionLost, "status %s", status.c_str());
+            cr_assert(result.response.body.empty());
+        }
+    }
+    for (const std::string status : { "200", "299", "404", "599" }) {
+        FixedServer server("HTTP/1.1 " + status + " Odd\r\nContent-Length: 4\r\n\r\nbody", ConnectionEnd::Close);
+        cr_assert_eq(call(server.port()).outcome, http::TransportOutcome::Complete, "status %s", status.c_str());
+    }
+}
+
 // Clients of other systems got a success with an empty or short body when a server stopped in the head of its response.
 Test(HttpClient, responseThatBreaksOffAtAnyByteIsNotComplete)
 {
