Requests for a copy of a table leave time for the answer, and answers leave room for heartbeats

Change: at most one request each 250 ms; an answer that would fill the link for over 250 ms, the bound of forwarded updates, isn't sent.

--- a/include/foxtailwheel/control/TableFollower.h
+++ b/include/foxtailwheel/control/TableFollower.h
@@ -24,7 +24,7 @@
     Duration coalesceDelay = std::chrono::milliseconds(100); ///< Delay after a change, to return several in one call.
     Duration silenceTimeout {}; ///< Age of the copy at which a follower that does not poll calls the store itself.
     Duration askTimeout {}; ///< Age of the copy at which a follower asks other instances for theirs.
-    Duration askDelay = std::chrono::milliseconds(250); ///< Delay until it asks again; doubles, as does jitter.
+    Duration askDelay = std::chrono::milliseconds(250); ///< Minimum delay until it asks again; doubles, as does jitter.
     std::uint64_t seed = 1;
 };
 
--- a/src/foxtailwheel/control/TableFollower.cpp
+++ b/src/foxtailwheel/control/TableFollower.cpp
@@ -240,9 +240,10 @@
     });
 }
 
+/// A new request makes answers to the last one worthless, so it gets some time.
 void TableFollower::Impl::askOthers()
 {
-    if (!ask)
+    if (!ask || (askSequence > 0 && clock.now() - askedAt < options.askDelay))
         return;
     askedAt = clock.now();
     ask({ options.table, synced ? table.version : 0, epoch, ++askSequence, askedAt - table.asOf });
--- a/src/foxtailwheel/control/TableFollowerTest.cpp
+++ b/src/foxtailwheel/control/TableFollowerTest.cpp
@@ -587,8 +587,9 @@
     fixture.feed.respond({ FeedOutcome::Unavailable, {}, 0, {} });
     const auto answer = other.follower->answer(fixture.asked.at(0));
     cr_assert(answer && answer->complete, "changes before the own first read are not known one by one");
-    fixture.run(200ms);
+    fixture.run(300ms);
     fixture.feed.respond({ FeedOutcome::Unavailable, {}, 0, {} });
+    cr_assert_eq(fixture.asked.size(), 2);
     fixture.follower->onUpdate(*answer);
     cr_assert_eq(fixture.follower->table().rows.at("config"), "one");
     cr_assert(!other.follower->answer({ "op", 9, {}, 3, 50ms }), "it knows as much");
--- a/src/foxtailwheel/daemon/PeerLink.cpp
+++ b/src/foxtailwheel/daemon/PeerLink.cpp
@@ -226,7 +226,8 @@
 {
     const auto answer
         = callbacks.onTableRequest({ request.table, request.version, request.epoch, request.sequence, request.age });
-    if (answer)
+    // A larger one would hold up heartbeats; the sender reads it from the store.
+    if (answer && control::limitUpdate(*answer, 1, maxForwardedBytes) == *answer)
         transport->send(request.sender.endpoint,
             peer::TableUpdate { membership.self(), answer->table, answer->baseVersion, answer->changes,
                 answer->answered, answer->age, answer->complete });
