--- a/src/foxtailwheel/daemon/PeerLinkTest.cpp
+++ b/src/foxtailwheel/daemon/PeerLinkTest.cpp
@@ -45,9 +45,19 @@
         callbacks.onPieceMessage = [this](const InstanceId&, const serving::PieceMessage&) { ++messages; };
         callbacks.onConnectionLost = [this](const InstanceId&) { ++connectionsLost; };
         callbacks.onUnreachable = [this](const InstanceId&) { ++refusals; };
-        callbacks.onTableUpdate = [](const control::TableUpdate&) {};
+        callbacks.onTableUpdate = [this](const control::TableUpdate& it) {
+            answeredRows += static_cast<int>(it.changes.rows.size());
+            answeredAgeMs = static_cast<int>(toMilliseconds(it.age));
+        };
+        callbacks.onTableRequest = [this](const control::TableRequest& it) {
+            ++requests;
+            control::TableUpdate answer { it.table, it.version, { store::FeedOutcome::Success, {}, 9, {} }, it.sequence,
+                200ms, true };
+            answer.changes.rows.push_back({ "row", std::string(rowBytes, 'r') });
+            return std::optional(answer);
+        };
         callbacks.onPollerChanged = [](bool) {};
-        auto opened = daemon::PeerLink::open(*pool, *clock, self, { "key", 1 }, std::move(callbacks));
+        auto opened = daemon::PeerLink::open(*pool, *clock, self, { "key", 1, 1000 }, std::move(callbacks));
         cr_assert(opened.has_value());
         link = std::move(opened.value());
     }
@@ -71,6 +81,10 @@
     std::atomic<int> messages { 0 };
     std::atomic<int> connectionsLost { 0 };
     std::atomic<int> refusals { 0 };
+    std::atomic<int> requests { 0 }; ///< For a copy of a table.
+    std::atomic<std::size_t> rowBytes { 10 }; ///< Of the answers.
+    std::atomic<int> answeredRows { 0 };
+    std::atomic<int> answeredAgeMs { 0 };
 };
 
 template <class Condition> bool eventually(Condition condition, Duration within = 10s)
@@ -116,3 +130,36 @@
     cr_assert_eq(requester.connectionsLost, 0);
     requester.pool->stop();
 }
+
+// While the store turns an instance away, it hears from those that the store serves, first of all in other zones.
+Test(PeerLink, asksInstancesOfOtherZonesForTheirCopyOfATable)
+{
+    Peer asking("asking");
+    Peer sameZone("same");
+    std::vector<std::unique_ptr<Peer>> otherZone;
+    asking.open();
+    sameZone.open();
+    std::vector<membership::Member> others { sameZone.self };
+    for (const std::string name : { "o1", "o2" }) {
+        otherZone.push_back(std::make_unique<Peer>(name));
+        otherZone.back()->self.zone = AvailabilityZoneId("b");
+        otherZone.back()->open();
+        others.push_back(otherZone.back()->self);
+    }
+    asking.run([&] { asking.link->addIfUnknown(others); });
+    cr_assert(eventually([&] { return asking.liveInstances == 4; }));
+    asking.run([&] { asking.link->askForTable({ "op", 5, {}, 1, 2s }); });
+    cr_assert(eventually([&] { return asking.answeredRows == 2; }));
+    cr_assert_eq(asking.answeredAgeMs, 200);
+    cr_assert_eq(sameZone.requests, 0);
+    for (const auto& it : otherZone)
+        it->rowBytes = 2000;
+    asking.run([&] { asking.link->askForTable({ "op", 5, {}, 2, 2s }); });
+    cr_assert(eventually([&] { return otherZone[0]->requests + otherZone[1]->requests == 4; }));
+    std::this_thread::sleep_for(100ms);
+    cr_assert_eq(asking.answeredRows, 2, "an answer that would fill the link is not sent");
+    asking.pool->stop();
+    sameZone.pool->stop();
+    for (const auto& it : otherZone)
+        it->pool->stop();
+}
