--- a/src/foxtailwheel/http/ResponseEndTest.cpp
+++ b/src/foxtailwheel/http/ResponseEndTest.cpp
@@ -232,7 +232,10 @@
 {
     for (const std::string status : { "000", "001", "099", "600", "700", "999", "20", "2000", "-20", "2x0", "" }) {
         for (const std::string end : { "Content-Length: 4\r\n\r\nbody", "\r\nbody" }) {
-            FixedServer server("HTTP/1.1 " + status + " Odd\r\n" + end, ConnectionEnd::Close);
+            std::string response = "HTTP/1.1 ";
+            response += status;
+            response += " Odd\r\n";
+            FixedServer server(response + end, ConnectionEnd::Close);
             const auto result = call(server.port());
             cr_assert_eq(result.outcome, http::TransportOutcome::ConnectionLost, "status %s", status.c_str());
             cr_assert(result.response.body.empty());
