--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -13,6 +13,7 @@
 import sys
 import tempfile
 import time
+import traceback
 import urllib.parse
 
 HOST = "127.0.0.1"
@@ -237,7 +238,7 @@
         self.state, self.sequence, self.born, self.up = "ready", 0, 0, False
         self.arrivals = []  # (time, attempt, headers)
         self.pieces = []  # (time, item)
-        self.free_handles = 0
+        self.made_results = 0
 
     async def start(self):
         await self.listen()
@@ -294,8 +295,8 @@
         out = []
         for it in items:
             self.pieces.append((time.monotonic(), it))
-            self.free_handles += 1
-            out.append({"handle": f"{HOST}:{self.port}/{self.free_handles:x}"})
+            self.made_results += 1
+            out.append({"handle": f"{HOST}:{self.port}/{self.made_results:x}"})
         return make_response(200, json.dumps({"items": out}).encode(), [("Content-Type", "application/json")])
 
     def answer_headers(self, attempt):
@@ -545,6 +546,8 @@
         print(f"cannot run: {error}")
     except asyncio.TimeoutError:
         print("cannot run: the case takes too long")
+    except Exception:
+        traceback.print_exc()
     print({0: "the rule held", 1: "the rule was broken", 2: "the case could not run"}[result])
     sys.stdout.flush()
     os._exit(result)
