--- a/review/15/case.py
+++ b/review/15/case.py
@@ -26,13 +26,16 @@
             return await self.stream(attempt, headers, writer, 8, 0.05)
         await self.begin_stream(attempt, writer)
         await asyncio.sleep(0.01)
-        if self.up:
-            crashes.append(time.monotonic())
-            self.record.write("crash_on_part", engine=self.id, attempt=attempt)
-            asyncio.create_task(self.crash(DOWN_S))
+        asyncio.create_task(self.crash_on(attempt))
         await asyncio.sleep(1)
         return None
 
+    async def crash_on(self, attempt):
+        at = time.monotonic()
+        if await self.crash(DOWN_S):
+            crashes.append(at)
+            self.record.write("crash_on_part", engine=self.id, attempt=attempt)
+
 
 crashes = []
 
--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -263,7 +263,10 @@
                 await self.announce()
 
     async def crash(self, down_s):
-        """The process ends without a word and is back after `down_s`, under its id and at its address."""
+        """The process ends without a word and is back after `down_s`, under its id and at its address. Returns False if it
+        is down already: several requests may crash it at once."""
+        if not self.up:
+            return False
         self.up = False
         self.beat_task.cancel()
         self.record.write("engine_crash", id=self.id)
@@ -274,6 +277,7 @@
             await self.start()
             self.record.write("engine_back", id=self.id)
         self.back_task = asyncio.create_task(back())
+        return True
 
     async def handle(self, line, headers, body, reader, writer):
         if headers.get("expect-instance", self.id) != self.id:
