Pieces of a stage that depends on others are never asked for with a key

Cause: makePiece went by what the route declares, encodeBatch and encode by whether the list of handles happened to be empty, and stages without pieces counted as readers of results.

Ruled out: batches, retries, hand-overs and hedges copy pieces or make them with makePiece; no other place looks at the list.

Change: a piece and a call say whether they read results, as the route declares; the message to an owner at another instance has it too. Pieces from instances of the build before are told apart by their key; an owner of that build gets the caller's key for a piece without handles. consumersOf names the stages with pieces that read a result.

--- a/include/foxtailwheel/peer/Messages_generated.h
+++ b/include/foxtailwheel/peer/Messages_generated.h
@@ -89,6 +89,39 @@
 struct Envelope;
 struct EnvelopeBuilder;
 
+enum class PieceInput : uint8_t {
+  Unknown = 0,
+  Key = 1,
+  Results = 2,
+  MIN = Unknown,
+  MAX = Results
+};
+
+inline const PieceInput (&EnumValuesPieceInput())[3] {
+  static const PieceInput values[] = {
+    PieceInput::Unknown,
+    PieceInput::Key,
+    PieceInput::Results
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesPieceInput() {
+  static const char * const names[4] = {
+    "Unknown",
+    "Key",
+    "Results",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNamePieceInput(PieceInput e) {
+  if (flatbuffers::IsOutRange(e, PieceInput::Unknown, PieceInput::Results)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesPieceInput()[index];
+}
+
 enum class Body : uint8_t {
   NONE = 0,
   Ping = 1,
@@ -1254,7 +1287,8 @@
     VT_STAGE = 6,
     VT_INDEX = 8,
     VT_KEY = 10,
-    VT_INPUTS = 12
+    VT_INPUTS = 12,
+    VT_INPUT = 14
   };
   const flatbuffers::String *request() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST);
@@ -1271,6 +1305,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *inputs() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_INPUTS);
   }
+  foxtailwheel::peer::wire::PieceInput input() const {
+    return static_cast<foxtailwheel::peer::wire::PieceInput>(GetField<uint8_t>(VT_INPUT, 0));
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REQUEST) &&
@@ -1282,6 +1319,7 @@
            VerifyOffset(verifier, VT_INPUTS) &&
            verifier.VerifyVector(inputs()) &&
            verifier.VerifyVectorOfStrings(inputs()) &&
+           VerifyField<uint8_t>(verifier, VT_INPUT, 1) &&
            verifier.EndTable();
   }
 };
@@ -1305,6 +1343,9 @@
   void add_inputs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> inputs) {
     fbb_.AddOffset(Piece::VT_INPUTS, inputs);
   }
+  void add_input(foxtailwheel::peer::wire::PieceInput input) {
+    fbb_.AddElement<uint8_t>(Piece::VT_INPUT, static_cast<uint8_t>(input), 0);
+  }
   explicit PieceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1322,13 +1363,15 @@
     uint32_t stage = 0,
     uint32_t index = 0,
     flatbuffers::Offset<flatbuffers::String> key = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> inputs = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> inputs = 0,
+    foxtailwheel::peer::wire::PieceInput input = foxtailwheel::peer::wire::PieceInput::Unknown) {
   PieceBuilder builder_(_fbb);
   builder_.add_inputs(inputs);
   builder_.add_key(key);
   builder_.add_index(index);
   builder_.add_stage(stage);
   builder_.add_request(request);
+  builder_.add_input(input);
   return builder_.Finish();
 }
 
@@ -1338,7 +1381,8 @@
     uint32_t stage = 0,
     uint32_t index = 0,
     const char *key = nullptr,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *inputs = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *inputs = nullptr,
+    foxtailwheel::peer::wire::PieceInput input = foxtailwheel::peer::wire::PieceInput::Unknown) {
   auto request__ = request ? _fbb.CreateString(request) : 0;
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto inputs__ = inputs ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*inputs) : 0;
@@ -1348,7 +1392,8 @@
       stage,
       index,
       key__,
-      inputs__);
+      inputs__,
+      input);
 }
 
 struct PiecesAsked FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/include/foxtailwheel/serving/BatchQueue.h
+++ b/include/foxtailwheel/serving/BatchQueue.h
@@ -38,6 +38,9 @@
     std::uint32_t index = 0; ///< From 0, within the stage.
     std::string key; ///< Input of the piece, for stages that do not depend on another stage.
     std::vector<std::string> inputs; ///< Handles of the results of the stages that this one depends on.
+    /// The stage depends on others, as its route declares. The input is then `inputs`, although a request that omits
+    /// those stages leaves it empty.
+    bool readsResults = false;
 
     friend bool operator==(const Piece&, const Piece&) = default;
 };
--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -85,6 +85,7 @@
     bool streams = false; ///< The response is an event stream.
     bool idempotent = false;
     TimePoint deadline;
+    bool readsResults = false; ///< The route has stages: the server expects `inputs`, although they can be empty.
 };
 
 /// @brief Action: check whether a suspected server is sound, with a request that has no effect.
--- a/src/foxtailwheel/peer/Message.cpp
+++ b/src/foxtailwheel/peer/Message.cpp
@@ -156,7 +156,8 @@
         for (const auto& it : pieces) {
             const auto inputs = fbb.CreateVectorOfStrings(it.inputs);
             packed.push_back(wire::CreatePiece(fbb, fbb.CreateString(it.request), static_cast<std::uint32_t>(it.stage),
-                it.index, fbb.CreateString(it.key), inputs));
+                it.index, fbb.CreateString(it.key), inputs,
+                it.readsResults ? wire::PieceInput::Results : wire::PieceInput::Key));
         }
         return packed;
     }
@@ -370,6 +371,16 @@
         return out;
     }
 
+    /// Returns whether the input of a piece are results. A message of an earlier build does not say it: such a build
+    /// sends no key with a piece that reads results, and a key that callers choose is not empty.
+    bool readsResults(const wire::Piece& piece)
+    {
+        if (piece.input() != wire::PieceInput::Unknown)
+            return piece.input() == wire::PieceInput::Results;
+        const bool hasInputs = piece.inputs() != nullptr && piece.inputs()->size() > 0;
+        return hasInputs || stringOrEmpty(piece.key()).empty();
+    }
+
     serving::PieceRequest unpack(const wire::PiecesAsked& request)
     {
         serving::PieceRequest out;
@@ -389,8 +400,8 @@
         if (request.pieces() == nullptr)
             return out;
         for (const auto* it : *request.pieces()) {
-            serving::Piece piece { stringOrEmpty(it->request()), it->stage(), it->index(), stringOrEmpty(it->key()),
-                {} };
+            serving::Piece piece { stringOrEmpty(it->request()), it->stage(), it->index(), stringOrEmpty(it->key()), {},
+                readsResults(*it) };
             if (it->inputs() != nullptr) {
                 for (const auto* input : *it->inputs())
                     piece.inputs.push_back(input->str());
--- a/src/foxtailwheel/peer/PeerTest.cpp
+++ b/src/foxtailwheel/peer/PeerTest.cpp
@@ -1,5 +1,6 @@
 #include "foxtailwheel/peer/Handshake.h"
 #include "foxtailwheel/peer/Message.h"
+#include "foxtailwheel/peer/Messages_generated.h"
 #include "foxtailwheel/peer/Transport.h"
 
 #include "foxtailwheel/base/Random.h"
@@ -18,6 +19,7 @@
 using namespace foxtailwheel;
 using namespace std::chrono_literals;
 using peer::Message;
+namespace wire = peer::wire;
 
 namespace {
 
@@ -52,9 +54,9 @@
             9, 1500ms, true },
         peer::TableRequest { makeMember("x"), "op", 5, store::StoreEpoch(3), 9, 1600ms },
         peer::PieceUpdate { makeMember("x"),
-            serving::PieceRequest { serving::PieceGroupId(3), ServiceId("portal"), { { "r", 1, 2, "k", { "h" } } }, 1,
-                -2ms, 3s, AvailabilityZoneId("a"), 4ms, 99, true,
-                { AvailabilityZoneId("a"), AvailabilityZoneId("b") } } },
+            serving::PieceRequest { serving::PieceGroupId(3), ServiceId("portal"),
+                { { "r", 1, 2, "k", { "h" }, true }, { "s", 0, 1, "k", {} }, { "t", 1, 0, "k", {}, true } }, 1, -2ms,
+                3s, AvailabilityZoneId("a"), 4ms, 99, true, { AvailabilityZoneId("a"), AvailabilityZoneId("b") } } },
         peer::PieceUpdate {
             makeMember("x"), serving::PieceRequestAck { serving::PieceGroupId(3), { { 1ms, 2ms, 3ms, 4ms }, 5ms } } },
         peer::PieceUpdate { makeMember("x"), serving::PieceRequestCancel { serving::PieceGroupId(3) } },
@@ -128,6 +130,27 @@
     }
 }
 
+// Pieces were taken for ones with a key because a list was empty. Earlier builds do not say what a piece reads.
+Test(PeerMessage, piecesOfEarlierBuildsReadResultsUnlessTheyHaveAKey)
+{
+    flatbuffers::FlatBufferBuilder fbb;
+    const auto piece = [&fbb](const std::string& key, const std::vector<std::string>& inputs) {
+        return wire::CreatePiece(
+            fbb, fbb.CreateString("r"), 1, 0, fbb.CreateString(key), fbb.CreateVectorOfStrings(inputs));
+    };
+    const std::vector<flatbuffers::Offset<wire::Piece>> pieces { piece("k", {}), piece("", { "h" }), piece("", {}) };
+    const auto sender = wire::CreateMemberDirect(fbb, "x");
+    const auto asked = wire::CreatePiecesAskedDirect(fbb, sender, 3, "portal", &pieces);
+    wire::FinishEnvelopeBuffer(fbb, wire::CreateEnvelope(fbb, wire::Body::PiecesAsked, asked.Union()));
+    const auto decoded = peer::decodeMessage({ fbb.GetBufferPointer(), fbb.GetSize() });
+    cr_assert(decoded.has_value());
+    const auto& update = std::get<peer::PieceUpdate>(decoded.value());
+    const auto& unpacked = std::get<serving::PieceRequest>(update.message).pieces;
+    cr_assert(!unpacked.at(0).readsResults);
+    cr_assert(unpacked.at(1).readsResults);
+    cr_assert(unpacked.at(2).readsResults);
+}
+
 Test(PeerMessage, truncatedOrMutatedBytesAreRejectedOrDecoded)
 {
     Random random(20261204);
--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -110,7 +110,7 @@
         state->evenLoad.onCallSent(routing::PlacedCallId(call.value()), server.id, demand, now);
     SendUpstreamRequest send { call, run.id, server, run.request.message, run.request.attemptId, run.account,
         run.remainingTime(now), run.priority, run.inputs(), run.lastEventId, run.route->streaming, run.idempotent(),
-        run.deadline };
+        run.deadline, !run.route->stages.empty() };
     logDecision(run, "request_sent",
         { { "call", std::to_string(call.value()) }, { "server", server.id.value() }, { "again", retry ? "1" : "0" },
             { "after_ms", formatInteger(toMilliseconds(now - run.acceptedAt)) },
--- a/src/foxtailwheel/serving/ForwardRun.cpp
+++ b/src/foxtailwheel/serving/ForwardRun.cpp
@@ -9,16 +9,22 @@
     return std::all_of(stages.begin(), stages.end(), [](const StageProgress& it) { return it.done(); });
 }
 
-std::vector<StageIndex> ForwardRun::finalStages() const
+std::vector<StageIndex> ForwardRun::consumersOf(StageIndex stage) const
 {
-    std::vector<bool> consumed(stages.size(), false);
-    for (const auto& it : route->stages) {
-        for (const auto needed : it.dependsOn)
-            consumed[needed] = true;
+    std::vector<StageIndex> found;
+    for (StageIndex i = 0; i < stages.size(); ++i) {
+        const auto& needs = route->stages[i].dependsOn;
+        if (!stages[i].results.empty() && std::find(needs.begin(), needs.end(), stage) != needs.end())
+            found.push_back(i);
     }
+    return found;
+}
+
+std::vector<StageIndex> ForwardRun::finalStages() const
+{
     std::vector<StageIndex> found;
     for (StageIndex i = 0; i < stages.size(); ++i) {
-        if (!consumed[i])
+        if (consumersOf(i).empty())
             found.push_back(i);
     }
     return found;
--- a/src/foxtailwheel/serving/ForwardRun.h
+++ b/src/foxtailwheel/serving/ForwardRun.h
@@ -65,7 +65,9 @@
     }
     /// @brief Returns true if all stages have their results.
     bool allStagesDone() const;
-    /// @brief Returns the handles of the request's own inputs: the results of stages that no other stage needs.
+    /// @brief Returns the stages that read the results of a stage. Omitted stages, those without pieces, read none.
+    std::vector<StageIndex> consumersOf(StageIndex stage) const;
+    /// @brief Returns the handles of the request's own inputs: the results that no stage reads.
     std::vector<std::string> inputs() const;
     /// @brief Returns true if the producers may have discarded the request's own inputs.
     bool inputsReleased() const;
@@ -73,7 +75,7 @@
     Duration remainingTime(TimePoint now) const { return deadline - now; }
 
 private:
-    /// Returns the stages that no other stage needs.
+    /// Returns the stages whose results the request itself reads.
     std::vector<StageIndex> finalStages() const;
 };
 
--- a/src/foxtailwheel/serving/ForwardStages.cpp
+++ b/src/foxtailwheel/serving/ForwardStages.cpp
@@ -23,12 +23,14 @@
 
 Piece RoutingForwarder::makePiece(const ForwardRun& run, StageIndex stage, std::uint32_t index) const
 {
-    Piece piece { run.request.attemptId, stage, index, {}, {} };
-    for (const auto needed : run.route->stages[stage].dependsOn) {
+    const auto& dependsOn = run.route->stages[stage].dependsOn;
+    Piece piece { run.request.attemptId, stage, index, {}, {}, !dependsOn.empty() };
+    for (const auto needed : dependsOn) {
         for (const auto& it : run.stages[needed].results)
             piece.inputs.push_back(it->value);
     }
-    if (run.route->stages[stage].dependsOn.empty())
+    // An owner of an earlier build sends the key with every piece that has no inputs.
+    if (piece.inputs.empty())
         piece.key = run.request.pieceKey;
     return piece;
 }
@@ -99,11 +101,7 @@
         inputs.begin(), inputs.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
     if (largest != inputs.end() && largest->second >= declared.resultBytes)
         return largest->first;
-    const auto& stages = run.route->stages;
-    const bool consumed = std::any_of(stages.begin(), stages.end(), [stage](const config::RouteStage& it) {
-        return std::find(it.dependsOn.begin(), it.dependsOn.end(), stage) != it.dependsOn.end();
-    });
-    return consumed ? std::nullopt : run.homeZone;
+    return run.consumersOf(stage).empty() ? run.homeZone : std::nullopt;
 }
 
 /// Returns a group, without an ID, of all pieces of a stage that have no result yet.
@@ -307,19 +305,14 @@
         release(std::move(it.second), now, out);
 }
 
-/// Releases the results of stages whose dependent stages are all done.
+/// Releases the results of stages whose consumers are all done.
 void RoutingForwarder::releaseConsumedResults(ForwardRun& run, TimePoint now, ForwardActions& out)
 {
     for (StageIndex i = 0; i < run.stages.size(); ++i) {
-        bool consumed = false;
-        bool needed = false;
-        for (StageIndex j = 0; j < run.stages.size(); ++j) {
-            const auto& needs = run.route->stages[j].dependsOn;
-            const bool consumes = std::find(needs.begin(), needs.end(), i) != needs.end();
-            consumed = consumed || consumes;
-            needed = needed || (consumes && !run.stages[j].done());
-        }
-        if (consumed && !needed && run.stages[i].done())
+        const auto consumers = run.consumersOf(i);
+        const bool consumed = !consumers.empty()
+            && std::all_of(consumers.begin(), consumers.end(), [&run](StageIndex it) { return run.stages[it].done(); });
+        if (consumed && run.stages[i].done())
             releaseStage(run, i, now, out);
     }
 }
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -754,6 +754,21 @@
     cr_assert_eq(fixture.sent.size(), 1);
 }
 
+// The results of a stage whose only reader is omitted were released as soon as they were there.
+Test(Forwarder, resultsOfAStageWhoseReaderIsOmittedAreKeptForTheRequest)
+{
+    ForwarderFixture fixture;
+    fixture.pieces = { 2, 0 };
+    fixture.submit("staged");
+    fixture.endBatch(fixture.batches.at(0), start + 217ms);
+    cr_assert_eq(fixture.sent.at(0).inputs.size(), 2);
+    cr_assert(fixture.released.empty());
+    fixture.endCall(fixture.sent[0].call, ForwardCallOutcome::InputMissing, start + 220ms);
+    cr_assert_eq(fixture.batches.at(1).pieces.size(), 2, "a missing result is produced again");
+    fixture.endBatch(fixture.batches[1], start + 440ms);
+    cr_assert_eq(fixture.sent.at(1).inputs.size(), 2);
+}
+
 Test(Forwarder, missingResultIsProducedAgain)
 {
     ForwarderFixture fixture;
