IDs of parts of prompts are kept whole

Cause: parsePrompt read IDs as 64 bits and skipped what it could not read, as for a hint. Crash records take the list for the whole prompt, so the sound part beside it was the only suspect, and was blocked in its place.

Change: an ID is the text of up to 64 hexadecimal digits, else a hash; each entry of the list is a part. Rows of the store keep their form for IDs that are numbers, so instances of the build before share them, and have one that these ignore for the others. A mark in the value, which they read as the same time, tells records of all parts from theirs, which count but neither block alone nor clear a part. Keys of rows stay within the store's 200 bytes.

--- a/include/foxtailwheel/serving/CrashingParts.h
+++ b/include/foxtailwheel/serving/CrashingParts.h
@@ -17,6 +17,8 @@
     BackendServerId server;
     std::uint32_t number = 1; ///< Tells the crashes of the same server apart.
     WallTime at {}; ///< By the clock of the instance that recorded it.
+    /// All parts of the prompt were recorded. Instances of earlier builds leave out or merge parts with some IDs.
+    bool isComplete = true;
 
     friend bool operator==(const CrashRecord&, const CrashRecord&) = default;
 };
@@ -32,7 +34,8 @@
 /// A server that crashes breaks all its calls, but only for a call whose response had just begun does that say much
 /// about its prompt. All shared parts of that prompt are recorded as suspects. A response that begins to arrive clears
 /// the parts of its prompt. A part with several crashes at different times is blocked, unless another part that was
-/// present in all of them may be the cause and is not in the prompt.
+/// present in all of them may be the cause and is not in the prompt. Crashes that an earlier build recorded, perhaps
+/// without the part that caused them, count, but say nothing about which parts were present.
 ///
 /// Ages are counted from when this instance learned of a crash; times of records are only compared with one another, so
 /// the clocks of instances need not agree. Not thread-safe.
@@ -64,6 +67,7 @@
     struct Crash {
         TimePoint learnedAt;
         WallTime at;
+        bool isComplete = true;
     };
     using Crashes = std::map<CrashId, Crash>;
 
@@ -73,8 +77,8 @@
     };
 
     std::uint32_t numberOf(const BackendServerId& server, TimePoint now) const;
-    bool isOnlySuspect(PromptPartId part, const std::vector<PromptPart>& prompt) const;
-    void remove(PromptPartId part, const CrashId& id);
+    bool isOnlySuspect(const PromptPartId& part, const std::vector<PromptPart>& prompt) const;
+    void remove(const PromptPartId& part, const CrashId& id);
     void removeOwn(const CrashRecord& record, TimePoint now, CrashRecordUpdate& out);
     void removeExpired(TimePoint now, CrashRecordUpdate& out);
 
--- a/src/foxtailwheel/control/RowOutboxTest.cpp
+++ b/src/foxtailwheel/control/RowOutboxTest.cpp
@@ -112,7 +112,7 @@
 
 Test(CrashRecordRows, recordsAreReadAsTheyWereWritten)
 {
-    const serving::CrashRecord record { serving::PromptPartId(0xfedcba9876543210), BackendServerId("i/7"), 3,
+    const serving::CrashRecord record { serving::promptPartIdOf(0xfedcba9876543210), BackendServerId("i/7"), 3,
         WallTime(1796420000123ms) };
     const auto rows = control::encodeCrashRecords({ { record }, { record } });
     cr_assert_eq(rows.size(), 2);
--- a/src/foxtailwheel/serving/CrashingParts.cpp
+++ b/src/foxtailwheel/serving/CrashingParts.cpp
@@ -63,7 +63,7 @@
     return number > 0 && now - learnedAt < sameCrashWindow ? number : number + 1;
 }
 
-void CrashingParts::remove(PromptPartId part, const CrashId& id)
+void CrashingParts::remove(const PromptPartId& part, const CrashId& id)
 {
     const auto it = m_crashes.find(part);
     if (it == m_crashes.end())
@@ -111,7 +111,7 @@
             continue;
         const auto crashes = known->second;
         for (const auto& [id, crash] : crashes)
-            removeOwn({ it.id, id.first, id.second, crash.at }, now, update);
+            removeOwn({ it.id, id.first, id.second, crash.at, crash.isComplete }, now, update);
     }
     return update;
 }
@@ -122,7 +122,7 @@
     for (const auto& [part, crashes] : m_crashes) {
         for (const auto& [id, crash] : crashes) {
             if (now - crash.learnedAt > recordLifetime)
-                expired.push_back({ part, id.first, id.second, crash.at });
+                expired.push_back({ part, id.first, id.second, crash.at, crash.isComplete });
         }
     }
     for (const auto& it : expired)
@@ -136,7 +136,7 @@
         const CrashId id { it.server, it.number };
         auto& known = before[it.part];
         const auto crash = known.find(id);
-        m_crashes[it.part][id] = { crash == known.end() ? now : crash->second.learnedAt, it.at };
+        m_crashes[it.part][id] = { crash == known.end() ? now : crash->second.learnedAt, it.at, it.isComplete };
     }
     std::erase_if(m_ownChanges, [now](const auto& it) { return now - it.second.changedAt > shareTimeout; });
     for (const auto& [key, change] : m_ownChanges) {
@@ -147,16 +147,21 @@
     }
 }
 
-/// Returns false if another part, which the prompt lacks, was present in all crashes of this one.
-bool CrashingParts::isOnlySuspect(PromptPartId part, const std::vector<PromptPart>& prompt) const
+/// Returns false if another part, which the prompt lacks, was present in all crashes of this one that are recorded
+/// completely, or if none is.
+bool CrashingParts::isOnlySuspect(const PromptPartId& part, const std::vector<PromptPart>& prompt) const
 {
     const auto parts = sharedParts(prompt);
-    const auto& crashes = m_crashes.at(part);
-    return std::none_of(m_crashes.begin(), m_crashes.end(), [&](const auto& other) {
+    std::vector<CrashId> crashes;
+    for (const auto& [id, crash] : m_crashes.at(part)) {
+        if (crash.isComplete)
+            crashes.push_back(id);
+    }
+    return !crashes.empty() && std::none_of(m_crashes.begin(), m_crashes.end(), [&](const auto& other) {
         const bool inPrompt
             = std::any_of(parts.begin(), parts.end(), [&other](const PromptPart& it) { return it.id == other.first; });
-        return !inPrompt && std::all_of(crashes.begin(), crashes.end(), [&other](const auto& it) {
-            return other.second.contains(it.first);
+        return !inPrompt && std::all_of(crashes.begin(), crashes.end(), [&other](const CrashId& it) {
+            return other.second.contains(it);
         });
     });
 }
--- a/src/foxtailwheel/serving/CrashingPartsTest.cpp
+++ b/src/foxtailwheel/serving/CrashingPartsTest.cpp
@@ -10,17 +10,17 @@
 namespace {
 
 constexpr TimePoint start { 1h };
-constexpr PromptPartId common { 1 };
-constexpr PromptPartId deadly { 666 };
+const PromptPartId common = makePromptPartId("1");
+const PromptPartId deadly = makePromptPartId("9c41d07be2a35f689c41d07be2a35f68");
 
 /// A prompt with these shared parts and a last part of its own.
 std::vector<PromptPart> promptOf(const std::vector<PromptPartId>& shared)
 {
     static std::uint64_t last = 10000;
     std::vector<PromptPart> prompt;
-    for (const auto it : shared)
+    for (const auto& it : shared)
         prompt.push_back({ it, 100 });
-    prompt.push_back({ PromptPartId(++last), 10 });
+    prompt.push_back({ promptPartIdOf(++last), 10 });
     return prompt;
 }
 
@@ -120,3 +120,42 @@
     cr_assert_eq(update.removed.size(), 1);
     cr_assert_eq(update.removed[0].part, deadly);
 }
+
+// Two parts whose texts are the same number shared their crash records.
+Test(CrashingParts, partsThatDifferInLeadingZerosOrCaseAreDifferent)
+{
+    CrashingParts parts;
+    for (int i = 0; i < 3; ++i)
+        parts.onCrash(promptOf({ makePromptPartId("0AB1") }), server(i), start + i * 1s);
+    cr_assert(parts.blockedFor(promptOf({ makePromptPartId("0AB1") }), start + 3s));
+    for (const auto* it : { "AB1", "0ab1", "ab1", "00AB1" })
+        cr_assert(!parts.blockedFor(promptOf({ makePromptPartId(it) }), start + 3s), "%s", it);
+    cr_assert(parts.onAnswerBegan(promptOf({ makePromptPartId("ab1") }), start + 3s).removed.empty());
+}
+
+// An instance of an earlier build records a crash without the part that caused it, which left sound parts as suspects.
+Test(CrashingParts, recordsOfEarlierBuildsDoNotBlockSoundParts)
+{
+    CrashingParts parts;
+    std::vector<CrashRecord> records;
+    for (std::uint32_t i = 1; i <= 4; ++i)
+        records.push_back({ common, server(1), i, WallTime(i * 1s), false });
+    parts.setRecords(records, start);
+    cr_assert(!parts.blockedFor(promptOf({ common }), start));
+    parts.onCrash(promptOf({ common, deadly }), server(2), start + 5s);
+    cr_assert(!parts.blockedFor(promptOf({ common }), start + 5s), "the other part may be the cause");
+    for (int i = 0; i < 2; ++i)
+        parts.onCrash(promptOf({ common, deadly }), server(3), start + 10s + i * 5s);
+    cr_assert(parts.blockedFor(promptOf({ common, deadly }), start + 15s));
+    cr_assert(!parts.blockedFor(promptOf({ common }), start + 15s));
+}
+
+// Records of a part that both builds read count together, as soon as one of them is complete.
+Test(CrashingParts, recordsOfEarlierBuildsCount)
+{
+    CrashingParts parts;
+    parts.setRecords(
+        { { common, server(1), 1, WallTime(1s), false }, { common, server(2), 1, WallTime(2s), false } }, start);
+    parts.onCrash(promptOf({ common }), server(3), start + 3s);
+    cr_assert(parts.blockedFor(promptOf({ common }), start + 3s));
+}
--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -44,7 +44,7 @@
     {
         std::string text;
         for (const auto& it : sharedParts(prompt))
-            text += (text.empty() ? "" : ",") + std::to_string(it.id.value());
+            text += (text.empty() ? "" : ",") + it.id.value();
         return text;
     }
 
@@ -56,7 +56,7 @@
 {
     const auto& prompt = run.request.prompt;
     if (m_options.affinity && run.route->prefixAffinity && !prompt.empty())
-        return prompt[prompt.size() > 1 ? prompt.size() - 2 : 0].id.value();
+        return affinityKeyOf(prompt[prompt.size() > 1 ? prompt.size() - 2 : 0].id);
     return run.stages.empty() ? std::nullopt : std::optional(hashOf(run.request.attemptId));
 }
 
--- a/src/foxtailwheel/serving/ForwardDrainTest.cpp
+++ b/src/foxtailwheel/serving/ForwardDrainTest.cpp
@@ -83,7 +83,7 @@
         request.message = { "POST", "/", {}, {} };
         request.credential = "key";
         request.pieceCounts = { pieces };
-        request.prompt = { { PromptPartId(prompt), 10 }, { PromptPartId(count), 1 } };
+        request.prompt = { { promptPartIdOf(prompt), 10 }, { promptPartIdOf(count), 1 } };
         forwarder->confirmCredentials(configured->version, now);
         const auto id = forwarder->allocateRequestId();
         act([&](auto& out) { forwarder->submit(id, std::move(request), now, out); });
--- a/src/foxtailwheel/serving/ForwardLoads.cpp
+++ b/src/foxtailwheel/serving/ForwardLoads.cpp
@@ -9,7 +9,7 @@
 {
     routing::EngineDemand demand;
     for (const auto& it : request.prompt)
-        demand.prompt.push_back({ it.id.value(), it.tokens });
+        demand.prompt.push_back({ affinityKeyOf(it.id), it.tokens });
     // Tokens that the list of parts does not name belong to this request only.
     if (const auto listed = demand.promptTokens(); request.tokens.prompt > listed)
         demand.prompt.push_back({ 0, request.tokens.prompt - listed });
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -1135,7 +1135,7 @@
     std::uint64_t last = 100;
     for (int i = 0; i < 3; ++i) {
         const auto now = start + i * 1s;
-        fixture.prompt = { { PromptPartId(1), 500 }, { PromptPartId(666), 300 }, { PromptPartId(++last), 10 } };
+        fixture.prompt = { { promptPartIdOf(1), 500 }, { promptPartIdOf(666), 300 }, { promptPartIdOf(++last), 10 } };
         fixture.submit("once", now);
         const auto call = fixture.beginStream(now + 100ms);
         fixture.endCall(call, ForwardCallOutcome::Broken, now + 110ms);
@@ -1149,7 +1149,7 @@
     cr_assert_eq(fixture.replies.back().outcome, ForwardOutcome::CrashesServers);
     cr_assert(fixture.replies.back().retryAfter > 30s);
 
-    fixture.prompt = { { PromptPartId(1), 500 }, { PromptPartId(++last), 10 } };
+    fixture.prompt = { { promptPartIdOf(1), 500 }, { promptPartIdOf(++last), 10 } };
     fixture.submit("once", start + 4s);
     cr_assert_eq(fixture.sent.size(), 4, "sound requests share parts with those that crash servers");
 }
@@ -1157,11 +1157,11 @@
 Test(Forwarder, streamThatCrashesServersIsNotSentToAnotherOnceItIsKnown)
 {
     ForwarderFixture fixture;
-    fixture.prompt = { { PromptPartId(666), 300 }, { PromptPartId(7), 10 } };
+    fixture.prompt = { { promptPartIdOf(666), 300 }, { promptPartIdOf(7), 10 } };
     fixture.submit("plan");
     const WallTime epoch {};
-    fixture.forwarder->setCrashRecords({ { PromptPartId(666), BackendServerId("x1"), 1, epoch },
-                                           { PromptPartId(666), BackendServerId("x2"), 1, epoch + 1s } },
+    fixture.forwarder->setCrashRecords({ { promptPartIdOf(666), BackendServerId("x1"), 1, epoch },
+                                           { promptPartIdOf(666), BackendServerId("x2"), 1, epoch + 1s } },
         start);
     const auto call = fixture.beginStream(start + 1500ms);
     fixture.endCall(call, ForwardCallOutcome::Broken, start + 1600ms);
@@ -1173,7 +1173,7 @@
 Test(Forwarder, brokenStreamsAfterTheirFirstEventAreNoCrashRecords)
 {
     ForwarderFixture fixture;
-    fixture.prompt = { { PromptPartId(1), 500 }, { PromptPartId(2), 10 } };
+    fixture.prompt = { { promptPartIdOf(1), 500 }, { promptPartIdOf(2), 10 } };
     fixture.submit("once");
     const auto call = fixture.beginStream(start + 100ms);
     fixture.receive(call, "id: 1\ndata: a\n\n", start + 120ms);
@@ -1198,7 +1198,7 @@
 Test(Forwarder, emptyRestOfAStreamIsNoCrashRecord)
 {
     ForwarderFixture fixture;
-    fixture.prompt = { { PromptPartId(1), 100 }, { PromptPartId(2), 10 } };
+    fixture.prompt = { { promptPartIdOf(1), 100 }, { promptPartIdOf(2), 10 } };
     fixture.submit("plan");
     const auto first = fixture.beginStream(start + 100ms);
     fixture.receive(first, "id: 1\ndata: a\n\n", start + 120ms);
@@ -1479,7 +1479,7 @@
     ForwarderOptions options;
     options.scheduling = mode;
     ForwarderFixture fixture(options);
-    fixture.prompt = { { PromptPartId(1), 100 }, { PromptPartId(2), 200 } };
+    fixture.prompt = { { promptPartIdOf(1), 100 }, { promptPartIdOf(2), 200 } };
     fixture.submit("plan");
     fixture.forwarder->onLoadReport(fixture.sent[0].call, load, start);
     fixture.forwarder->onSharedLoads({ { hashOf(busy.value()), 500, 90, 1, 5ms } }, start + 10ms);
