Crashes of calls that were sent one after the other count each

Cause: crashes within 300 ms count once, since servers that fail together block no part. Requests with the part, each sent to a second server, crashed all six servers 112 to 139 ms apart, which counted as two; three are needed. All were down then, and requests that waited went out when they were back.

Ruled out: lost or late records, and requests that are not checked again while they wait.

Change: a crash is recorded as 300 ms after those of the part that were known when its call was sent; the server can't have failed together with those.

--- a/include/foxtailwheel/serving/CrashingParts.h
+++ b/include/foxtailwheel/serving/CrashingParts.h
@@ -16,7 +16,9 @@
     PromptPartId part;
     BackendServerId server;
     std::uint32_t number = 1; ///< Tells the crashes of the same server apart.
-    WallTime at {}; ///< By the clock of the instance that recorded it.
+    /// By the clock of the instance that recorded it, but `simultaneousWindow` after the crashes of the part that were
+    /// known when the call was sent.
+    WallTime at {};
     /// All parts of the prompt were recorded. Instances of earlier builds leave out or merge parts with some IDs.
     bool isComplete = true;
 
@@ -43,7 +45,8 @@
 public:
     /// @brief Number of crashes from which a part is blocked.
     static constexpr std::size_t minCrashes = 3;
-    /// @brief Crashes within this time count once: servers that fail together have another cause than one prompt.
+    /// @brief Crashes within this time count once: servers that fail together have another cause than one prompt. They
+    /// count by themselves if the later call was sent after the earlier crash was known.
     static constexpr Duration simultaneousWindow = std::chrono::milliseconds(300);
 
     /// @param epoch Time of day at `TimePoint {}`.
@@ -53,7 +56,9 @@
     }
 
     /// @brief A call broke after the head of its response and before the first event.
-    CrashRecordUpdate onCrash(const std::vector<PromptPart>& prompt, const BackendServerId& server, TimePoint now);
+    /// @param sentAt Time at which the call was sent.
+    CrashRecordUpdate onCrash(
+        const std::vector<PromptPart>& prompt, const BackendServerId& server, TimePoint sentAt, TimePoint now);
     /// @brief The first event of a response has arrived.
     CrashRecordUpdate onAnswerBegan(const std::vector<PromptPart>& prompt, TimePoint now);
     /// @brief Replaces the records by those that the instances share. Own changes that are not among them yet persist.
@@ -77,6 +82,7 @@
     };
 
     std::uint32_t numberOf(const BackendServerId& server, TimePoint now) const;
+    WallTime recordedTime(const PromptPartId& part, TimePoint sentAt, TimePoint now) const;
     bool isOnlySuspect(const PromptPartId& part, const std::vector<PromptPart>& prompt) const;
     void remove(const PromptPartId& part, const CrashId& id);
     void removeOwn(const CrashRecord& record, TimePoint now, CrashRecordUpdate& out);
--- a/src/foxtailwheel/serving/CrashingParts.cpp
+++ b/src/foxtailwheel/serving/CrashingParts.cpp
@@ -81,16 +81,31 @@
     out.removed.push_back(record);
 }
 
+/// Returns the time of a crash for the records of a part. The server had not failed yet when the crashes that were
+/// known as the call was sent happened, however little time has passed.
+WallTime CrashingParts::recordedTime(const PromptPartId& part, TimePoint sentAt, TimePoint now) const
+{
+    auto at = std::chrono::floor<std::chrono::milliseconds>(m_epoch + now.time_since_epoch());
+    const auto known = m_crashes.find(part);
+    if (known == m_crashes.end())
+        return at;
+    for (const auto& [id, crash] : known->second) {
+        if (crash.learnedAt <= sentAt)
+            at = std::max(at, crash.at + std::chrono::duration_cast<std::chrono::milliseconds>(simultaneousWindow));
+    }
+    return at;
+}
+
 CrashRecordUpdate CrashingParts::onCrash(
-    const std::vector<PromptPart>& prompt, const BackendServerId& server, TimePoint now)
+    const std::vector<PromptPart>& prompt, const BackendServerId& server, TimePoint sentAt, TimePoint now)
 {
     CrashRecordUpdate update;
     removeExpired(now, update);
     const CrashId id { server, numberOf(server, now) };
-    const Crash crash { now, std::chrono::floor<std::chrono::milliseconds>(m_epoch + now.time_since_epoch()) };
     for (const auto& it : sharedParts(prompt)) {
         if (!m_crashes.contains(it.id) && m_crashes.size() >= maxSuspects)
             continue;
+        const Crash crash { now, recordedTime(it.id, sentAt, now) };
         if (!m_crashes[it.id].try_emplace(id, crash).second)
             continue;
         m_ownChanges[{ it.id, id }] = { crash, now };
--- a/src/foxtailwheel/serving/CrashingPartsTest.cpp
+++ b/src/foxtailwheel/serving/CrashingPartsTest.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr TimePoint start { 1h };
+constexpr TimePoint sentAt = start - 1min; ///< Of calls that were in progress before any crash.
 const PromptPartId common = makePromptPartId("1");
 const PromptPartId deadly = makePromptPartId("9c41d07be2a35f689c41d07be2a35f68");
 
@@ -48,7 +49,7 @@
     std::vector<CrashRecord> records;
     for (int i = 0; i < 3; ++i) {
         const auto now = start + i * 700ms;
-        applyUpdate(instances[i].onCrash(promptOf({ common, deadly }), server(i), now), records);
+        applyUpdate(instances[i].onCrash(promptOf({ common, deadly }), server(i), sentAt, now), records);
         for (auto& it : instances)
             it.setRecords(records, now + 100ms);
     }
@@ -63,7 +64,7 @@
     CrashingParts running;
     std::vector<CrashRecord> records;
     for (int i = 0; i < 3; ++i)
-        applyUpdate(running.onCrash(promptOf({ common, deadly }), server(i), start + i * 1s), records);
+        applyUpdate(running.onCrash(promptOf({ common, deadly }), server(i), sentAt, start + i * 1s), records);
     CrashingParts restarted;
     restarted.setRecords(records, start + 5s);
     cr_assert(restarted.blockedFor(promptOf({ common, deadly }), start + 5s));
@@ -73,7 +74,7 @@
 {
     CrashingParts parts;
     for (int i = 0; i < 3; ++i)
-        parts.onCrash(promptOf({ common }), server(i), start + i * 1s);
+        parts.onCrash(promptOf({ common }), server(i), sentAt, start + i * 1s);
     cr_assert(parts.blockedFor(promptOf({ common }), start + 3s));
     const auto update = parts.onAnswerBegan(promptOf({ common }), start + 3s);
     cr_assert_eq(update.removed.size(), 3);
@@ -86,15 +87,24 @@
 {
     CrashingParts parts;
     for (int i = 0; i < 6; ++i)
-        parts.onCrash(promptOf({ common }), server(i), start + i * 40ms);
+        parts.onCrash(promptOf({ common }), server(i), sentAt, start + i * 40ms);
     cr_assert(!parts.blockedFor(promptOf({ common }), start + 1s));
 }
 
+// A part that crashed all servers one after the other, each within 300 ms, was not blocked when they were back.
+Test(CrashingParts, crashesOfCallsThatWereSentOneAfterTheOtherCount)
+{
+    CrashingParts parts;
+    for (int i = 0; i < 3; ++i)
+        parts.onCrash(promptOf({ common }), server(i), start + i * 100ms, start + (i + 1) * 100ms);
+    cr_assert(parts.blockedFor(promptOf({ common }), start + 1s));
+}
+
 Test(CrashingParts, callsThatBreakInTheSameCrashCountOnce)
 {
     CrashingParts parts;
     for (int i = 0; i < 5; ++i)
-        parts.onCrash(promptOf({ common }), server(1), start + i * 320ms);
+        parts.onCrash(promptOf({ common }), server(1), sentAt, start + i * 320ms);
     cr_assert(!parts.blockedFor(promptOf({ common }), start + 2s));
 }
 
@@ -102,12 +112,12 @@
 {
     CrashingParts parts;
     for (int i = 0; i < 3; ++i)
-        parts.onCrash(promptOf({ deadly }), server(i), start + i * 1s);
+        parts.onCrash(promptOf({ deadly }), server(i), sentAt, start + i * 1s);
     const auto first = parts.blockedFor(promptOf({ deadly }), start + 2s);
     cr_assert(first);
     const auto retryAt = start + 2s + *first;
     cr_assert(!parts.blockedFor(promptOf({ deadly }), retryAt));
-    parts.onCrash(promptOf({ deadly }), server(4), retryAt);
+    parts.onCrash(promptOf({ deadly }), server(4), sentAt, retryAt);
     const auto second = parts.blockedFor(promptOf({ deadly }), retryAt);
     cr_assert(second && *second > *first);
 }
@@ -115,7 +125,7 @@
 Test(CrashingParts, oldRecordsAreRemoved)
 {
     CrashingParts parts;
-    parts.onCrash(promptOf({ deadly }), server(1), start);
+    parts.onCrash(promptOf({ deadly }), server(1), sentAt, start);
     const auto update = parts.onAnswerBegan(promptOf({ common }), start + 1h);
     cr_assert_eq(update.removed.size(), 1);
     cr_assert_eq(update.removed[0].part, deadly);
@@ -126,7 +136,7 @@
 {
     CrashingParts parts;
     for (int i = 0; i < 3; ++i)
-        parts.onCrash(promptOf({ makePromptPartId("0AB1") }), server(i), start + i * 1s);
+        parts.onCrash(promptOf({ makePromptPartId("0AB1") }), server(i), sentAt, start + i * 1s);
     cr_assert(parts.blockedFor(promptOf({ makePromptPartId("0AB1") }), start + 3s));
     for (const auto* it : { "AB1", "0ab1", "ab1", "00AB1" })
         cr_assert(!parts.blockedFor(promptOf({ makePromptPartId(it) }), start + 3s), "%s", it);
@@ -142,10 +152,10 @@
         records.push_back({ common, server(1), i, WallTime(i * 1s), false });
     parts.setRecords(records, start);
     cr_assert(!parts.blockedFor(promptOf({ common }), start));
-    parts.onCrash(promptOf({ common, deadly }), server(2), start + 5s);
+    parts.onCrash(promptOf({ common, deadly }), server(2), sentAt, start + 5s);
     cr_assert(!parts.blockedFor(promptOf({ common }), start + 5s), "the other part may be the cause");
     for (int i = 0; i < 2; ++i)
-        parts.onCrash(promptOf({ common, deadly }), server(3), start + 10s + i * 5s);
+        parts.onCrash(promptOf({ common, deadly }), server(3), sentAt, start + 10s + i * 5s);
     cr_assert(parts.blockedFor(promptOf({ common, deadly }), start + 15s));
     cr_assert(!parts.blockedFor(promptOf({ common }), start + 15s));
 }
@@ -156,6 +166,6 @@
     CrashingParts parts;
     parts.setRecords(
         { { common, server(1), 1, WallTime(1s), false }, { common, server(2), 1, WallTime(2s), false } }, start);
-    parts.onCrash(promptOf({ common }), server(3), start + 3s);
+    parts.onCrash(promptOf({ common }), server(3), sentAt, start + 3s);
     cr_assert(parts.blockedFor(promptOf({ common }), start + 3s));
 }
--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -401,7 +401,7 @@
 {
     if (!run.route->streaming || !call.headReceived || call.eventReceived)
         return;
-    auto update = m_crashingParts.onCrash(run.request.prompt, call.server, now);
+    auto update = m_crashingParts.onCrash(run.request.prompt, call.server, call.sentAt, now);
     if (update.added.empty() && update.removed.empty())
         return;
     logDecision(run, "crash_recorded",
