--- a/include/foxtailwheel/http/Message.h
+++ b/include/foxtailwheel/http/Message.h
@@ -21,6 +21,8 @@
 
 /// @brief Returns the value of the first field with this name, compared case-insensitively; empty if there is none.
 std::string_view findHeader(const Headers& headers, std::string_view name);
+/// @brief Returns the values of all fields with this name as one comma-separated list (RFC 9110, section 5.3).
+std::string joinHeaders(const Headers& headers, std::string_view name);
 
 /// @brief An HTTP request.
 struct Request {
--- a/src/foxtailwheel/http/Message.cpp
+++ b/src/foxtailwheel/http/Message.cpp
@@ -41,6 +41,16 @@
     return it == headers.end() ? std::string_view() : std::string_view(it->value);
 }
 
+std::string joinHeaders(const Headers& headers, std::string_view name)
+{
+    std::string list;
+    for (const auto& it : headers) {
+        if (equalsIgnoreCase(it.name, name))
+            list += (list.empty() ? "" : ",") + it.value;
+    }
+    return list;
+}
+
 std::string_view Request::path() const
 {
     return std::string_view(target).substr(0, target.find('?'));
