--- a/src/foxtailwheel/serving/EventStream.cpp
+++ b/src/foxtailwheel/serving/EventStream.cpp
@@ -28,9 +28,11 @@
         line.remove_prefix(idField.size());
         if (line.starts_with(' '))
             line.remove_prefix(1);
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
         std::uint64_t id = 0;
         const auto [rest, ec] = std::from_chars(line.data(), line.data() + line.size(), id);
-        return ec == std::errc() ? std::optional(id) : std::nullopt;
+        return ec == std::errc() && rest == line.data() + line.size() ? std::optional(id) : std::nullopt;
     }
 
     /// Reads the lines of an event; only its first `id:` line counts.
--- a/src/foxtailwheel/serving/EventStreamTest.cpp
+++ b/src/foxtailwheel/serving/EventStreamTest.cpp
@@ -36,6 +36,16 @@
     cr_assert(!events[0].id);
 }
 
+// Events whose ids only begin with a number had the same one, and all but the first were taken for repeated.
+Test(EventSplitter, idThatOnlyBeginsWithANumberIsIgnored)
+{
+    for (const std::string id : { "1a", "1 2", "1-0", "18446744073709551616" }) {
+        EventSplitter splitter;
+        const auto events = splitter.feed("id: " + id + "\r\ndata: a\r\n\r\n");
+        cr_assert(events.size() == 1 && !events[0].id, "%s", id.c_str());
+    }
+}
+
 Test(EventSplitter, blankLineIsFoundAcrossChunksOfOneByte)
 {
     EventSplitter splitter;
--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -240,6 +240,7 @@
             continue;
         if (event.id)
             run->lastEventId = event.id;
+        run->hasUnnumberedEvents = run->hasUnnumberedEvents || (event.hasFields && !event.id);
         forwarded += event.bytes;
     }
     if (!forwarded.empty())
@@ -434,7 +435,8 @@
     const auto failure
         = outcome == ForwardCallOutcome::TimedOut ? ForwardOutcome::TimedOut : ForwardOutcome::BackendFailed;
     auto* state = m_directory.find(run.service);
-    const bool allowed = run.idempotent() && run.possibleExecutions < run.route->maxCallsPerRequest;
+    const bool allowed
+        = run.idempotent() && !run.hasUnnumberedEvents && run.possibleExecutions < run.route->maxCallsPerRequest;
     if (!allowed || !state->retryBudget.tryAcquire(1, now)) {
         fail(run, run.headSent ? ForwardOutcome::StreamBroken : failure, now, out);
         return;
@@ -486,7 +488,7 @@
 bool RoutingForwarder::failOverStream(ForwardRun& run, TimePoint now, ForwardActions& out)
 {
     auto* state = m_directory.find(run.service);
-    if (state == nullptr)
+    if (state == nullptr || run.hasUnnumberedEvents)
         return false;
     const auto servers = state->pool->availableServers(std::numeric_limits<std::uint32_t>::max(), now);
     const bool hasUntried = std::any_of(servers.begin(), servers.end(), [&run](const config::BackendServer& it) {
--- a/src/foxtailwheel/serving/ForwardRun.h
+++ b/src/foxtailwheel/serving/ForwardRun.h
@@ -55,6 +55,7 @@
     bool mayHaveRun = false;
     EventSplitter eventSplitter;
     std::optional<std::uint64_t> lastEventId; ///< Last event that was forwarded to the caller.
+    bool hasUnnumberedEvents = false; ///< Events without a number were forwarded, so no server can go on after them.
     TimePoint lastEventAt; ///< Time of the last event with fields, or of the head of the response.
     bool headSent = false;
 
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -345,6 +345,20 @@
     cr_assert_eq(fixture.outcomes.at(0), ForwardOutcome::Answered);
 }
 
+// A server that went on after the last event with a number sent those without one again.
+Test(Forwarder, streamWithEventsWithoutANumberIsNotResumed)
+{
+    for (const std::string event : { "data: b\n\n", "id: 2b\ndata: b\n\n" }) {
+        ForwarderFixture fixture;
+        fixture.submit("plan");
+        const auto call = fixture.beginStream(start + 100ms);
+        fixture.receive(call, "id: 1\ndata: a\n\n" + event, start + 110ms);
+        fixture.endCall(call, ForwardCallOutcome::Broken, start + 120ms);
+        cr_assert_eq(fixture.sent.size(), 1);
+        cr_assert_eq(fixture.outcomes.at(0), ForwardOutcome::StreamBroken);
+    }
+}
+
 Test(Forwarder, brokenNonResumableStreamIsNotRetried)
 {
     ForwarderFixture fixture;
