Instances that start after a restore of the store wait for the others' version

Cause: a starting instance takes the store's configuration for the newest, and those that know a newer one told nobody.

Ruled out: peers' copies of the table, which hold the older row as well, and asking them for it (TableFollower), which brings the same row.

Change: pings and acknowledgements have the version in force on the sender. In an epoch above 1 an instance without a configuration takes the store's only if no other one has told a higher version, or after 2 s in which none told one.

--- /dev/null
+++ b/include/foxtailwheel/control/RestoredConfigGuard.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "foxtailwheel/base/Ids.h"
+#include "foxtailwheel/base/Units.h"
+#include "foxtailwheel/store/ChangeFeed.h"
+
+namespace foxtailwheel::control {
+
+/// @brief Decides whether an instance that has no configuration yet takes the one that the store has.
+///
+/// A store that has returned from an older copy has an older configuration until the operator writes the newer one
+/// again: it holds credentials that were revoked since. Instances that ran before know the newer one and say so in
+/// their messages, so an instance that starts afterwards hears from one of them first. Not thread-safe.
+class RestoredConfigGuard {
+public:
+    /// @brief Longest time for which a starting instance waits for another one. All others may have just started, too.
+    static constexpr Duration maxWait = std::chrono::seconds(2);
+
+    explicit RestoredConfigGuard(TimePoint startedAt)
+        : m_startedAt(startedAt)
+    {
+    }
+
+    /// @brief Another instance has this version in force.
+    /// @return False if this is no news.
+    bool onPeerVersion(ConfigVersion version);
+    /// @param epoch Of the store's answer that had the configuration.
+    bool admits(ConfigVersion version, store::StoreEpoch epoch, TimePoint now) const;
+    /// @brief Returns the highest version that another instance had in force; 0 if none has said so.
+    ConfigVersion newestPeerVersion() const { return m_newestPeerVersion; }
+
+private:
+    TimePoint m_startedAt;
+    ConfigVersion m_newestPeerVersion;
+};
+
+} // namespace foxtailwheel::control
--- a/include/foxtailwheel/daemon/PeerLink.h
+++ b/include/foxtailwheel/daemon/PeerLink.h
@@ -36,6 +36,8 @@
     std::function<std::vector<routing::ColdNotice>()> coldServers; ///< Returns notices for others; may be empty.
     /// @brief Called for the first message of another instance, and for each one with notices; may be empty.
     std::function<void(const std::vector<routing::ColdNotice>& notices)> onColdServers;
+    std::function<ConfigVersion()> configVersion; ///< Returns the version in force, for others; may be empty.
+    std::function<void(ConfigVersion)> onConfigVersion; ///< Another instance has it in force; may be empty.
 };
 
 /// @brief Options of a peer link.
--- a/include/foxtailwheel/membership/Member.h
+++ b/include/foxtailwheel/membership/Member.h
@@ -50,6 +50,8 @@
     std::vector<ServerNotice> servers;
     std::vector<routing::SharedLoad> loads; ///< Newest first; empty where load is not shared.
     std::vector<routing::ColdNotice> coldServers {}; ///< Known to the sender itself.
+    ConfigVersion
+        configVersion {}; ///< In force on the sender; 0 if it has none, or its version isn't gossiped this way.
 
     friend bool operator==(const Digest&, const Digest&) = default;
 };
--- a/include/foxtailwheel/peer/Messages_generated.h
+++ b/include/foxtailwheel/peer/Messages_generated.h
@@ -567,7 +567,8 @@
     VT_SERVERS = 8,
     VT_LOADS = 10,
     VT_COLD_SERVERS = 12,
-    VT_LOAD_TIME_PERCENTS = 14
+    VT_LOAD_TIME_PERCENTS = 14,
+    VT_CONFIG_VERSION = 16
   };
   const foxtailwheel::peer::wire::Member *sender() const {
     return GetPointer<const foxtailwheel::peer::wire::Member *>(VT_SENDER);
@@ -587,6 +588,9 @@
   const flatbuffers::Vector<uint16_t> *load_time_percents() const {
     return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_LOAD_TIME_PERCENTS);
   }
+  uint64_t config_version() const {
+    return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -603,6 +607,7 @@
            verifier.VerifyVector(cold_servers()) &&
            VerifyOffset(verifier, VT_LOAD_TIME_PERCENTS) &&
            verifier.VerifyVector(load_time_percents()) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
            verifier.EndTable();
   }
 };
@@ -629,6 +634,9 @@
   void add_load_time_percents(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> load_time_percents) {
     fbb_.AddOffset(Digest::VT_LOAD_TIME_PERCENTS, load_time_percents);
   }
+  void add_config_version(uint64_t config_version) {
+    fbb_.AddElement<uint64_t>(Digest::VT_CONFIG_VERSION, config_version, 0);
+  }
   explicit DigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -647,8 +655,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtailwheel::peer::wire::ServerNotice>>> servers = 0,
     flatbuffers::Offset<flatbuffers::Vector<const foxtailwheel::peer::wire::ServerLoad *>> loads = 0,
     flatbuffers::Offset<flatbuffers::Vector<const foxtailwheel::peer::wire::ColdServer *>> cold_servers = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> load_time_percents = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> load_time_percents = 0,
+    uint64_t config_version = 0) {
   DigestBuilder builder_(_fbb);
+  builder_.add_config_version(config_version);
   builder_.add_load_time_percents(load_time_percents);
   builder_.add_cold_servers(cold_servers);
   builder_.add_loads(loads);
@@ -665,7 +675,8 @@
     const std::vector<flatbuffers::Offset<foxtailwheel::peer::wire::ServerNotice>> *servers = nullptr,
     const std::vector<foxtailwheel::peer::wire::ServerLoad> *loads = nullptr,
     const std::vector<foxtailwheel::peer::wire::ColdServer> *cold_servers = nullptr,
-    const std::vector<uint16_t> *load_time_percents = nullptr) {
+    const std::vector<uint16_t> *load_time_percents = nullptr,
+    uint64_t config_version = 0) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<foxtailwheel::peer::wire::Member>>(*members) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<foxtailwheel::peer::wire::ServerNotice>>(*servers) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<foxtailwheel::peer::wire::ServerLoad>(*loads) : 0;
@@ -678,7 +689,8 @@
       servers__,
       loads__,
       cold_servers__,
-      load_time_percents__);
+      load_time_percents__,
+      config_version);
 }
 
 struct Ping FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/foxtailwheel/daemon/PeerLink.cpp
+++ b/src/foxtailwheel/daemon/PeerLink.cpp
@@ -110,6 +110,7 @@
                 [this, send, &reports](auto message) {
                     message.digest.loads = reports.loads;
                     message.digest.coldServers = reports.coldServers;
+                    message.digest.configVersion = reports.configVersion;
                     transport->send(send->to, peer::Message(std::move(message)));
                 },
                 send->message);
@@ -191,6 +192,8 @@
         digest.loads = callbacks.loadReports();
     if (callbacks.coldServers)
         digest.coldServers = callbacks.coldServers();
+    if (callbacks.configVersion)
+        digest.configVersion = callbacks.configVersion();
 }
 
 void PeerLink::Impl::takeReports(const membership::Digest& digest)
@@ -201,6 +204,8 @@
     const bool isFirst = !std::exchange(hasHeardPeers, true);
     if (callbacks.onColdServers && (isFirst || !digest.coldServers.empty()))
         callbacks.onColdServers(digest.coldServers);
+    if (callbacks.onConfigVersion && digest.configVersion > ConfigVersion())
+        callbacks.onConfigVersion(digest.configVersion);
 }
 
 void PeerLink::Impl::onMessage(const peer::Message& message)
--- a/src/foxtailwheel/peer/Message.cpp
+++ b/src/foxtailwheel/peer/Message.cpp
@@ -128,7 +128,8 @@
         const auto coldServers = digest.coldServers.empty() ? 0 : fbb.CreateVectorOfStructs(pack(digest.coldServers));
         const auto timeRatios = packTimeRatios(digest.loads);
         const auto timeRatioVector = timeRatios.empty() ? 0 : fbb.CreateVector(timeRatios);
-        return wire::CreateDigest(fbb, sender, memberVector, serverVector, loads, coldServers, timeRatioVector);
+        return wire::CreateDigest(
+            fbb, sender, memberVector, serverVector, loads, coldServers, timeRatioVector, digest.configVersion.value());
     }
 
     auto pack(FlatBufferBuilder& fbb, const std::vector<AccountRate>& rates)
@@ -347,6 +348,7 @@
         }
         out.loads = unpack(digest->loads(), digest->load_time_percents());
         out.coldServers = unpack(digest->cold_servers());
+        out.configVersion = ConfigVersion(digest->config_version());
         return out;
     }
 
--- a/src/foxtailwheel/peer/PeerTest.cpp
+++ b/src/foxtailwheel/peer/PeerTest.cpp
@@ -37,7 +37,7 @@
     membership::Digest digest { makeMember("x"), { makeMember("y"), makeMember("z") },
         { { BackendServerId("s"), true, 77 } },
         { { 0xfedcba9876543210U, 12, 3, 2.5, 1200ms, 1.75 }, { 5, 0, 0, 1, 0ms } },
-        { { 0x0123456789abcdefU, 2900ms }, { 6, 1ms } } };
+        { { 0x0123456789abcdefU, 2900ms }, { 6, 1ms } }, ConfigVersion(12) };
     return {
         membership::Ping { 3, InstanceId("t"), digest },
         membership::Ack { 4, InstanceId("u"), digest },
