Calls free their second copy of a request's body

Cause: the second copy of a body in each call was meant to be freed by the assignment of an empty string, which keeps the memory of the old one. A hedged request was so held five times; the budget counts two copies.

Change: the memory is swapped out, which leaves three copies of a hedged request.

--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -189,8 +189,9 @@
         = [self = shared_from_this(), id](http::CallResult result) { self->onDone(id, std::move(result)); };
     auto& call = calls[id];
     call.request = std::move(send);
-    // The body is in the call and in the request that the forwarder keeps; a third copy would only take memory.
-    call.request.message.body = std::string();
+    // The body is in the call and in the request that the forwarder keeps; a third copy would only take memory. An
+    // assignment could keep it.
+    std::string().swap(call.request.message.body);
     call.httpCall = client.start(std::move(request), std::move(callbacks));
 }
 
