--- a/include/foxtailwheel/config/Routes.h
+++ b/include/foxtailwheel/config/Routes.h
@@ -28,7 +28,7 @@
 /// @brief A stage whose pieces must complete before the request itself is sent.
 struct RouteStage {
     ServiceId service;
-    std::vector<StageIndex> dependsOn; ///< Stages whose results are inputs of the pieces.
+    std::vector<StageIndex> dependsOn; ///< Stages whose results are inputs of the pieces; they may be listed later.
     std::uint64_t resultBytes = 0; ///< Approximate size of one piece's result.
 };
 
@@ -49,6 +49,7 @@
     bool prefixAffinity = false; ///< Requests with a common prompt prefix benefit from the same server.
     std::vector<RouteTarget> targets;
     std::vector<RouteStage> stages;
+    std::vector<StageIndex> stageOrder {}; ///< Each stage after those it depends on; set by `RouteTable::buildIndex`.
     std::set<std::string> allowedRegions {}; ///< Requests go only to servers in these regions; empty for all.
 };
 
@@ -101,7 +102,8 @@
     /// @brief Returns the route of `host` with the longest prefix of `path`; null if there is none.
     const Route* findRoute(std::string_view host, std::string_view path) const;
     const RoutedService* findService(const ServiceId& id) const;
-    /// @brief Builds the index that `findRoute` uses; must be called once, after `routes` is complete.
+    /// @brief Builds the index that `findRoute` uses and orders the stages; must be called once, after `routes` is
+    /// complete. The order lacks stages that depend on each other or on one that does not exist.
     void buildIndex();
 
 private:
--- a/src/foxtailwheel/config/Routes.cpp
+++ b/src/foxtailwheel/config/Routes.cpp
@@ -4,8 +4,35 @@
 
 namespace foxtailwheel::config {
 
+namespace {
+
+    /// Returns the stages so that each comes after those it depends on, and otherwise as they are listed.
+    std::vector<StageIndex> orderOf(const std::vector<RouteStage>& stages)
+    {
+        std::vector<StageIndex> order;
+        std::vector<bool> ordered(stages.size(), false);
+        const auto isReady = [&](const RouteStage& stage) {
+            return std::all_of(stage.dependsOn.begin(), stage.dependsOn.end(),
+                [&](StageIndex it) { return it < ordered.size() && ordered[it]; });
+        };
+        for (StageIndex i = 0; i < stages.size();) {
+            if (ordered[i] || !isReady(stages[i])) {
+                ++i;
+                continue;
+            }
+            ordered[i] = true;
+            order.push_back(i);
+            i = 0;
+        }
+        return order;
+    }
+
+} // namespace
+
 void RouteTable::buildIndex()
 {
+    for (auto& it : routes)
+        it.stageOrder = orderOf(it.stages);
     m_routesByHost.clear();
     for (std::size_t i = 0; i < routes.size(); ++i)
         m_routesByHost[routes[i].host].push_back(i);
--- a/src/foxtailwheel/serving/ForwardRequests.cpp
+++ b/src/foxtailwheel/serving/ForwardRequests.cpp
@@ -33,7 +33,7 @@
     {
         std::vector<Duration> done(run.stages.size());
         Duration longest {};
-        for (StageIndex i = 0; i < run.stages.size(); ++i) {
+        for (const auto i : run.route->stageOrder) {
             for (const auto needed : run.route->stages[i].dependsOn)
                 done[i] = std::max(done[i], done[needed]);
             if (run.stages[i].missing > 0)
--- a/src/foxtailwheel/serving/ForwardStages.cpp
+++ b/src/foxtailwheel/serving/ForwardStages.cpp
@@ -66,7 +66,7 @@
 {
     Duration after = usualTimeToFirstByte(run);
     std::vector<bool> follows(run.stages.size(), false);
-    for (StageIndex i = stage + 1; i < run.stages.size(); ++i) {
+    for (const auto i : run.route->stageOrder) {
         const auto& needs = run.route->stages[i].dependsOn;
         follows[i] = std::any_of(needs.begin(), needs.end(), [&](StageIndex it) { return it == stage || follows[it]; });
         const auto* service = run.table->findService(run.route->stages[i].service);
@@ -81,9 +81,9 @@
 /// equally among them.
 long RoutingForwarder::countRemainingStages(const ForwardRun& run, StageIndex stage)
 {
-    return 1
-        + std::count_if(run.stages.begin() + static_cast<std::ptrdiff_t>(stage) + 1, run.stages.end(),
-            [](const StageProgress& it) { return it.missing > 0; });
+    const auto& order = run.route->stageOrder;
+    const auto at = std::find(order.begin(), order.end(), stage);
+    return std::count_if(at, order.end(), [&](StageIndex it) { return it == stage || run.stages[it].missing > 0; });
 }
 
 /// Returns the zone for the pieces of a stage that minimizes transfers between zones. Each piece reads all results of
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -768,6 +768,29 @@
     cr_assert_eq(fixture.sent.size(), 1);
 }
 
+// Stages run in the order of their dependencies, not in the one in which they are listed.
+Test(Forwarder, stageListedFirstWaitsForTheOneItDependsOn)
+{
+    ForwarderFixture fixture;
+    auto changed = std::make_shared<config::RouteTable>(*fixture.forwarder->table());
+    changed->version = 2;
+    for (auto& it : changed->routes) {
+        if (it.name == "staged")
+            it.stages = { { ServiceId("bill"), { 1 }, 600 }, { ServiceId("portal"), {}, 8000 } };
+    }
+    changed->buildIndex();
+    fixture.collectActions([&](auto& out) { fixture.forwarder->configure(changed, start, out); });
+    fixture.pieces = { 3, 2 };
+    fixture.submit("staged");
+    cr_assert_eq(fixture.batches.size(), 1);
+    cr_assert_eq(fixture.batches[0].service.value(), "portal");
+    fixture.endBatch(fixture.batches[0], start + 234ms);
+    cr_assert_eq(fixture.batches.at(1).service.value(), "bill");
+    cr_assert_eq(fixture.batches[1].pieces.at(0).inputs.size(), 2);
+    fixture.endBatch(fixture.batches[1], start + 500ms);
+    cr_assert_eq(fixture.sent.at(0).inputs.size(), 3);
+}
+
 // The results of a stage whose only reader is omitted were released as soon as they were there.
 Test(Forwarder, resultsOfAStageWhoseReaderIsOmittedAreKeptForTheRequest)
 {
