Request::path is defined in its header

The package serving uses the header http/Message.h alone, as check-layers allows, but called a function of the package http. Without the sanitizer the linker happens not to take those objects out of the library.

Ruled out: linking the program with http, which can't be built under the thread sanitizer (Asio's fences).

Change: the one-line function stands in the header. No behaviour changes.

--- a/include/foxtailwheel/http/Message.h
+++ b/include/foxtailwheel/http/Message.h
@@ -32,7 +32,7 @@
     std::string body;
 
     /// @brief Returns the target without its query.
-    std::string_view path() const;
+    std::string_view path() const { return std::string_view(target).substr(0, target.find('?')); }
     /// @brief Returns a percent-decoded query parameter; empty if it is missing.
     std::string query(std::string_view name) const;
 };
--- a/src/foxtailwheel/http/Message.cpp
+++ b/src/foxtailwheel/http/Message.cpp
@@ -51,11 +51,6 @@
     return list;
 }
 
-std::string_view Request::path() const
-{
-    return std::string_view(target).substr(0, target.find('?'));
-}
-
 std::string Request::query(std::string_view name) const
 {
     const auto queryStart = target.find('?');
