--- a/src/foxtailwheel/peer/PeerTest.cpp
+++ b/src/foxtailwheel/peer/PeerTest.cpp
@@ -196,7 +196,10 @@
         = listenWith(*pool, "the-shared-secret", [&](Message message) { received.set_value(std::move(message)); });
     const auto sender = listenWith(*pool, "the-shared-secret", [](const Message&) {});
     sender->send({ "127.0.0.1", listener->port() }, makeMessages().front());
-    cr_assert(arrived.wait_for(receiveTimeout) == std::future_status::ready);
+    const bool isReady = arrived.wait_for(receiveTimeout) == std::future_status::ready;
+    const auto counts = sender->counts();
+    cr_assert(isReady, "%zu frames sent, %zu dropped", static_cast<std::size_t>(counts.sentFrames),
+        static_cast<std::size_t>(counts.droppedFrames));
     cr_assert(arrived.get() == makeMessages().front());
     pool->stop();
 }
