A configuration that cannot be read confirms no credentials

Cause: the version that the store confirms stayed that of the last configuration which could be read, so credentials went on being confirmed against it.

Fix: an unreadable configuration confirms none. Credentials expire after their maximum age, and the instance is not ready until the operator writes again.

--- a/src/foxtailwheel/control/ConfigIntake.cpp
+++ b/src/foxtailwheel/control/ConfigIntake.cpp
@@ -4,10 +4,9 @@
 
 StoredConfig ConfigIntake::read(const std::string* text, store::StoreEpoch epoch, ConfigVersion active, TimePoint now)
 {
-    if (text == nullptr) {
-        m_storedVersion = {};
+    m_storedVersion = {};
+    if (text == nullptr)
         return {};
-    }
     auto decoded = m_decoder(*text);
     if (!decoded)
         return { ConfigDecision::Unreadable, nullptr, decoded.error().message() };
--- a/src/foxtailwheel/control/ConfigIntakeTest.cpp
+++ b/src/foxtailwheel/control/ConfigIntakeTest.cpp
@@ -46,6 +46,17 @@
     cr_assert_eq(fixture.intake.storedVersion().value(), 0);
 }
 
+// Credentials that an unreadable configuration had taken away were confirmed against the one before, forever.
+Test(ConfigIntake, unreadableConfigurationConfirmsNoCredentials)
+{
+    Fixture fixture;
+    cr_assert(fixture.read("7", 0) == ConfigDecision::Taken);
+    cr_assert(fixture.read("unreadable", 7) == ConfigDecision::Unreadable);
+    cr_assert_eq(fixture.intake.storedVersion().value(), 0);
+    cr_assert(fixture.read("12", 7) == ConfigDecision::Taken);
+    cr_assert_eq(fixture.intake.storedVersion().value(), 12);
+}
+
 Test(ConfigIntake, configurationOfARestoredStoreIsHeldUntilPeersAreKnown)
 {
     Fixture fixture;
