A configuration with faults is in force but for what cannot be read

A version whose stages form a cycle was rejected whole, so an instance that started after it served nothing.

Decision: what is in force depends on the version alone, not on what an instance had before.

Requests with pieces for a stage that the version in force does not have are refused with 503: their pieces were left out, and the request ran without them.

--- a/include/foxtailwheel/config/Routes.h
+++ b/include/foxtailwheel/config/Routes.h
@@ -2,6 +2,7 @@
 
 #include "foxtailwheel/base/Ids.h"
 #include "foxtailwheel/base/Units.h"
+#include "foxtailwheel/config/ConfigFaults.h"
 #include "foxtailwheel/config/Declarations.h"
 
 #include <cstdint>
@@ -51,6 +52,7 @@
     std::vector<RouteStage> stages;
     std::vector<StageIndex> stageOrder {}; ///< Each stage after those it depends on; set by `RouteTable::buildIndex`.
     std::set<std::string> allowedRegions {}; ///< Requests go only to servers in these regions; empty for all.
+    bool usable = true; ///< Otherwise the route cannot be read as it is declared, and its requests are refused.
 };
 
 /// @brief Batching limits of a backend server, which processes pieces of several requests in one call.
@@ -80,6 +82,7 @@
     ClientAccountId account;
     std::optional<std::uint32_t> priority; ///< Overrides the priority of the route.
     std::set<std::string> allowedRegions {}; ///< Requests go only to servers in these regions; empty for all.
+    bool usable = true; ///< Otherwise the account cannot be read as it is declared, and its requests are refused.
 };
 
 /// @brief Limits for connections and requests of callers.
@@ -98,8 +101,10 @@
     std::unordered_map<std::string, CredentialOwner> credentials;
     bool needsCredentials = false; ///< Routes that are not public require a credential.
     CallerLimits limits;
+    ConfigFaults faults {}; ///< Parts that cannot be read as they are written.
 
-    /// @brief Returns the route of `host` with the longest prefix of `path`; null if there is none.
+    /// @brief Returns the route of `host` with the longest prefix of `path`, also if it is not usable; null if
+    /// there is none.
     const Route* findRoute(std::string_view host, std::string_view path) const;
     const RoutedService* findService(const ServiceId& id) const;
     /// @brief Builds the index that `findRoute` uses and orders the stages; must be called once, after `routes` is
--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -104,7 +104,9 @@
 enum class ForwardOutcome {
     Answered, ///< The backend server's response was forwarded, whatever its status.
     NoConfiguration,
+    InvalidConfiguration, ///< The configuration declares what the request needs in a way that cannot be used.
     NoRoute,
+    UnknownStage, ///< The request has pieces for a stage that the configuration in force does not have.
     BadCredential,
     CredentialsOutdated,
     BadRequest,
--- a/include/foxtailwheel/serving/PlacementExplanation.h
+++ b/include/foxtailwheel/serving/PlacementExplanation.h
@@ -42,6 +42,7 @@
 /// @brief Where a request would go now, and why.
 struct PlacementExplanation {
     std::string route; ///< Empty if no route matches; nothing else is set then.
+    bool usable = true; ///< Otherwise the configuration declares the route in a way that cannot be used.
     ServiceId service; ///< The target of the route with the highest weight.
     bool scheduled = false; ///< Scheduling under overload is on for the service.
     std::optional<AvailabilityZoneId> zone; ///< Preferred zone.
--- a/src/foxtailwheel/serving/ForwardExplain.cpp
+++ b/src/foxtailwheel/serving/ForwardExplain.cpp
@@ -96,6 +96,10 @@
     const auto* route = m_table ? m_table->findRoute(request.host, request.message.path()) : nullptr;
     if (route == nullptr)
         return out;
+    out.route = route->name;
+    out.usable = route->usable;
+    if (!route->usable)
+        return out;
     ForwardRun run;
     run.request = request;
     run.table = m_table;
@@ -112,7 +116,6 @@
         run.stages[i].missing = i < request.pieceCounts.size() ? request.pieceCounts[i] : 0;
     restrictToRegions(run, route->allowedRegions);
     chooseZone(run, now);
-    out.route = route->name;
     out.service = run.service;
     out.scheduled = isScheduled(run.service);
     out.zone = run.homeZone;
--- a/src/foxtailwheel/serving/ForwardNames.cpp
+++ b/src/foxtailwheel/serving/ForwardNames.cpp
@@ -37,8 +37,12 @@
         return "answered";
     case ForwardOutcome::NoConfiguration:
         return "no_configuration";
+    case ForwardOutcome::InvalidConfiguration:
+        return "invalid_configuration";
     case ForwardOutcome::NoRoute:
         return "no_route";
+    case ForwardOutcome::UnknownStage:
+        return "unknown_stage";
     case ForwardOutcome::BadCredential:
         return "bad_credential";
     case ForwardOutcome::CredentialsOutdated:
--- a/src/foxtailwheel/serving/ForwardRequests.cpp
+++ b/src/foxtailwheel/serving/ForwardRequests.cpp
@@ -14,6 +14,8 @@
 
     /// Retry-After hint of an instance that has no configuration or no current credentials.
     constexpr Duration notReadyRetryAfter = 300ms;
+    /// Retry-After hint where the configuration has to be mended first.
+    constexpr Duration invalidConfigurationRetryAfter = 1s;
     /// Fraction of its remaining time within which a late request must be expected to complete to be accepted. Requests
     /// that arrive afterwards may still be served before it.
     constexpr double safeCompletionShare = 0.7;
@@ -27,6 +29,27 @@
     /// Retention of the longest caller timeout of a route.
     constexpr Duration callerTimeoutRetention = 10s;
 
+    Duration retryAfterOf(ForwardOutcome refusal)
+    {
+        switch (refusal) {
+        case ForwardOutcome::CredentialsOutdated:
+            return notReadyRetryAfter;
+        case ForwardOutcome::InvalidConfiguration:
+            return invalidConfigurationRetryAfter;
+        default:
+            return {};
+        }
+    }
+
+    /// Pieces of another stage would be left out without a word: the caller knows another version of the route.
+    bool hasUnknownStage(const ForwardRequest& request, const config::Route& route)
+    {
+        const auto& counts = request.pieceCounts;
+        return counts.size() > route.stages.size()
+            && std::any_of(counts.begin() + static_cast<std::ptrdiff_t>(route.stages.size()), counts.end(),
+                [](std::uint32_t n) { return n > 0; });
+    }
+
     /// Returns the longest path through the stages of a request.
     /// @param endOf Returns the time at which a stage with missing pieces ends, given its index and start.
     template <class EndOf> Duration longestPath(const ForwardRun& run, EndOf endOf)
@@ -98,6 +121,8 @@
     const auto it = m_table->credentials.find(run.request.credential);
     if (run.request.credential.empty() || it == m_table->credentials.end())
         return ForwardOutcome::BadCredential;
+    if (!it->second.usable)
+        return ForwardOutcome::InvalidConfiguration;
     run.account = it->second.account;
     restrictToRegions(run, it->second.allowedRegions);
     run.priority = it->second.priority.value_or(run.route->priority);
@@ -141,11 +166,14 @@
         refuse(run, ForwardOutcome::NoRoute, {}, now, out);
         return;
     }
+    if (!run.route->usable) {
+        refuse(run, ForwardOutcome::InvalidConfiguration, invalidConfigurationRetryAfter, now, out);
+        return;
+    }
     run.priority = run.route->priority;
     restrictToRegions(run, run.route->allowedRegions);
     if (const auto outcome = authorize(run, now)) {
-        refuse(run, *outcome, *outcome == ForwardOutcome::CredentialsOutdated ? notReadyRetryAfter : Duration {}, now,
-            out);
+        refuse(run, *outcome, retryAfterOf(*outcome), now, out);
         return;
     }
     start(run, now, out);
@@ -190,6 +218,14 @@
     const auto& route = *run.route;
     run.deadline = now + std::min(route.timeout, run.request.remainingTime.value_or(route.timeout));
     run.service = pickService(run);
+    if (run.table->findService(run.service) == nullptr) {
+        refuse(run, ForwardOutcome::InvalidConfiguration, invalidConfigurationRetryAfter, now, out);
+        return;
+    }
+    if (hasUnknownStage(run.request, route)) {
+        refuse(run, ForwardOutcome::UnknownStage, notReadyRetryAfter, now, out);
+        return;
+    }
     if (refuseIfAllPaused(run, now, out))
         return;
     run.firstAttemptAt = now - timeSpentOnEarlierAttempts(run, now);
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -791,6 +791,48 @@
     cr_assert_eq(fixture.sent.at(0).inputs.size(), 3);
 }
 
+// A route that could not be read was dropped, and its requests went to the service of a route with a shorter prefix.
+Test(Forwarder, requestsOfARouteThatCannotBeUsedAreRefusedAtOnce)
+{
+    ForwarderFixture fixture;
+    auto changed = std::make_shared<config::RouteTable>(*fixture.forwarder->table());
+    changed->version = 2;
+    changed->routes.push_back(changed->routes.at(0));
+    changed->routes.back().prefix = "/";
+    changed->routes.at(0).usable = false;
+    changed->routes.at(0).targets.clear();
+    changed->credentials["broken"] = { ClientAccountId("other"), std::nullopt, {}, false };
+    changed->buildIndex();
+    fixture.collectActions([&](auto& out) { fixture.forwarder->configure(changed, start, out); });
+    fixture.submit("safe");
+    fixture.credential = "broken";
+    fixture.submit("book");
+    cr_assert(fixture.sent.empty());
+    cr_assert_eq(fixture.replies.size(), 2);
+    for (const auto& it : fixture.replies) {
+        cr_assert_eq(it.outcome, ForwardOutcome::InvalidConfiguration);
+        cr_assert_eq(it.response.status, 503);
+    }
+    ForwardRequest query;
+    query.host = "h.example";
+    query.message = { "POST", "/safe/x", {}, {} };
+    cr_assert(!fixture.forwarder->explainPlacement(query, start).usable);
+}
+
+// Pieces of a stage that the version in force does not have were left out, and the request ran without their results.
+Test(Forwarder, requestWithPiecesForAnUnknownStageIsRefused)
+{
+    ForwarderFixture fixture;
+    fixture.pieces = { 1, 1, 2 };
+    fixture.submit("staged");
+    cr_assert(fixture.batches.empty());
+    cr_assert_eq(fixture.replies.at(0).outcome, ForwardOutcome::UnknownStage);
+    cr_assert_eq(fixture.replies[0].response.status, 503);
+    fixture.pieces = { 1, 1, 0 };
+    fixture.submit("staged");
+    cr_assert_eq(fixture.batches.size(), 1);
+}
+
 // The results of a stage whose only reader is omitted were released as soon as they were there.
 Test(Forwarder, resultsOfAStageWhoseReaderIsOmittedAreKeptForTheRequest)
 {
