An owner without the service of a stage refuses its pieces at once

The requester waited 250 ms, sent them to the next candidate, waited again, processed them itself, and sent these owners no pieces of any service for 2 s.

Change: the owner answers with a reason of its own, and the requester processes the pieces itself at once, without avoiding the owner. Older builds read the reason as a failure.

Tests: PieceBroker/ownerWithoutTheServiceRefusesAtOnce failed before.

--- a/include/foxtailwheel/serving/BatchQueue.h
+++ b/include/foxtailwheel/serving/BatchQueue.h
@@ -76,6 +76,7 @@
     OwnerChanged, ///< It was still queued at an instance that no longer owns the service.
     Failed, ///< The server reported an error, or the call broke.
     ZonesDrained, ///< All servers of the service are in drained zones.
+    ServiceUnknown, ///< The owner has another version of the configuration, without the service.
 };
 
 /// @brief Returns the name of a failure as it is written in logs.
--- a/src/foxtailwheel/peer/Message.cpp
+++ b/src/foxtailwheel/peer/Message.cpp
@@ -452,7 +452,7 @@
                 out.pieces.push_back({ it->index(), serving::ResultHandle { handle, producer, out.service } });
             } else {
                 // Newer instances may have further reasons.
-                const bool isKnown = it->failure() <= static_cast<std::uint8_t>(serving::PieceFailure::ZonesDrained);
+                const bool isKnown = it->failure() <= static_cast<std::uint8_t>(serving::PieceFailure::ServiceUnknown);
                 out.pieces.push_back({ it->index(),
                     isKnown ? static_cast<serving::PieceFailure>(it->failure()) : serving::PieceFailure::Failed });
             }
--- a/src/foxtailwheel/serving/BatchNames.cpp
+++ b/src/foxtailwheel/serving/BatchNames.cpp
@@ -13,6 +13,8 @@
         return "no_room";
     case PieceFailure::OwnerChanged:
         return "moved";
+    case PieceFailure::ServiceUnknown:
+        return "service_unknown";
     case PieceFailure::ZonesDrained:
         return "zones_drained";
     case PieceFailure::Failed:
--- a/src/foxtailwheel/serving/PieceBroker.cpp
+++ b/src/foxtailwheel/serving/PieceBroker.cpp
@@ -136,6 +136,7 @@
     void onRequest(const InstanceId& from, const PieceRequest& request, TimePoint now, BrokerActions& out);
     void onAck(const InstanceId& from, const PieceRequestAck& ack, TimePoint now);
     void onCancel(const InstanceId& from, const PieceRequestCancel& cancel);
+    bool onUnknownService(const InstanceId& from, const PieceResults& results, TimePoint now, BrokerActions& out);
     void onResults(const InstanceId& from, const PieceResults& results, TimePoint now, BrokerActions& out);
     void resubmit(const ServiceId& service, PieceGroup group, TimePoint now, BrokerActions& out);
     void handOver(TimePoint now, BrokerActions& out);
@@ -266,8 +267,13 @@
     const InstanceId& from, const PieceRequest& request, TimePoint now, BrokerActions& out)
 {
     auto* queue = findQueue(request.service);
-    if (queue == nullptr)
+    if (queue == nullptr) {
+        PieceResults refusal { request.group, request.service, {}, {} };
+        for (const auto& it : request.pieces)
+            refusal.pieces.push_back({ it.index, PieceFailure::ServiceUnknown });
+        out.emplace_back(SendToInstance { from, std::move(refusal) });
         return;
+    }
     out.emplace_back(
         SendToInstance { from, PieceRequestAck { request.group, queueWaits(*queue, request.pieces.size(), now) } });
     PieceGroup group { request.group, request.pieces, request.priority, now + request.remainingTimeToTarget,
@@ -326,9 +332,31 @@
     });
 }
 
+/// Takes back the pieces that an owner with another version of the configuration refused. Other candidates may have
+/// that version too, so the pieces are processed locally.
+/// @return False if the message has results.
+bool PieceBroker::Impl::onUnknownService(
+    const InstanceId& from, const PieceResults& results, TimePoint now, BrokerActions& out)
+{
+    if (results.pieces.empty() || results.pieces.front().result != PieceResult(PieceFailure::ServiceUnknown))
+        return false;
+    const auto it = outgoingGroups.find(results.group);
+    if (it == outgoingGroups.end() || it->second.owner != from)
+        return true;
+    auto entry = std::move(it->second);
+    outgoingGroups.erase(it);
+    if (log)
+        log({ "owner_lacks_service", entry.group.pieces.front().request,
+            { { "service", entry.service.value() }, { "owner", from.value() } } });
+    enqueueLocally(entry.service, std::move(entry.group), now, out);
+    return true;
+}
+
 void PieceBroker::Impl::onResults(
     const InstanceId& from, const PieceResults& results, TimePoint now, BrokerActions& out)
 {
+    if (onUnknownService(from, results, now, out))
+        return;
     reportedWaits[results.service] = { results.waits, now };
     const auto it = outgoingGroups.find(results.group);
     PieceGroup returned;
--- a/src/foxtailwheel/serving/PieceBrokerTest.cpp
+++ b/src/foxtailwheel/serving/PieceBrokerTest.cpp
@@ -23,6 +23,7 @@
         std::vector<SendBatch> sent;
         std::vector<PieceDone> done;
         std::uint64_t lastCall = 0;
+        bool knowsService = true;
     };
 
     explicit Cluster(std::size_t n, std::size_t servers = 2)
@@ -52,8 +53,9 @@
         it.queue = std::make_unique<BatchQueue>(portal, limits, *it.pool,
             BatchQueueCallbacks {
                 [&it] { return CallId(++it.lastCall); }, [](std::size_t, TimePoint) { return true; } });
-        it.broker = std::make_unique<PieceBroker>(
-            id, [queue = it.queue.get()](const ServiceId& requested) { return requested == portal ? queue : nullptr; });
+        it.broker = std::make_unique<PieceBroker>(id, [&it](const ServiceId& requested) {
+            return requested == portal && it.knowsService ? it.queue.get() : nullptr;
+        });
     }
 
     void setMembers(
@@ -119,6 +121,24 @@
 
 } // namespace
 
+// While a new version spreads, an owner without the service said nothing: pieces waited until two owners in a row had
+// timed out, and no requests of any service went to these for two seconds.
+Test(PieceBroker, ownerWithoutTheServiceRefusesAtOnce)
+{
+    Cluster cluster(3);
+    const auto owner = cluster.owner();
+    const auto requester = cluster.nonOwner();
+    cluster.instances.at(owner).knowsService = false;
+    cluster.submit(requester, 1, 3, start);
+    cr_assert_eq(cluster.instances.at(requester).sent.size(), 1, "the pieces are processed locally");
+    cr_assert_eq(cluster.instances.at(requester).broker->ownerOf(portal, start), owner, "the owner is not avoided");
+    cluster.finishCalls(requester, start + 100ms);
+    cr_assert_eq(cluster.instances.at(requester).done.size(), 3);
+    cluster.instances.at(owner).knowsService = true;
+    cluster.submit(requester, 2, 1, start + 200ms);
+    cr_assert_eq(cluster.instances.at(owner).sent.size(), 1);
+}
+
 Test(PieceBroker, allInstancesChooseTheSameOwner)
 {
     const Cluster cluster(9);
