Instances send each other a configuration that the store has lost

Once those that knew it had left, nobody served, or one that had heard of no version took the older one with its revoked keys. Those that knew it refused all credentials until the operators wrote again, as the store's lower version confirmed nothing.

Change: a started instance asks the peer that tells a newer version for its text. A version that no peer has told for 10 s counts as lost. While the store has the very configuration of the older copy and no peer tells a newer one, it confirms the active version after 2 s; once the operators have written, only theirs counts.

--- a/include/foxtailwheel/control/ConfigIntake.h
+++ b/include/foxtailwheel/control/ConfigIntake.h
@@ -43,19 +43,32 @@
     /// @param epoch Of the store's answer.
     /// @param active Version in force; 0 if there is none.
     StoredConfig read(const std::string* text, store::StoreEpoch epoch, ConfigVersion active, TimePoint now);
+    /// @brief Reads the text of a configuration that another instance has in force.
+    StoredConfig readFromPeer(const std::string& text, ConfigVersion active) const;
     /// @brief Returns the version that the store has; 0 if it has none that can be read. Whatever credentials an
     /// unreadable one has taken away, the store confirms none of an earlier one.
     ConfigVersion storedVersion() const { return m_storedVersion; }
+    /// @brief Returns whether the store's answers confirm the credentials of the active configuration.
+    ///
+    /// An older configuration in the store confirms nothing, except for the one that came back with an older copy: as
+    /// long as the operators have not written since, the active one is the newest that anyone knows.
+    bool confirms(ConfigVersion active, TimePoint now) const;
     /// @brief Another instance has this version in force.
     /// @return False if this is no news.
-    bool onPeerVersion(ConfigVersion version) { return m_guard.onPeerVersion(version); }
-    /// @brief Returns the highest version that another instance had in force; 0 if none has said so.
-    ConfigVersion newestPeerVersion() const { return m_guard.newestPeerVersion(); }
+    bool onPeerVersion(ConfigVersion version, TimePoint now) { return m_guard.onPeerVersion(version, now); }
+    /// @brief Returns the highest version that another instance has in force; 0 if none has said so lately.
+    ConfigVersion newestPeerVersion(TimePoint now) const { return m_guard.newestPeerVersion(now); }
+    /// @brief Returns whether another instance should be asked for this version: the store may have lost it.
+    bool needsFromPeer(ConfigVersion version, ConfigVersion active) const;
 
 private:
     Decoder m_decoder;
     RestoredConfigGuard m_guard;
     ConfigVersion m_storedVersion;
+    store::StoreEpoch m_epoch; ///< Of the last answer.
+    TimePoint m_epochReadAt; ///< Time of the first answer of that epoch.
+    std::string m_firstText; ///< The configuration in that answer.
+    bool m_isAsRestored = false; ///< The store still has that one.
 };
 
 } // namespace foxtailwheel::control
--- a/include/foxtailwheel/daemon/PeerLink.h
+++ b/include/foxtailwheel/daemon/PeerLink.h
@@ -37,7 +37,12 @@
     /// @brief Called for the first message of another instance, and for each one with notices; may be empty.
     std::function<void(const std::vector<routing::ColdNotice>& notices)> onColdServers;
     std::function<ConfigVersion()> configVersion; ///< Returns the version in force, for others; may be empty.
-    std::function<void(ConfigVersion)> onConfigVersion; ///< Another instance has it in force; may be empty.
+    /// @brief Called when another instance tells its version; may be empty.
+    std::function<void(const InstanceId& instance, ConfigVersion version)> onConfigVersion;
+    /// @brief Returns the text of a version for another instance, if it is the one in force; may be empty.
+    std::function<std::optional<std::string>(ConfigVersion version)> configText;
+    /// @brief Called with the text that another instance has in force; may be empty.
+    std::function<void(const std::string& text)> onConfigText;
 };
 
 /// @brief Options of a peer link.
@@ -66,6 +71,8 @@
     void sendToZone(const control::TableUpdate& update);
     /// @brief Asks some live instances, of other zones if there are any: theirs follow other pollers.
     void askForTable(const control::TableRequest& request);
+    /// @brief Asks an instance for the text of a version of the configuration.
+    void askForConfig(const InstanceId& instance, ConfigVersion version);
     /// @brief Tells the other instances that a server is leaving or has returned.
     void publishServerNotice(const membership::ServerNotice& notice);
     /// @brief Announces to the other instances that this one is leaving.
--- a/src/foxtailwheel/control/ConfigIntakeTest.cpp
+++ b/src/foxtailwheel/control/ConfigIntakeTest.cpp
@@ -41,7 +41,8 @@
     cr_assert(fixture.read("7", 0) == ConfigDecision::Taken);
     cr_assert(fixture.read("12", 7) == ConfigDecision::Taken);
     cr_assert(fixture.read("7", 12) == ConfigDecision::Outdated);
-    cr_assert_eq(fixture.intake.storedVersion().value(), 7, "the store confirms no credentials of version 12");
+    cr_assert(!fixture.intake.confirms(ConfigVersion(12), start));
+    cr_assert(!fixture.intake.confirms(ConfigVersion(12), start + 1h));
     cr_assert(fixture.read(nullptr, 12) == ConfigDecision::Missing);
     cr_assert_eq(fixture.intake.storedVersion().value(), 0);
 }
@@ -52,16 +53,54 @@
     Fixture fixture;
     cr_assert(fixture.read("7", 0) == ConfigDecision::Taken);
     cr_assert(fixture.read("unreadable", 7) == ConfigDecision::Unreadable);
-    cr_assert_eq(fixture.intake.storedVersion().value(), 0);
+    cr_assert(!fixture.intake.confirms(ConfigVersion(7), start));
     cr_assert(fixture.read("12", 7) == ConfigDecision::Taken);
-    cr_assert_eq(fixture.intake.storedVersion().value(), 12);
+    cr_assert(fixture.intake.confirms(ConfigVersion(12), start));
 }
 
 Test(ConfigIntake, configurationOfARestoredStoreIsHeldUntilPeersAreKnown)
 {
     Fixture fixture;
     cr_assert(fixture.read("7", 0, restored) == ConfigDecision::Held);
-    cr_assert(fixture.intake.onPeerVersion(ConfigVersion(12)));
+    cr_assert(fixture.intake.onPeerVersion(ConfigVersion(12), start));
     cr_assert(fixture.read("7", 0, restored) == ConfigDecision::Held);
     cr_assert(fixture.read("12", 0, restored) == ConfigDecision::Taken);
 }
+
+// Once the instances that knew a lost configuration had ended, those that had started since waited for it for ever.
+Test(ConfigIntake, configurationThatNobodyHasAnyMoreIsNotWaitedFor)
+{
+    Fixture fixture;
+    cr_assert(fixture.intake.onPeerVersion(ConfigVersion(12), start));
+    cr_assert(fixture.read("7", 0, restored) == ConfigDecision::Held);
+    cr_assert(fixture.intake.needsFromPeer(ConfigVersion(12), ConfigVersion()));
+    const std::string row = "7";
+    const auto later = start + control::RestoredConfigGuard::peerVersionLifetime;
+    cr_assert(fixture.intake.read(&row, restored, ConfigVersion(), later).decision == ConfigDecision::Taken);
+}
+
+// Instances with a configuration that the store had lost refused all credentials until the operators wrote again.
+Test(ConfigIntake, olderCopyConfirmsTheNewestConfigurationThatIsKnown)
+{
+    Fixture fixture;
+    const auto later = start + control::RestoredConfigGuard::maxWait;
+    cr_assert(fixture.read("12", 7) == ConfigDecision::Taken);
+    cr_assert(fixture.read("7", 12, restored) == ConfigDecision::Outdated);
+    cr_assert(!fixture.intake.confirms(ConfigVersion(12), start), "others may know a newer one");
+    cr_assert(fixture.intake.confirms(ConfigVersion(12), later));
+    cr_assert(fixture.intake.onPeerVersion(ConfigVersion(13), later));
+    cr_assert(!fixture.intake.confirms(ConfigVersion(12), later), "another instance knows a newer one");
+    cr_assert(fixture.intake.readFromPeer("13", ConfigVersion(12)).decision == ConfigDecision::Taken);
+    cr_assert(fixture.intake.confirms(ConfigVersion(13), later));
+    cr_assert(fixture.read("8", 13, restored) == ConfigDecision::Outdated);
+    cr_assert(!fixture.intake.confirms(ConfigVersion(13), later), "the operators have written since");
+}
+
+Test(ConfigIntake, configurationOfAPeerNeverReplacesANewerOne)
+{
+    Fixture fixture;
+    cr_assert(fixture.read("12", 0) == ConfigDecision::Taken);
+    cr_assert(fixture.intake.readFromPeer("12", ConfigVersion(12)).decision == ConfigDecision::Outdated);
+    cr_assert(fixture.intake.readFromPeer("no version", ConfigVersion(12)).decision == ConfigDecision::Unreadable);
+    cr_assert(!fixture.intake.needsFromPeer(ConfigVersion(13), ConfigVersion(12)), "the store has lost nothing");
+}
--- a/src/foxtailwheel/control/RestoredConfigGuard.cpp
+++ b/src/foxtailwheel/control/RestoredConfigGuard.cpp
@@ -9,20 +9,32 @@
 
 } // namespace
 
-bool RestoredConfigGuard::onPeerVersion(ConfigVersion version)
+bool RestoredConfigGuard::onPeerVersion(ConfigVersion version, TimePoint now)
 {
-    if (version <= m_newestPeerVersion)
+    const auto newest = newestPeerVersion(now);
+    if (version < newest)
         return false;
     m_newestPeerVersion = version;
-    return true;
+    m_heardAt = now;
+    return version > newest;
+}
+
+ConfigVersion RestoredConfigGuard::newestPeerVersion(TimePoint now) const
+{
+    return now - m_heardAt < peerVersionLifetime ? m_newestPeerVersion : ConfigVersion();
+}
+
+bool RestoredConfigGuard::mayHaveLost(store::StoreEpoch epoch)
+{
+    return epoch > firstEpoch;
 }
 
 bool RestoredConfigGuard::admits(ConfigVersion version, store::StoreEpoch epoch, TimePoint now) const
 {
-    if (epoch <= firstEpoch)
+    if (!mayHaveLost(epoch))
         return true;
-    const bool hasHeard = m_newestPeerVersion > ConfigVersion();
-    return hasHeard ? version >= m_newestPeerVersion : now - m_startedAt >= maxWait;
+    const auto newest = newestPeerVersion(now);
+    return newest > ConfigVersion() ? version >= newest : now - m_startedAt >= maxWait;
 }
 
 } // namespace foxtailwheel::control
--- a/src/foxtailwheel/control/RestoredConfigGuardTest.cpp
+++ b/src/foxtailwheel/control/RestoredConfigGuardTest.cpp
@@ -18,9 +18,9 @@
 {
     RestoredConfigGuard guard(start);
     cr_assert(!guard.admits(ConfigVersion(7), restored, start), "the others may know a newer one");
-    cr_assert(guard.onPeerVersion(ConfigVersion(12)));
-    cr_assert(!guard.onPeerVersion(ConfigVersion(7)));
-    cr_assert(!guard.admits(ConfigVersion(7), restored, start + 1h));
+    cr_assert(guard.onPeerVersion(ConfigVersion(12), start));
+    cr_assert(!guard.onPeerVersion(ConfigVersion(7), start));
+    cr_assert(!guard.admits(ConfigVersion(7), restored, start + 9s));
     cr_assert(guard.admits(ConfigVersion(12), restored, start + 100ms), "the operator has written it again");
     cr_assert(guard.admits(ConfigVersion(13), restored, start + 100ms));
 }
@@ -36,7 +36,7 @@
 Test(RestoredConfigGuard, storeThatHasLostNothingIsTrusted)
 {
     RestoredConfigGuard guard(start);
-    guard.onPeerVersion(ConfigVersion(12));
+    guard.onPeerVersion(ConfigVersion(12), start);
     for (const std::uint64_t epoch : { 0, 1 })
         cr_assert(guard.admits(ConfigVersion(7), store::StoreEpoch(epoch), start));
 }
--- a/src/foxtailwheel/daemon/PeerLink.cpp
+++ b/src/foxtailwheel/daemon/PeerLink.cpp
@@ -65,6 +65,7 @@
     void execute(const membership::MembershipActions& actions);
     void onMessage(const peer::Message& message);
     void onTableRequest(const peer::TableRequest& request);
+    void onConfigRequest(const peer::ConfigRequest& request);
     void addReports(membership::Digest& digest) const;
     void takeReports(const membership::Digest& digest);
     void updateMembers();
@@ -205,7 +206,7 @@
     if (callbacks.onColdServers && (isFirst || !digest.coldServers.empty()))
         callbacks.onColdServers(digest.coldServers);
     if (callbacks.onConfigVersion && digest.configVersion > ConfigVersion())
-        callbacks.onConfigVersion(digest.configVersion);
+        callbacks.onConfigVersion(digest.sender.id, digest.configVersion);
 }
 
 void PeerLink::Impl::onMessage(const peer::Message& message)
@@ -224,6 +225,12 @@
             { table->table, table->baseVersion, table->changes, table->answered, table->age, table->complete });
     else if (const auto* request = std::get_if<peer::TableRequest>(&message))
         onTableRequest(*request);
+    else if (const auto* wanted = std::get_if<peer::ConfigRequest>(&message))
+        onConfigRequest(*wanted);
+    else if (const auto* reply = std::get_if<peer::ConfigReply>(&message)) {
+        if (callbacks.onConfigText && !reply->text.empty())
+            callbacks.onConfigText(reply->text);
+    }
     execute(actions);
 }
 
@@ -238,6 +245,14 @@
                 answer->answered, answer->age, answer->complete });
 }
 
+void PeerLink::Impl::onConfigRequest(const peer::ConfigRequest& request)
+{
+    auto text = callbacks.configText ? callbacks.configText(request.version) : std::nullopt;
+    // A larger one would hold up heartbeats.
+    if (text && text->size() <= maxForwardedBytes)
+        transport->send(request.sender.endpoint, peer::ConfigReply { request.version, std::move(*text), {}, {} });
+}
+
 PeerLink::PeerLink(std::shared_ptr<Impl> impl)
     : m_impl(std::move(impl))
 {
@@ -313,6 +328,15 @@
         m_impl->transport->send(others[i].second, message);
 }
 
+void PeerLink::askForConfig(const InstanceId& instance, ConfigVersion version)
+{
+    for (const auto& it : m_impl->membership.members()) {
+        if (it.id == instance)
+            m_impl->transport->send(
+                it.endpoint, peer::ConfigRequest { m_impl->membership.self(), version, ConfigVersion() });
+    }
+}
+
 void PeerLink::publishServerNotice(const membership::ServerNotice& notice)
 {
     membership::MembershipActions actions;
