Crashes inside of the head of a response are recorded

Change: the client tells a connection that ends inside of the head from one on which nothing, or no response, arrived (CallResult::brokeInHead), and the forwarder records it like an end between the head and the first event.

--- a/include/foxtailwheel/http/Client.h
+++ b/include/foxtailwheel/http/Client.h
@@ -28,6 +28,7 @@
     std::string detail; ///< Error description for logs.
     bool oversized = false; ///< The body was larger than its limit.
     bool delimited = true; ///< False if only the end of the connection marked the end of the body.
+    bool brokeInHead = false; ///< The connection ended inside of the head: the server had begun to respond.
 };
 
 /// @brief Time that the body of a response may take after its head was received in time.
--- a/include/foxtailwheel/serving/CrashingParts.h
+++ b/include/foxtailwheel/serving/CrashingParts.h
@@ -55,7 +55,7 @@
     {
     }
 
-    /// @brief A call broke after the head of its response and before the first event.
+    /// @brief A call broke after its response had begun, perhaps inside of the head, and before the first event.
     /// @param sentAt Time at which the call was sent.
     CrashRecordUpdate onCrash(
         const std::vector<PromptPart>& prompt, const BackendServerId& server, TimePoint sentAt, TimePoint now);
--- a/include/foxtailwheel/serving/Forwarder.h
+++ b/include/foxtailwheel/serving/Forwarder.h
@@ -170,6 +170,7 @@
     Misdirected, ///< Another server uses the address; the request did not run.
     InputMissing, ///< A stage result no longer exists; the request did not run.
     Broken, ///< The connection ended early, or the response does not belong to this request.
+    BrokenInHead, ///< The connection ended inside of the head of the response.
     TimedOut,
 };
 
--- a/src/foxtailwheel/daemon/ForwardService.cpp
+++ b/src/foxtailwheel/daemon/ForwardService.cpp
@@ -264,6 +264,8 @@
         outcome = ForwardCallOutcome::NotSent;
     else if (result.outcome == http::TransportOutcome::TimedOut)
         outcome = ForwardCallOutcome::TimedOut;
+    else if (result.brokeInHead)
+        outcome = ForwardCallOutcome::BrokenInHead;
     else if (result.outcome == http::TransportOutcome::Complete && responseClass == ResponseClass::Valid)
         outcome = result.delimited ? ForwardCallOutcome::Complete : ForwardCallOutcome::Undelimited;
     serving::ForwardActions actions;
--- a/src/foxtailwheel/http/Client.cpp
+++ b/src/foxtailwheel/http/Client.cpp
@@ -149,6 +149,13 @@
         std::shared_ptr<MemoryBudget> memory;
     };
 
+    /// Returns true if the connection has ended; otherwise, what was received is no response.
+    bool isEndOfConnection(const boost::system::error_code& ec)
+    {
+        return ec == bhttp::error::partial_message || ec == bhttp::error::end_of_stream || ec == net::error::eof
+            || ec == net::error::connection_reset;
+    }
+
     /// A call, run by a coroutine on its own strand.
     class PooledCall final : public Call, public std::enable_shared_from_this<PooledCall> {
     public:
@@ -434,8 +441,12 @@
     {
         std::optional<Parser> optionalParser;
         const auto headError = co_await readHead(optionalParser);
-        if (headError)
-            co_return errorResult(headError);
+        if (headError) {
+            auto failure = errorResult(headError);
+            failure.brokeInHead = failure.outcome == TransportOutcome::ConnectionLost && m_buffer.size() > 0
+                && isEndOfConnection(headError);
+            co_return failure;
+        }
         auto& parser = *optionalParser;
         CallResult result { TransportOutcome::Complete, {}, {} };
         result.response.status = parser.get().result_int();
--- a/src/foxtailwheel/http/ResponseEndTest.cpp
+++ b/src/foxtailwheel/http/ResponseEndTest.cpp
@@ -268,3 +268,15 @@
         }
     }
 }
+
+// A server that crashed inside of the head of its response could not be told from one that never began to respond.
+Test(HttpClient, connectionThatEndsInsideOfTheHeadIsToldApart)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
+    for (const auto end : { ConnectionEnd::Close, ConnectionEnd::Reset }) {
+        for (const std::size_t n : { std::size_t { 1 }, std::size_t { 20 }, head.size() - 1 })
+            cr_assert(call(FixedServer(head.substr(0, n), end).port()).brokeInHead, "%zu bytes", n);
+        for (const auto& bytes : { std::string(), head + "bo", std::string("no response at all\r\n\r\n") })
+            cr_assert(!call(FixedServer(bytes, end).port()).brokeInHead, "%s", bytes.c_str());
+    }
+}
--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -360,7 +360,8 @@
         onCallNotRun(*run, outcome, now, out);
         return;
     case ForwardCallOutcome::Broken:
-        if (!isEmptyRest)
+    case ForwardCallOutcome::BrokenInHead:
+        if (!isEmptyRest && (headReceived || outcome == ForwardCallOutcome::BrokenInHead))
             recordCrash(*run, openCall, now, out);
         m_directory.suspectCold(openCall.server, now);
         [[fallthrough]];
@@ -397,10 +398,10 @@
         fail(run, run.mayHaveRun ? ForwardOutcome::BackendFailed : ForwardOutcome::NotStarted, now, out);
 }
 
-/// A server that ends between the head of a response and its first event probably crashed on the request.
+/// A server that ends after it has begun to respond, and before the first event, probably crashed on the request.
 void RoutingForwarder::recordCrash(const ForwardRun& run, const OpenCall& call, TimePoint now, ForwardActions& out)
 {
-    if (!run.route->streaming || !call.headReceived || call.eventReceived)
+    if (!run.route->streaming || call.eventReceived)
         return;
     auto update = m_crashingParts.onCrash(run.request.prompt, call.server, call.sentAt, now);
     if (update.added.empty() && update.removed.empty())
--- a/src/foxtailwheel/serving/ForwardNames.cpp
+++ b/src/foxtailwheel/serving/ForwardNames.cpp
@@ -98,6 +98,8 @@
         return "input_gone";
     case ForwardCallOutcome::TimedOut:
         return "timed_out";
+    case ForwardCallOutcome::BrokenInHead:
+        return "broken_in_head";
     case ForwardCallOutcome::Broken:
         break;
     }
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -1233,6 +1233,21 @@
     cr_assert_eq(fixture.sent.size(), 4, "sound requests share parts with those that crash servers");
 }
 
+// Servers that crashed inside of the head of their response left no record, and the part was never blocked.
+Test(Forwarder, crashInsideOfTheHeadIsRecorded)
+{
+    ForwarderFixture fixture;
+    for (int i = 0; i < 3; ++i) {
+        fixture.prompt = { { promptPartIdOf(666), 300 }, { promptPartIdOf(100 + i), 10 } };
+        fixture.submit("once", start + i * 1s);
+        fixture.endCall(fixture.sent.back().call, ForwardCallOutcome::BrokenInHead, start + i * 1s + 110ms);
+        cr_assert_eq(fixture.replies.back().response.status, 502, "the request may have run");
+    }
+    fixture.submit("once", start + 4s);
+    cr_assert_eq(fixture.replies.back().outcome, ForwardOutcome::CrashesServers);
+    cr_assert_eq(fixture.sent.size(), 3);
+}
+
 Test(Forwarder, streamThatCrashesServersIsNotSentToAnotherOnceItIsKnown)
 {
     ForwarderFixture fixture;
