The rest of a request is sent after an early response

The connection was closed with the response while the body was still written; the server got about 3.6 of 4.2 MB, and the caller had a success.

Change: the response is delivered at once, and the rest of the body is sent after it, unless the server asks to close the connection or has failed the request. It ends with the request's deadline at the latest, and its bytes count in the memory budget, where they are given up as early as incomplete responses. The client then ends its side and waits for the server to close, so that further bytes of the server don't reset the connection before it has read all.

Test: HttpClient/restOfARequestIsSentAfterAnEarlyResponse.

--- a/src/foxtailwheel/http/Client.cpp
+++ b/src/foxtailwheel/http/Client.cpp
@@ -3,6 +3,7 @@
 #include "BodyBuffer.h"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -43,6 +44,8 @@
     constexpr std::size_t maxIdleConnectionsPerServer = 64;
     constexpr Duration maxIdleTime = 10s;
     constexpr Duration connectTimeout = 500ms;
+    /// Time for a server to close a connection that this side has ended.
+    constexpr Duration closeTimeout = 1s;
     /// Requests up to this size fit into the socket's send buffer and are written before the response is read.
     constexpr std::size_t maxSequentialWriteBytes = 8U << 10U;
     /// Keep-alive probes detect an unresponsive peer after about three seconds.
@@ -186,6 +189,7 @@
         net::awaitable<bool> write();
         net::awaitable<void> writeConcurrently();
         net::awaitable<boost::system::error_code> endWrite();
+        net::awaitable<void> sendRest();
         net::awaitable<CallResult> read();
         void enableKeepAlive();
         net::awaitable<boost::system::error_code> readHead(std::optional<Parser>& parser);
@@ -219,6 +223,7 @@
         bool m_writing = false; ///< A concurrent write is in progress.
         bool m_stopsWriting = false;
         bool m_writeIncomplete = false;
+        bool m_sendsRest = false; ///< The rest of the request is still sent after its response.
         bool m_sendStarted = false;
         bool m_writeStarted = false;
         bool m_reused = false;
@@ -382,6 +387,30 @@
         co_return ended ? boost::system::error_code() : m_writeError;
     }
 
+    /// Sends the rest of a request whose response came early, and waits until the server has closed the connection, so
+    /// that nothing that it sends resets the connection before it has read all.
+    net::awaitable<void> PooledCall::sendRest()
+    {
+        const auto memory = m_state->memory->hold([weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->end();
+        });
+        // The response is delivered, so these bytes are given up as early as those of an incomplete one.
+        memory->set(MemoryUse::ServerResponse, m_message.body().size());
+        while (m_writing)
+            co_await m_writeEnd.async_wait(completionToken);
+        if (m_writeIncomplete)
+            co_return;
+        boost::system::error_code ec;
+        m_stream->socket().shutdown(tcp::socket::shutdown_send, ec);
+        setStreamDeadline(m_clock.now() + closeTimeout);
+        std::array<char, 512> ignored {};
+        while (!ec && !m_overBudget) {
+            auto [readError, n] = co_await m_stream->async_read_some(net::buffer(ignored), completionToken);
+            ec = readError;
+        }
+    }
+
     net::awaitable<boost::system::error_code> PooledCall::readBody(Parser& parser, BodyBuffer& body)
     {
         std::string chunk(readChunkBytes, '\0');
@@ -469,6 +498,8 @@
         }
         result.response.body = body.take();
         result.delimited = !parser.need_eof();
+        // A server that does not ask to close the connection reads on; one that fails the request has no use for it.
+        m_sendsRest = m_writing && parser.keep_alive() && result.delimited && result.response.status < 400;
         if (parser.keep_alive() && m_buffer.size() == 0 && !m_cancelled && !m_writeIncomplete
             && !m_request.newConnection && own) {
             m_stream->expires_never();
@@ -527,7 +558,7 @@
             && (result.outcome == TransportOutcome::TimedOut || result.outcome == TransportOutcome::Cancelled);
         if (stale || unresponsive)
             m_state->idlePool.closeAll(m_request.server);
-        if (m_stream)
+        if (m_stream && !m_sendsRest)
             m_stream->close();
         m_memory.reset();
         const auto callbacks = std::move(m_callbacks);
@@ -536,6 +567,10 @@
         } catch (const std::exception& error) {
             m_state->reportError(error);
         }
+        if (!m_sendsRest)
+            co_return;
+        co_await sendRest();
+        m_stream->close();
     }
 
     class PooledClient final : public Client {
--- a/src/foxtailwheel/http/ResponseEndTest.cpp
+++ b/src/foxtailwheel/http/ResponseEndTest.cpp
@@ -280,3 +280,36 @@
             cr_assert(!call(FixedServer(bytes, end).port()).brokeInHead, "%s", bytes.c_str());
     }
 }
+
+// The connection was closed with the response, so a server that reads on after it got a part of the body.
+Test(HttpClient, restOfARequestIsSentAfterAnEarlyResponse)
+{
+    std::promise<std::size_t> received;
+    http::RawServer server([&](http::RawServer::Socket& socket) {
+        boost::system::error_code ec;
+        std::string request;
+        const auto headBytes = net::read_until(socket, net::dynamic_buffer(request), "\r\n\r\n", ec);
+        net::write(socket, net::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")), ec);
+        std::this_thread::sleep_for(50ms);
+        // Bytes after the response would reset the connection if the client had closed it.
+        net::write(socket, net::buffer(std::string("more")), ec);
+        auto n = request.size() - headBytes;
+        std::string part(64U << 10U, '\0');
+        while (!ec)
+            n += socket.read_some(net::buffer(part), ec);
+        received.set_value(n);
+    });
+    const auto clock = systemClock();
+    const auto pool = http::IoPool::create(1);
+    const auto client = http::Client::create(*pool, *clock);
+    std::promise<http::CallResult> done;
+    http::CallCallbacks callbacks;
+    callbacks.onDone = [&](http::CallResult result) { done.set_value(std::move(result)); };
+    const auto deadline = clock->now() + 20s;
+    http::CallRequest request { { "127.0.0.1", server.port() }, { "POST", "/", {}, longBody }, deadline, deadline };
+    request.newConnection = true;
+    client->start(std::move(request), std::move(callbacks));
+    cr_assert_eq(done.get_future().get().response.body, "body");
+    cr_assert_eq(received.get_future().get(), longBody.size());
+    pool->stop();
+}
