One request is tried when the block of a crashing part ends

Change: once a block has ended, one request with the part is sent by one instance, the first in an order by rendezvous hash; each 30 s the next instance may try, since the first may have no such request. Log line crash_trial.

Tests: CrashingParts/oneRequestOfOneInstanceIsTriedWhenABlockEnds and otherInstancesTryLater (new interface).

--- a/include/foxtailwheel/serving/CrashingParts.h
+++ b/include/foxtailwheel/serving/CrashingParts.h
@@ -31,13 +31,21 @@
     std::vector<CrashRecord> removed;
 };
 
+/// @brief Whether a request may be sent whose prompt has a part that was blocked.
+enum class TrialDecision {
+    NotNeeded, ///< No part was blocked.
+    Admitted, ///< The request is tried.
+    Refused, ///< Another request, or another instance, tries the part first.
+};
+
 /// @brief Finds the parts of prompts on which servers crash, and blocks requests with them for a time.
 ///
 /// A server that crashes breaks all its calls, but only for a call whose response had just begun does that say much
 /// about its prompt. All shared parts of that prompt are recorded as suspects. A response that begins to arrive clears
 /// the parts of its prompt. A part with several crashes at different times is blocked, unless another part that was
-/// present in all of them may be the cause and is not in the prompt. Crashes that an earlier build recorded, perhaps
-/// without the part that caused them, count, but say nothing about which parts were present.
+/// present in all of them may be the cause and is not in the prompt. Once the block has ended, one request is tried by
+/// one instance: it blocks the part for longer, or clears it. Crashes that an earlier build recorded, perhaps without
+/// the part that caused them, count, but say nothing about which parts were present.
 ///
 /// Ages are counted from when this instance learned of a crash; times of records are only compared with one another, so
 /// the clocks of instances need not agree. Not thread-safe.
@@ -65,6 +73,11 @@
     void setRecords(const std::vector<CrashRecord>& records, TimePoint now);
     /// @brief Returns the time for which requests with this prompt are blocked; empty if they are not.
     std::optional<Duration> blockedFor(const std::vector<PromptPart>& prompt, TimePoint now) const;
+    /// @brief Decides on a request that is not blocked; at most one request with a part is tried at a time.
+    ///
+    /// The live instances take turns, in an order of their own for each part: the first one may have no such request.
+    TrialDecision decideTrial(const std::vector<PromptPart>& prompt, TimePoint now);
+    void setInstances(const InstanceId& self, const std::vector<InstanceId>& live);
 
 private:
     /// Server and number of a crash.
@@ -83,12 +96,18 @@
 
     std::uint32_t numberOf(const BackendServerId& server, TimePoint now) const;
     WallTime recordedTime(const PromptPartId& part, TimePoint sentAt, TimePoint now) const;
+    /// Time of the end of a part's block; empty if it has too few crashes, or they have another suspect.
+    std::optional<TimePoint> blockEnd(const PromptPartId& part, const std::vector<PromptPart>& prompt) const;
+    TimePoint turnStart(const PromptPartId& part, TimePoint blockEnd) const;
     bool isOnlySuspect(const PromptPartId& part, const std::vector<PromptPart>& prompt) const;
     void remove(const PromptPartId& part, const CrashId& id);
     void removeOwn(const CrashRecord& record, TimePoint now, CrashRecordUpdate& out);
     void removeExpired(TimePoint now, CrashRecordUpdate& out);
 
     WallTime m_epoch;
+    InstanceId m_self;
+    std::vector<InstanceId> m_instances; ///< Live ones; empty for this one alone.
+    std::map<PromptPartId, TimePoint> m_triedAt; ///< Time of the last trial of this instance.
     std::map<PromptPartId, Crashes> m_crashes;
     std::map<std::pair<PromptPartId, CrashId>, OwnChange> m_ownChanges;
 };
--- a/src/foxtailwheel/serving/CrashingParts.cpp
+++ b/src/foxtailwheel/serving/CrashingParts.cpp
@@ -1,6 +1,9 @@
 #include "foxtailwheel/serving/CrashingParts.h"
 
+#include "foxtailwheel/base/Hash.h"
+
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace foxtailwheel::serving {
@@ -15,6 +18,9 @@
     /// the part has crashed another server after it was admitted again.
     constexpr Duration initialBlockTime = 60s;
     constexpr Duration maxBlockTime = 10min;
+    /// Time after the end of a block until the next instance may try the part, and until the same one may try it again.
+    /// Covers the time to the first event of a response and that to share its outcome.
+    constexpr Duration trialTurn = 30s;
     /// Age at which a record no longer blocks its part and is removed.
     constexpr Duration recordLifetime = 2 * maxBlockTime;
     /// Time that a change takes at most until all instances see it.
@@ -181,26 +187,75 @@
     });
 }
 
+std::optional<TimePoint> CrashingParts::blockEnd(const PromptPartId& part, const std::vector<PromptPart>& prompt) const
+{
+    const auto known = m_crashes.find(part);
+    if (known == m_crashes.end())
+        return std::nullopt;
+    std::vector<WallTime> times;
+    auto lastLearnedAt = TimePoint::min();
+    for (const auto& [id, crash] : known->second) {
+        times.push_back(crash.at);
+        lastLearnedAt = std::max(lastLearnedAt, crash.learnedAt);
+    }
+    const auto n = countApart(times);
+    if (n < minCrashes || !isOnlySuspect(part, prompt))
+        return std::nullopt;
+    return lastLearnedAt + blockTime(n);
+}
+
 std::optional<Duration> CrashingParts::blockedFor(const std::vector<PromptPart>& prompt, TimePoint now) const
 {
     if (m_crashes.empty())
         return std::nullopt;
     Duration longest {};
     for (const auto& it : sharedParts(prompt)) {
-        const auto known = m_crashes.find(it.id);
-        if (known == m_crashes.end())
-            continue;
-        std::vector<WallTime> times;
-        auto lastLearnedAt = TimePoint::min();
-        for (const auto& [id, crash] : known->second) {
-            times.push_back(crash.at);
-            lastLearnedAt = std::max(lastLearnedAt, crash.learnedAt);
-        }
-        const auto n = countApart(times);
-        if (n >= minCrashes && isOnlySuspect(it.id, prompt))
-            longest = std::max(longest, lastLearnedAt + blockTime(n) - now);
+        if (const auto end = blockEnd(it.id, prompt))
+            longest = std::max(longest, *end - now);
     }
     return longest > Duration {} ? std::optional(longest) : std::nullopt;
 }
 
+void CrashingParts::setInstances(const InstanceId& self, const std::vector<InstanceId>& live)
+{
+    m_self = self;
+    m_instances = live;
+}
+
+/// Returns the time from which this instance may try a part.
+TimePoint CrashingParts::turnStart(const PromptPartId& part, TimePoint blockEnd) const
+{
+    const auto key = "crash-trial/" + part.value();
+    const auto own = rendezvousWeight(key, m_self.value());
+    const auto earlier = std::count_if(m_instances.begin(), m_instances.end(),
+        [&](const InstanceId& it) { return it != m_self && rendezvousWeight(key, it.value()) > own; });
+    return blockEnd + trialTurn * earlier;
+}
+
+TrialDecision CrashingParts::decideTrial(const std::vector<PromptPart>& prompt, TimePoint now)
+{
+    if (m_crashes.empty()) {
+        m_triedAt.clear();
+        return TrialDecision::NotNeeded;
+    }
+    std::set<PromptPartId> parts;
+    auto end = TimePoint::min();
+    for (const auto& it : sharedParts(prompt)) {
+        const auto partEnd = blockEnd(it.id, prompt);
+        if (!partEnd)
+            continue;
+        const auto tried = m_triedAt.find(it.id);
+        if (tried != m_triedAt.end() && now - tried->second < trialTurn)
+            return TrialDecision::Refused;
+        parts.insert(it.id);
+        end = std::max(end, *partEnd);
+    }
+    // Each instance has one turn for a prompt, however many of its parts are suspects.
+    if (!parts.empty() && now < turnStart(*parts.begin(), end))
+        return TrialDecision::Refused;
+    for (const auto& it : parts)
+        m_triedAt[it] = now;
+    return parts.empty() ? TrialDecision::NotNeeded : TrialDecision::Admitted;
+}
+
 } // namespace foxtailwheel::serving
--- a/src/foxtailwheel/serving/CrashingPartsTest.cpp
+++ b/src/foxtailwheel/serving/CrashingPartsTest.cpp
@@ -122,6 +122,53 @@
     cr_assert(second && *second > *first);
 }
 
+// At the end of a block, all instances sent all requests with the part until the next crash was known.
+Test(CrashingParts, oneRequestOfOneInstanceIsTriedWhenABlockEnds)
+{
+    const std::vector<InstanceId> live { InstanceId("a"), InstanceId("b"), InstanceId("c") };
+    std::vector<CrashingParts> instances(live.size());
+    const auto prompt = promptOf({ common, deadly });
+    for (std::size_t i = 0; i < live.size(); ++i) {
+        instances[i].setInstances(live[i], live);
+        for (int n = 0; n < 3; ++n)
+            instances[i].onCrash(prompt, server(n), sentAt, start + n * 1s);
+    }
+    const auto end = start + 2s + *instances[0].blockedFor(prompt, start + 2s);
+    const auto countTrials = [&](TimePoint now) {
+        int n = 0;
+        for (int request = 0; request < 5; ++request) {
+            for (auto& it : instances)
+                n += it.decideTrial(prompt, now) == TrialDecision::Admitted ? 1 : 0;
+        }
+        return n;
+    };
+    cr_assert_eq(countTrials(end - 1s), 0);
+    cr_assert_eq(countTrials(end), 1);
+    cr_assert_eq(countTrials(end + 1s), 0, "the first one is in progress");
+    cr_assert_eq(instances[0].decideTrial(promptOf({ common }), end), TrialDecision::NotNeeded);
+    for (auto& it : instances)
+        it.onAnswerBegan(prompt, end + 2s);
+    for (auto& it : instances)
+        cr_assert_eq(it.decideTrial(prompt, end + 2s), TrialDecision::NotNeeded, "the part is sound again");
+}
+
+// The first instance in the order of a part may get no request with it.
+Test(CrashingParts, otherInstancesTryLater)
+{
+    const std::vector<InstanceId> live { InstanceId("a"), InstanceId("b") };
+    int admitted = 0;
+    for (const auto& self : live) {
+        CrashingParts parts;
+        parts.setInstances(self, live);
+        for (int n = 0; n < 3; ++n)
+            parts.onCrash(promptOf({ deadly }), server(n), sentAt, start + n * 1s);
+        const auto end = start + 2s + *parts.blockedFor(promptOf({ deadly }), start + 2s);
+        admitted += parts.decideTrial(promptOf({ deadly }), end + 1s) == TrialDecision::Admitted ? 1 : 0;
+        admitted += parts.decideTrial(promptOf({ deadly }), end + 40s) == TrialDecision::Admitted ? 1 : 0;
+    }
+    cr_assert_eq(admitted, 3, "one tries at once and again, the other one later");
+}
+
 Test(CrashingParts, oldRecordsAreRemoved)
 {
     CrashingParts parts;
--- a/src/foxtailwheel/serving/ForwardCalls.cpp
+++ b/src/foxtailwheel/serving/ForwardCalls.cpp
@@ -40,14 +40,6 @@
     /// Assumed time to the first byte until measurements are available.
     constexpr Duration initialTimeToFirstByte = 150ms;
 
-    std::string formatSharedParts(const std::vector<PromptPart>& prompt)
-    {
-        std::string text;
-        for (const auto& it : sharedParts(prompt))
-            text += (text.empty() ? "" : ",") + it.id.value();
-        return text;
-    }
-
 } // namespace
 
 /// Returns the key by which related requests are sent to the same server. Related prompts share all parts except the
--- a/src/foxtailwheel/serving/ForwardNames.cpp
+++ b/src/foxtailwheel/serving/ForwardNames.cpp
@@ -7,6 +7,14 @@
     return std::to_string(static_cast<long>(n));
 }
 
+std::string formatSharedParts(const std::vector<PromptPart>& prompt)
+{
+    std::string text;
+    for (const auto& it : sharedParts(prompt))
+        text += (text.empty() ? "" : ",") + it.id.value();
+    return text;
+}
+
 unsigned httpStatus(ForwardOutcome outcome)
 {
     switch (outcome) {
--- a/src/foxtailwheel/serving/ForwardRequests.cpp
+++ b/src/foxtailwheel/serving/ForwardRequests.cpp
@@ -16,6 +16,8 @@
     constexpr Duration notReadyRetryAfter = 300ms;
     /// Retry-After hint where the configuration has to be mended first.
     constexpr Duration invalidConfigurationRetryAfter = 1s;
+    /// Retry-After hint while another request is tried whose prompt has the same part.
+    constexpr Duration crashTrialRetryAfter = 1s;
     /// Fraction of its remaining time within which a late request must be expected to complete to be accepted. Requests
     /// that arrive afterwards may still be served before it.
     constexpr double safeCompletionShare = 0.7;
@@ -183,12 +185,20 @@
 bool RoutingForwarder::refuseIfCrashing(ForwardRun& run, TimePoint now, ForwardActions& out)
 {
     const auto blocked = m_crashingParts.blockedFor(run.request.prompt, now);
-    if (!blocked)
-        return false;
+    if (!blocked) {
+        if (run.triesCrashingPart)
+            return false;
+        const auto trial = m_crashingParts.decideTrial(run.request.prompt, now);
+        run.triesCrashingPart = trial == TrialDecision::Admitted;
+        if (run.triesCrashingPart)
+            logDecision(run, "crash_trial", { { "parts", formatSharedParts(run.request.prompt) } });
+        if (trial != TrialDecision::Refused)
+            return false;
+    }
     if (run.mayHaveRun)
         fail(run, ForwardOutcome::BackendFailed, now, out);
     else
-        refuse(run, ForwardOutcome::CrashesServers, *blocked, now, out);
+        refuse(run, ForwardOutcome::CrashesServers, blocked.value_or(crashTrialRetryAfter), now, out);
     return true;
 }
 
--- a/src/foxtailwheel/serving/ForwardRun.h
+++ b/src/foxtailwheel/serving/ForwardRun.h
@@ -53,6 +53,7 @@
     bool retryBudgetCredited = false; ///< The first call was counted in the retry budget.
     bool awaitsRetryBudget = false; ///< The next call has not been charged to the retry budget yet.
     bool mayHaveRun = false;
+    bool triesCrashingPart = false; ///< Its prompt has a part whose block has ended.
     EventSplitter eventSplitter;
     std::optional<std::uint64_t> lastEventId; ///< Last event that was forwarded to the caller.
     bool hasUnnumberedEvents = false; ///< Events without a number were forwarded, so no server can go on after them.
--- a/src/foxtailwheel/serving/Forwarder.cpp
+++ b/src/foxtailwheel/serving/Forwarder.cpp
@@ -159,6 +159,7 @@
 {
     m_instanceCount = std::max<std::size_t>(1, live.size());
     m_directory.setInstances(live, now);
+    m_crashingParts.setInstances(m_options.pools.self, live);
     BrokerActions actions;
     m_broker.setMembers(m_options.batchAcrossInstances ? owners : std::vector<InstanceId>(), removed, now, actions);
     updateQueueShares(now);
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -22,6 +22,9 @@
 /// @brief Formats a number for logs, truncated to an integer.
 std::string formatInteger(double n);
 
+/// @brief Formats the shared parts of a prompt for logs, separated by commas.
+std::string formatSharedParts(const std::vector<PromptPart>& prompt);
+
 /// @brief Returns what a request needs from a model engine.
 routing::EngineDemand engineDemandOf(const ForwardRequest& request);
 
