--- a/src/foxtailwheel/serving/ForwardConfigChangeTest.cpp
+++ b/src/foxtailwheel/serving/ForwardConfigChangeTest.cpp
@@ -185,28 +185,19 @@
     void step()
     {
         m_now += 1ms;
-        switch (m_random.below(8)) {
-        case 0:
+        const auto action = m_random.below(8);
+        if (action == 0)
             submit();
-            break;
-        case 1:
-        case 2:
+        else if (action <= 2)
             deliver();
-            break;
-        case 3:
-        case 4:
+        else if (action <= 4)
             endBatch();
-            break;
-        case 5:
+        else if (action == 5)
             endCall(m_random.chance(0.5));
-            break;
-        case 6:
+        else if (action == 6)
             advance();
-            break;
-        case 7:
+        else
             disturb();
-            break;
-        }
     }
 
     void submit()
