--- a/include/foxtailwheel/control/ConfigIntake.h
+++ b/include/foxtailwheel/control/ConfigIntake.h
@@ -4,6 +4,7 @@
 #include "foxtailwheel/config/Routes.h"
 #include "foxtailwheel/control/RestoredConfigGuard.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -67,7 +68,7 @@
     ConfigVersion m_storedVersion;
     store::StoreEpoch m_epoch; ///< Of the last answer.
     TimePoint m_epochReadAt; ///< Time of the first answer of that epoch.
-    std::string m_firstText; ///< The configuration in that answer.
+    std::uint64_t m_firstTextHash = 0; ///< Of the configuration in that answer.
     bool m_isAsRestored = false; ///< The store still has that one.
 };
 
--- a/src/foxtailwheel/control/ConfigIntake.cpp
+++ b/src/foxtailwheel/control/ConfigIntake.cpp
@@ -1,19 +1,21 @@
 #include "foxtailwheel/control/ConfigIntake.h"
 
+#include "foxtailwheel/base/Hash.h"
+
 #include <algorithm>
 
 namespace foxtailwheel::control {
 
 StoredConfig ConfigIntake::read(const std::string* text, store::StoreEpoch epoch, ConfigVersion active, TimePoint now)
 {
-    const auto current = text == nullptr ? std::string() : *text;
+    const auto textHash = text == nullptr ? 0 : hashOf(*text);
     if (epoch != m_epoch) {
         m_epoch = epoch;
         m_epochReadAt = now;
-        m_firstText = current;
+        m_firstTextHash = textHash;
         m_isAsRestored = RestoredConfigGuard::mayHaveLost(epoch);
     }
-    m_isAsRestored = m_isAsRestored && current == m_firstText;
+    m_isAsRestored = m_isAsRestored && textHash == m_firstTextHash;
     m_storedVersion = {};
     if (text == nullptr)
         return {};
