--- a/include/foxtailwheel/config/Routes.h
+++ b/include/foxtailwheel/config/Routes.h
@@ -24,6 +24,7 @@
 struct RouteTarget {
     ServiceId service;
     double weight = 1; ///< Relative to the other targets of the route.
+    bool usable = true; ///< Otherwise the service is not declared, and requests for it are refused.
 };
 
 /// @brief A stage whose pieces must complete before the request itself is sent.
--- a/src/foxtailwheel/serving/ForwardRequests.cpp
+++ b/src/foxtailwheel/serving/ForwardRequests.cpp
@@ -131,7 +131,7 @@
     return std::nullopt;
 }
 
-ServiceId RoutingForwarder::pickService(const ForwardRun& run)
+const config::RouteTarget& RoutingForwarder::pickTarget(const ForwardRun& run)
 {
     const auto& targets = run.route->targets;
     double totalWeight = 0;
@@ -141,9 +141,9 @@
     for (const auto& it : targets) {
         remainingWeight -= it.weight;
         if (remainingWeight < 0)
-            return it.service;
+            return it;
     }
-    return targets.back().service;
+    return targets.back();
 }
 
 void RoutingForwarder::submit(ForwardId id, ForwardRequest request, TimePoint now, ForwardActions& out)
@@ -227,8 +227,9 @@
         return;
     const auto& route = *run.route;
     run.deadline = now + std::min(route.timeout, run.request.remainingTime.value_or(route.timeout));
-    run.service = pickService(run);
-    if (run.table->findService(run.service) == nullptr) {
+    const auto& target = pickTarget(run);
+    run.service = target.service;
+    if (!target.usable) {
         refuse(run, ForwardOutcome::InvalidConfiguration, invalidConfigurationRetryAfter, now, out);
         return;
     }
--- a/src/foxtailwheel/serving/ForwarderTest.cpp
+++ b/src/foxtailwheel/serving/ForwarderTest.cpp
@@ -801,14 +801,16 @@
     changed->routes.back().prefix = "/";
     changed->routes.at(0).usable = false;
     changed->routes.at(0).targets.clear();
+    changed->routes.at(2).targets.at(0).usable = false;
     changed->credentials["broken"] = { ClientAccountId("other"), std::nullopt, {}, false };
     changed->buildIndex();
     fixture.collectActions([&](auto& out) { fixture.forwarder->configure(changed, start, out); });
     fixture.submit("safe");
+    fixture.submit("plan");
     fixture.credential = "broken";
     fixture.submit("book");
     cr_assert(fixture.sent.empty());
-    cr_assert_eq(fixture.replies.size(), 2);
+    cr_assert_eq(fixture.replies.size(), 3);
     for (const auto& it : fixture.replies) {
         cr_assert_eq(it.outcome, ForwardOutcome::InvalidConfiguration);
         cr_assert_eq(it.response.status, 503);
--- a/src/foxtailwheel/serving/RoutingForwarder.h
+++ b/src/foxtailwheel/serving/RoutingForwarder.h
@@ -161,7 +161,7 @@
         std::vector<std::pair<std::string_view, std::string>> fields) const;
 
     std::optional<ForwardOutcome> authorize(ForwardRun& run, TimePoint now) const;
-    ServiceId pickService(const ForwardRun& run);
+    const config::RouteTarget& pickTarget(const ForwardRun& run);
     void checkSuspectedServer(const ServiceId& service, TimePoint now, ForwardActions& out);
     void pauseServer(const BackendServerId& server, Duration pause, TimePoint now);
     bool refuseIfAllPaused(ForwardRun& run, TimePoint now, ForwardActions& out);
